--- /dev/null
+++ b/brain/brain.go
@@ -0,0 +1,1000 @@
+package brain
+
+// How to call it: New makes the decisions of one gatherer from its Facts. Handle takes one Event and the
+// moment it came and returns the Actions to perform, in order. types.go is the interface: ids, units,
+// events, actions. Events of one moment are handed over one by one, in their order of arrival.
+//
+// The design (docs/design.md) places each part: see fanOut, the ordinary path of a search. Beside it stand
+// six mechanisms:
+//  1. Health: errors and silence take a server out; a probe, then one trial part, bring it back.
+//  2. Cold allowance: a server just started gets its share of what warm ones bear, by its age.
+//  3. Further sub-requests: resends and copies follow the recent ones' success, inside the stated budget.
+//  4. In-flight limit: follows the shortest over the present answer time; past it searches are shed.
+//  5. Moment to answer: whole at once, short at the latency target, parts spared, given up in time.
+//  6. List keeping: a subscription asked for again with growing pauses; unlisted servers are forgotten.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	gap          = 100 * Millisecond // the design's: a part so far behind the fastest moves once
+	firstShare   = 10                // the design's: before any answer a part takes target / firstShare
+	rateWeight   = 0.2               // smoothing of latency per unit size: about the last five answers
+	sizeWeight   = 0.05              // smoothing of a part's size
+	offsetSpread = 1 << 16           // offsets are drawn from so many
+
+	tailQuantile = 0.95 // a sub-request out longer than so many usually take is overdue
+	tailStep     = 0.1  // how fast that quantile is learned
+	tailFirst    = 3.0  // and where it starts, as a multiple of the prediction
+	silentAfter  = 2.0  // nothing heard in so many times the overdue age: silent
+
+	failLimit   = 0.3 // smoothed share of failures that takes a server out
+	hardFailure = 0.4 // weight of a dead connection or of silence: one is enough
+	softFailure = 0.2 // weight of an error: two close together are needed
+	fullFailure = 0.1 // weight of being turned away: load, not yet a fault
+	goodWeight  = 0.1 // weight of an answer
+	firstPause  = 500 * Millisecond
+	longestOut  = 4000 * Millisecond // the pause doubles up to this
+
+	coldSafety = 0.5 // of the rule's multiple: others may send more than this gatherer does
+
+	copyShare     = 0.2  // further sub-requests per search or part taken, where no budget is stated
+	successWeight = 0.05 // smoothing of their success
+	copyFloor     = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
+
+	limitWeight = 0.02 // smoothing of the in-flight limit
+	limitSlack  = 2.0  // the present answer time may be so many times the shortest
+	limitFloor  = 2    // parts in flight for each ready server that are always allowed
+	limitFirst  = 8    // and allowed at first
+	shortestUp  = 1e-3 // the shortest answer time is forgotten so fast, per answer
+	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
+	shareSpan   = 2000 * Millisecond
+
+	weightSlack = 5e-5 // sums of weights may fall so short by rounding
+	lookPause   = 20 * Millisecond
+	listFirst   = 500 * Millisecond // first pause between two calls for the list
+
+	never = Time(math.MaxInt64 / 4)
+)
+
+// Gatherer holds all that one gatherer knows.
+type Gatherer struct {
+	types         []typeRules
+	customers     []customer
+	cells, reach  int
+	most          int  // sub-requests for one part
+	margin        Time // what is to be sent by a moment is sent so much earlier
+	mayCancel     bool
+	mayCopy       bool
+	mayProbe      bool
+	onRequest     bool // the list must be asked for
+	overCounts    bool // searches beyond a customer's share are worth less
+	advise        Time // longest advice to a client; 0 = none
+	listPause     Time // longest pause between two calls for the list
+	coldShare     float64
+	coldFor       Time
+	coldMultiple  float64
+	fallWithin    Time
+	free, perItem float64 // budget: so many further sub-requests, and so many per search or part taken
+
+	now     Time
+	acts    []Action
+	rand    mwc
+	servers map[ServerID]*server    // emptied by the list: gone, and nothing out
+	holders [][]*server             // ready ones by cell, in order of id; made anew with each list
+	ready   int                     // how many those are
+	open    map[SearchID]*search    // emptied by the final answer or the client's leaving
+	numbers map[SearchNo]*search    // as open
+	out     map[sendKey]*subRequest // emptied by outcomes: each sub-request gets one
+	timers  map[TimerID]wake        // emptied by firing
+	timer   TimerID                 // last one used; 0 is the list's
+	asking  bool                    // the list's timer is set
+	nextAsk Time                    // its next pause
+	planned map[*server]float64     // sizes within the plan being drawn; emptied by the next
+
+	average float64 // latency per unit size, over the servers heard from; 0 = none
+	size    float64 // smoothed size of a part
+	tail    float64 // latency over prediction that a share of 1 - tailQuantile exceeds
+	success float64 // smoothed share of further sub-requests that brought the answer
+	short   float64 // shortest of late of the next; 0 = none
+	present float64 // smoothed latency per unit size, over all answers
+	limit   float64 // parts in flight
+	extra   tally   // further sub-requests
+	taken   tally   // searches and parts
+}
+
+// typeRules are the figures of one query type that decisions use.
+type typeRules struct {
+	effect          Effect
+	target, timeout Time
+	window          Time
+	late, shortPart float64 // share of the value: after the target, not whole
+	least, whole    float64
+	second          bool // a second step follows the first answer
+}
+
+type customer struct {
+	perSpan float64 // this gatherer's part of the customer's share in shareSpan; 0 = no limit
+	came    tally
+}
+
+type server struct {
+	id       ServerID
+	cell     CellNo
+	state    ServerState
+	upSince  Time
+	coldFrom Time // when it last started, as far as known; 0 = long ago
+	heard    bool
+	heardAt  Time
+	rate     float64       // smoothed latency per unit size, once heard
+	queue    float64       // parts it last reported
+	out      []*subRequest // in order of sending; emptied by outcomes
+	backlog  float64       // their sizes
+	sent     tally         // sizes sent
+	failing  float64       // smoothed share of failures
+	outUntil Time          // taken out until then
+	pause    Time          // the next time out
+	trial    bool          // back, with one part at a time, until it answers
+	probing  bool
+	lost     bool // its connections failed: it may come back cold
+}
+
+type search struct {
+	id      SearchID
+	number  SearchNo
+	rules   *typeRules
+	parts   []*part // of the present step
+	second  bool
+	whole   bool // the first step's answer was
+	shortAt Time // when an answer short of whole is given
+	end     Time // when it is given up
+	lookAt  Time // the pending timer's; 0 = none
+}
+
+type part struct {
+	q      *search
+	id     PartID
+	shard  ShardNo
+	weight float64
+	size   float64
+	tries  []*subRequest
+	done   bool // its answer is in
+	spare  bool // not sent unless others are late or fail
+}
+
+type sendKey struct {
+	part PartID
+	send SendNo
+}
+
+type subRequest struct {
+	p         *part
+	s         *server
+	sentAt    Time
+	ahead     float64 // sizes unfinished there, as known, when it was sent
+	predicted Time
+	further   bool
+	ended     bool
+	neverRan  bool
+}
+
+// New makes a gatherer that knows nothing yet but its facts.
+func New(f Facts) *Gatherer {
+	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), most: f.MostSubRequests,
+		margin: max(2*f.Tick, 4*Millisecond), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
+		mayProbe: f.MayProbe, onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1,
+		advise: f.AdviseRetry, listPause: max(f.AskWithin/2, listFirst), coldShare: f.ColdShare,
+		coldFor: f.ColdFor, coldMultiple: coldSafety * max(f.FallMultiple, 1),
+		fallWithin: f.FallWithin, rand: newMWC(f.Seed),
+		servers: map[ServerID]*server{}, open: map[SearchID]*search{}, numbers: map[SearchNo]*search{},
+		out: map[sendKey]*subRequest{}, timers: map[TimerID]wake{}, planned: map[*server]float64{},
+		nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
+		free: f.BudgetFree, perItem: f.BudgetShare}
+	span := f.BudgetSpan
+	if !f.HasBudget {
+		g.free, g.perItem, span = float64(f.MostSubRequests), copyShare, 10*shareSpan
+	}
+	g.extra, g.taken = newTally(span), newTally(span)
+	for _, t := range f.QueryTypes {
+		g.types = append(g.types, typeRules{effect: t.Effect, target: t.LatencyTarget,
+			timeout: t.ClientTimeout, window: t.Window, late: t.LateValue, shortPart: t.ShortValue,
+			least: t.LeastShare, whole: t.WholeAt, second: t.SecondStep > 0})
+	}
+	spans := float64(shareSpan) / float64(1000*Millisecond) / float64(max(f.Gatherers, 1))
+	for _, c := range f.Customers {
+		g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
+	}
+	return g
+}
+
+// Handle takes what happened and returns what is to be done.
+func (g *Gatherer) Handle(now Time, ev Event) []Action {
+	g.now, g.acts = max(now, g.now), nil
+	switch e := ev.(type) {
+	case ServerList:
+		g.list(e)
+	case SearchArrived:
+		g.arrived(e)
+	case MoreParts:
+		if q := g.numbers[e.Number]; q != nil && q.second && len(q.parts) == 0 {
+			g.taken.add(g.now, float64(len(e.Parts)))
+			g.fanOut(q, e.Parts)
+		}
+	case SubRequestEnded:
+		g.ended(e)
+	case SearchLeft:
+		if q := g.open[e.Search]; q != nil {
+			g.close(q)
+		}
+	case TimerFired:
+		g.fired(e.Timer)
+	case Probed:
+		g.probed(e)
+	}
+	return g.acts
+}
+
+func (g *Gatherer) do(a Action) { g.acts = append(g.acts, a) }
+
+// arrived takes a search in and sets its moments: when a short answer is worth as much as waiting on, and
+// when nothing more is to be won. An answer that is worth nothing after the target is not waited for.
+func (g *Gatherer) arrived(e SearchArrived) {
+	r := &g.types[e.Type]
+	q := &search{id: e.Search, number: e.Number, rules: r}
+	target := g.now + r.target - g.margin
+	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
+	if r.late == 0 {
+		q.end = min(q.end, target)
+	}
+	q.shortAt = q.end
+	if r.shortPart*r.least >= r.late {
+		q.shortAt = min(q.end, target)
+	}
+	g.open[q.id], g.numbers[q.number] = q, q
+	g.taken.add(g.now, float64(1+len(e.Parts)))
+	over := false
+	if int(e.Customer) < len(g.customers) {
+		c := &g.customers[e.Customer]
+		c.came.add(g.now, 1)
+		over = g.overCounts && c.perSpan > 0 && c.came.least(g.now) > c.perSpan
+	}
+	inFlight := float64(len(g.out))
+	if inFlight >= g.limit || over && inFlight >= pressed*g.limit {
+		g.giveUp(q)
+		return
+	}
+	g.fanOut(q, e.Parts)
+}
+
+// placing is one part's place in a plan and its predicted finish, from now.
+type placing struct {
+	p      *part
+	s      *server // nil = no replica can be used
+	finish Time
+}
+
+// fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
+// whose slowest part ends first is sent.
+func (g *Gatherer) fanOut(q *search, parts []Part) {
+	for _, p := range parts {
+		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: p.Size}
+		if own.size <= 0 {
+			own.size = 1
+		}
+		g.size += (own.size - g.size) * sizeWeight
+		q.parts = append(q.parts, own)
+	}
+	g.learnAverage()
+	var best []placing
+	var needed int
+	slowest := Time(math.MaxInt64)
+	for range 2 {
+		offset := g.rand.below(offsetSpread)
+		clear(g.planned)
+		plan := make([]placing, 0, len(q.parts))
+		for _, p := range q.parts {
+			b := placing{p, g.replica(p, offset), never}
+			if b.s != nil {
+				b.finish = g.predict(b.s, p)
+				g.planned[b.s] += p.size
+			}
+			plan = append(plan, b)
+		}
+		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
+		// The latest parts beyond what a whole answer needs are spared.
+		n, weight := 0, 0.0
+		for n < len(plan) && (q.second || weight < q.rules.whole-weightSlack) {
+			weight += plan[n].p.weight
+			n++
+		}
+		if n > 0 && plan[n-1].finish < slowest {
+			best, needed, slowest = plan, n, plan[n-1].finish
+		}
+	}
+	// What cannot end in time is better not begun.
+	if !q.second && slowest < never && g.now+slowest > q.end {
+		g.giveUp(q)
+		return
+	}
+	clear(g.planned)
+	for i, b := range best {
+		if b.p.spare = i >= needed; b.p.spare || b.s == nil {
+			continue
+		}
+		if b.finish > best[0].finish+gap {
+			if s := g.earliest(b.p); s != nil && g.predict(s, b.p) < b.finish {
+				b.s = s
+			}
+		}
+		if g.allowed(b.s, b.p) {
+			g.send(b.p, b.s, false)
+		}
+	}
+	g.review(q)
+}
+
+// replica names a part's replica at an offset, or the next one after it in the plan's order that can be
+// used. On a ring the offset marks every reach-th cell, so that each part's replicas hold one mark, and
+// the part goes to the replica at or after it; in sets the replicas are counted by offset plus shard.
+func (g *Gatherer) replica(p *part, offset int) *server {
+	n := 0
+	start := 0
+	nearest := g.reach
+	for j := range g.reach {
+		cell := (int(p.shard) + j) % g.cells
+		if far := ((cell-offset)%g.reach + g.reach) % g.reach; far < nearest && len(g.holders[cell]) > 0 {
+			start, nearest = n, far
+		}
+		n += len(g.holders[cell])
+	}
+	if n == 0 {
+		return nil
+	}
+	if g.reach == 1 {
+		start = (offset + int(p.shard)) % n
+	}
+	for i := range n {
+		if s := g.holder(p, (start+i)%n); g.usable(s, p) {
+			return s
+		}
+	}
+	return g.leastBad(p)
+}
+
+// holder is the k-th of a part's ready replicas, in the order of cells and ids.
+func (g *Gatherer) holder(p *part, k int) *server {
+	for j := range g.reach {
+		cell := g.holders[(int(p.shard)+j)%g.cells]
+		if k < len(cell) {
+			return cell[k]
+		}
+		k -= len(cell)
+	}
+	return nil
+}
+
+// best is the replica of a part that passes and has the least figure; nil if none passes.
+func (g *Gatherer) best(p *part, pass func(*server, *part) bool, figure func(*server) float64) *server {
+	var best *server
+	least := math.Inf(1)
+	for k := 0; ; k++ {
+		s := g.holder(p, k)
+		if s == nil {
+			return best
+		}
+		if pass(s, p) {
+			if f := figure(s); f < least {
+				best, least = s, f
+			}
+		}
+	}
+}
+
+// earliest is the usable replica that is predicted to end a part first.
+func (g *Gatherer) earliest(p *part) *server {
+	return g.best(p, g.usable, func(s *server) float64 { return float64(g.predict(s, p)) })
+}
+
+// leastBad is what is left when no replica is usable: one that fails least, then ends first.
+func (g *Gatherer) leastBad(p *part) *server {
+	return g.best(p, g.allowed, func(s *server) float64 {
+		return float64(g.predict(s, p)) / (1 - min(s.failing, 0.99))
+	})
+}
+
+// allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
+// of the part out, and its cold allowance has room.
+func (g *Gatherer) allowed(s *server, p *part) bool {
+	for _, r := range p.tries {
+		if r.s == s && !r.ended {
+			return false
+		}
+	}
+	return s.state == Ready && g.room(s, p.size)
+}
+
+// usable tells whether an allowed server also looks sound and has not had the part before.
+func (g *Gatherer) usable(s *server, p *part) bool {
+	for _, r := range p.tries {
+		if r.s == s {
+			return false
+		}
+	}
+	if !g.allowed(s, p) || s.outUntil > g.now || s.probing || g.silent(s) {
+		return false
+	}
+	if !s.trial {
+		return true
+	}
+	return len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect == Idempotent
+}
+
+// predict is when a part would end at a server, from now: its size after the unfinished ones there.
+func (g *Gatherer) predict(s *server, p *part) Time {
+	rate := g.average
+	if rate == 0 {
+		rate = float64(p.q.rules.target) / firstShare / p.size
+	}
+	if s.heard {
+		rate = s.rate
+	} else {
+		rate /= g.warmth(s)
+	}
+	// A slowdown of seconds, before smoothing catches up: what is out longer than predicted tells the
+	// present rate. A stall shows likewise. Harm: one odd part makes a sound server look slow for a while.
+	if len(s.out) > 0 {
+		if r := s.out[0]; g.now-r.sentAt > r.predicted {
+			rate *= float64(g.now-r.sentAt) / float64(r.predicted)
+		}
+	}
+	ahead := s.backlog + s.queue*g.size + g.planned[s]
+	return Time(min(rate*(ahead+p.size), float64(never-1)))
+}
+
+// learnAverage renews the latency that servers not heard from are given.
+func (g *Gatherer) learnAverage() {
+	sum, n := 0.0, 0
+	for _, cell := range g.holders {
+		for _, s := range cell {
+			if s.heard {
+				sum += s.rate
+				n++
+			}
+		}
+	}
+	if n > 0 {
+		g.average = sum / float64(n)
+	}
+}
+
+func (g *Gatherer) send(p *part, s *server, further bool) {
+	q := p.q
+	r := &subRequest{p: p, s: s, sentAt: g.now, ahead: s.backlog + s.queue*g.size,
+		predicted: max(g.predict(s, p), 1), further: further}
+	g.out[sendKey{p.id, SendNo(len(p.tries))}] = r
+	p.tries = append(p.tries, r)
+	p.spare = false
+	s.out = append(s.out, r)
+	s.backlog += p.size
+	s.sent.add(g.now, p.size)
+	if further {
+		g.extra.add(g.now, 1)
+	}
+	g.do(Send{p.id, s.id, q.end - g.now})
+}
+
+// ended takes a sub-request's outcome, also of parts and searches that are over.
+func (g *Gatherer) ended(e SubRequestEnded) {
+	key := sendKey{e.Part, e.Send}
+	r := g.out[key]
+	if r == nil {
+		return
+	}
+	delete(g.out, key)
+	s, p := r.s, r.p
+	quiet := s.heardAt < r.sentAt
+	overdue := float64(e.Elapsed) / (float64(r.predicted) * g.tail)
+	r.ended, r.neverRan = true, e.Outcome.NeverRan()
+	s.out = slices.DeleteFunc(s.out, func(o *subRequest) bool { return o == r })
+	s.backlog = max(0, s.backlog-p.size)
+	if len(s.out) == 0 {
+		s.backlog = 0
+	}
+	s.report(e.Report)
+	won := e.Outcome == Answered && !p.done && g.open[p.q.id] == p.q
+	if r.further && e.Outcome != Moot {
+		g.success -= g.success * successWeight
+		if won {
+			g.success += successWeight
+		}
+	}
+	switch e.Outcome {
+	case Answered:
+		s.heardAt = g.now
+		g.answered(r, float64(max(e.Elapsed, 1)))
+		s.failing -= s.failing * goodWeight
+		if s.trial && r.sentAt >= s.outUntil {
+			if s.lost {
+				s.coldFrom = g.now // it went away and came back: cold, whatever the list says
+			}
+			s.trial, s.lost = false, false
+		}
+		if s.failing < goodWeight {
+			s.pause = firstPause
+		}
+	case Errored:
+		// An error comes fast: its time is no latency of the server's and must not make it look quick.
+		s.heardAt = g.now
+		g.failed(s, softFailure)
+	case TurnedAway:
+		s.heardAt = g.now
+		g.failed(s, fullFailure)
+	case ConnectFailed, Reset:
+		s.lost = true
+		g.failed(s, hardFailure)
+	case TimedOut, Cancelled:
+		if overdue > 1 {
+			g.tail += tailStep * tailQuantile
+		}
+		if overdue > silentAfter && quiet {
+			g.failed(s, hardFailure)
+		}
+	}
+	if g.open[p.q.id] != p.q {
+		return
+	}
+	if won {
+		p.done = true
+		g.cancel(p)
+	}
+	g.review(p.q)
+}
+
+// answered learns from an answer's latency: the server's rate, how late the late ones are, and the
+// in-flight limit, which follows the shortest over the present latency.
+func (g *Gatherer) answered(r *subRequest, latency float64) {
+	s, p := r.s, r.p
+	rate := latency / (p.size + r.ahead)
+	if !s.heard {
+		s.heard, s.rate = true, rate
+	}
+	s.rate += (rate - s.rate) * rateWeight
+	if latency > g.tail*float64(r.predicted) {
+		g.tail += tailStep * tailQuantile
+	} else {
+		g.tail = max(1, g.tail-tailStep*(1-tailQuantile))
+	}
+	unit := latency / p.size
+	if g.present == 0 {
+		g.present, g.short = unit, unit
+	}
+	g.present += (unit - g.present) * sizeWeight
+	g.short = min(g.short*(1+shortestUp), g.present)
+	falling := min(1, max(0.5, limitSlack*g.short/g.present))
+	if falling < 1 || float64(len(g.out)) > g.limit/2 {
+		g.limit += (g.limit*falling + math.Sqrt(g.limit) - g.limit) * limitWeight
+	}
+	g.limit = max(g.limit, limitFloor*float64(g.ready))
+}
+
+// review does what is due for a search: answers it, sends what is to be sent, or gives it up; then it sets
+// the timer for the next look. It may be called at any moment.
+func (g *Gatherer) review(q *search) {
+	if len(q.parts) == 0 {
+		if q.second {
+			g.look(q, q.end)
+		} else {
+			g.giveUp(q)
+		}
+		return
+	}
+	least, whole := q.rules.least-weightSlack, q.rules.whole-weightSlack
+	if q.second {
+		whole = 1 - weightSlack
+		if q.rules.least >= q.rules.whole {
+			least = whole
+		}
+	}
+	got, reach := 0.0, 0.0
+	for _, p := range q.parts {
+		if p.done {
+			got += p.weight
+		}
+		if p.done || len(p.tries) == 0 || p.flying() > 0 || g.mayRepeat(p) {
+			reach += p.weight
+		}
+	}
+	switch {
+	case got >= whole && (!q.second || q.whole):
+		g.answer(q, true)
+		return
+	case got >= whole || got >= least && g.now >= q.shortAt || got >= least && reach <= got:
+		g.answer(q, false)
+		return
+	case g.now >= q.end || reach < least:
+		g.giveUp(q)
+		return
+	}
+	next := q.end
+	if q.shortAt > g.now {
+		next = min(next, q.shortAt)
+	}
+	late := reach < whole // a whole answer is lost, or one of its parts is overdue: spares go out
+	for _, p := range q.parts {
+		if p.done || p.spare {
+			continue
+		}
+		due := never
+		flying := 0
+		for _, r := range p.tries {
+			if !r.ended {
+				flying++
+				due = min(due, r.sentAt+Time(float64(r.predicted)*g.tail))
+			}
+		}
+		switch {
+		case len(p.tries) == 0:
+			if s := g.anyOf(p); s != nil {
+				g.send(p, s, false)
+			}
+			next = min(next, g.now+lookPause)
+		case flying == 0:
+			late = true
+			if s := g.anyOf(p); g.mayRepeat(p) && s != nil && g.affords(1) {
+				g.send(p, s, true)
+			}
+			next = min(next, g.now+lookPause)
+		case due > g.now:
+			next = min(next, due)
+		default:
+			// Overdue: the server may be slow, stalled or silent.
+			late = true
+			if flying == 1 && g.mayCopy && g.mayRepeat(p) && g.affords(max(copyFloor, g.success)) {
+				if s := g.earliest(p); s != nil && g.now+g.predict(s, p) < q.end {
+					g.send(p, s, true)
+				}
+			}
+			next = min(next, g.now+lookPause)
+		}
+	}
+	if late {
+		for _, p := range q.parts {
+			if p.spare {
+				p.spare = false
+				if s := g.anyOf(p); s != nil {
+					g.send(p, s, false)
+				}
+			}
+		}
+	}
+	g.look(q, next)
+}
+
+// anyOf is the earliest usable replica of a part, else the least bad.
+func (g *Gatherer) anyOf(p *part) *server {
+	if s := g.earliest(p); s != nil {
+		return s
+	}
+	return g.leastBad(p)
+}
+
+func (p *part) flying() int {
+	n := 0
+	for _, r := range p.tries {
+		if !r.ended {
+			n++
+		}
+	}
+	return n
+}
+
+// mayRepeat tells whether the effect of a part's type and the limit per part let it go out again.
+func (g *Gatherer) mayRepeat(p *part) bool {
+	if len(p.tries) >= g.most {
+		return false
+	}
+	for _, r := range p.tries {
+		if r.neverRan {
+			continue
+		}
+		switch p.q.rules.effect {
+		case NonIdempotent:
+			return false
+		case Tokened:
+			return g.now+g.margin <= r.sentAt+p.q.rules.window
+		}
+	}
+	return true
+}
+
+// affords tells whether one more further sub-request keeps within a part of the budget.
+func (g *Gatherer) affords(part float64) bool {
+	return g.extra.most(g.now)+1 <= part*(g.free+g.perItem*g.taken.least(g.now))
+}
+
+func (g *Gatherer) answer(q *search, whole bool) {
+	g.do(Answer{q.id, whole})
+	if q.second || !q.rules.second {
+		g.close(q)
+		return
+	}
+	for _, p := range q.parts {
+		g.cancel(p)
+	}
+	q.second, q.whole, q.parts = true, whole, nil
+	g.look(q, q.end)
+}
+
+// giveUp ends a search without an answer: shed where asking again is sure to be harmless, else errored.
+func (g *Gatherer) giveUp(q *search) {
+	harmless := true
+	for _, p := range q.parts {
+		for _, r := range p.tries {
+			harmless = harmless && (r.neverRan || q.rules.effect == Idempotent)
+		}
+	}
+	if harmless {
+		g.do(Shed{q.id, min(g.advise, q.rules.target/2)})
+	} else {
+		g.do(Fail{q.id})
+	}
+	g.close(q)
+}
+
+// close forgets a search and calls off what is out for it.
+func (g *Gatherer) close(q *search) {
+	delete(g.open, q.id)
+	delete(g.numbers, q.number)
+	for _, p := range q.parts {
+		g.cancel(p)
+	}
+}
+
+func (g *Gatherer) cancel(p *part) {
+	for no, r := range p.tries {
+		if g.mayCancel && !r.ended {
+			g.do(Cancel{p.id, SendNo(no)})
+		}
+	}
+}
+
+// look sets a search's timer, unless an earlier one is pending.
+func (g *Gatherer) look(q *search, at Time) {
+	if at = max(at, g.now+1); q.lookAt != 0 && q.lookAt <= at {
+		return
+	}
+	q.lookAt = at
+	g.wake(at, wake{search: q.number})
+}
+
+// wake is what a timer was set for: a server's way back, else a search's next look.
+type wake struct {
+	search SearchNo
+	server *server
+}
+
+func (g *Gatherer) wake(at Time, w wake) {
+	if g.timer++; g.timer == 0 {
+		g.timer = 1
+	}
+	g.timers[g.timer] = w
+	g.do(Wake{at, g.timer})
+}
+
+func (g *Gatherer) fired(t TimerID) {
+	if t == 0 {
+		g.asking = false
+		g.do(Subscribe{})
+		return
+	}
+	w, ok := g.timers[t]
+	delete(g.timers, t)
+	if s := w.server; s != nil {
+		if s.state == Ready && s.trial && !s.probing && s.outUntil <= g.now {
+			s.probing = true
+			g.do(Probe{s.id})
+		}
+		return
+	}
+	q := g.numbers[w.search]
+	if ok && q != nil && q.lookAt <= g.now {
+		q.lookAt = 0
+		g.review(q)
+	}
+}
+
+// failed counts a failure against a server and takes it out when they are many. It guards against crashes,
+// fast errors, silence and lost connections alike. Harm: chance errors may idle a sound server for a pause.
+func (g *Gatherer) failed(s *server, weight float64) {
+	s.failing += (1 - s.failing) * weight
+	if s.outUntil <= g.now && (s.failing > failLimit || s.trial) {
+		g.takeOut(s)
+	}
+}
+
+func (g *Gatherer) takeOut(s *server) {
+	s.outUntil, s.trial = g.now+s.pause, true
+	s.pause = min(2*s.pause, longestOut)
+	if g.mayProbe {
+		g.wake(s.outUntil, wake{server: s})
+	}
+}
+
+// probed lets a server that answers a probe have its trial part.
+func (g *Gatherer) probed(e Probed) {
+	s := g.servers[e.Server]
+	if s == nil || !s.probing {
+		return
+	}
+	s.probing = false
+	s.report(e.Report)
+	if e.Outcome != Answered && s.trial {
+		g.takeOut(s)
+	}
+}
+
+// silent tells that a server has been sent something long overdue and has said nothing since.
+func (g *Gatherer) silent(s *server) bool {
+	if len(s.out) == 0 {
+		return false
+	}
+	r := s.out[0]
+	return s.heardAt < r.sentAt && float64(g.now-r.sentAt) > silentAfter*g.tail*float64(r.predicted)
+}
+
+func (s *server) report(r *Report) {
+	if r == nil {
+		return
+	}
+	if s.queue = r.Queue; s.queue < 0 {
+		s.queue = max(r.InFlight, 0)
+	}
+}
+
+// warmth is the share of its capacity that a server has at least, by its age.
+func (g *Gatherer) warmth(s *server) float64 {
+	if s.coldFrom == 0 || g.coldFor <= 0 {
+		return 1
+	}
+	age := float64(g.now-s.coldFrom) / float64(g.coldFor)
+	return max(0.01, min(1, g.coldShare+(1-g.coldShare)*age))
+}
+
+// room tells whether a cold server may be sent one more part. Its allowance is its warmth's share of what
+// warm servers are sent by this gatherer, so that gatherers need not talk: together they send it that share
+// of a warm server's load. One part in a window is always allowed. Guards against a rush on a server that
+// has just started, whether the list or its silence told; harm: spare capacity is left while loads are low.
+func (g *Gatherer) room(s *server, size float64) bool {
+	warmth := g.warmth(s)
+	if warmth >= 1 {
+		return true
+	}
+	sent := s.sent.most(g.now) + g.planned[s]
+	if sent == 0 {
+		return true
+	}
+	load, n := 0.0, 0
+	for _, cell := range g.holders {
+		for _, w := range cell {
+			if g.warmth(w) >= 1 {
+				load += w.sent.least(g.now)
+				n++
+			}
+		}
+	}
+	return n > 0 && sent+size <= g.coldMultiple*warmth*load/float64(n)
+}
+
+// list applies what the list says. Where it must be asked for, a failed call or a broken subscription is
+// followed by another after a pause that doubles, with some chance in it, so that gatherers do not flood a
+// list service that is already late.
+func (g *Gatherer) list(e ServerList) {
+	if e.Kind == ListFailed {
+		if g.onRequest && !g.asking {
+			g.asking = true
+			g.do(Wake{g.now + g.nextAsk/2 + Time(g.rand.below(int(g.nextAsk))), 0})
+			g.nextAsk = min(2*g.nextAsk, g.listPause)
+		}
+		return
+	}
+	g.nextAsk = listFirst
+	if e.Kind == ListCached && g.onRequest {
+		g.do(Subscribe{})
+	}
+	if e.Kind != ListChanges {
+		for _, s := range g.servers {
+			s.state = Gone
+		}
+	}
+	for _, entry := range e.Servers {
+		s := g.servers[entry.ID]
+		if s == nil {
+			s = &server{id: entry.ID, pause: firstPause, sent: newTally(g.fallWithin)}
+			g.servers[entry.ID] = s
+		}
+		s.state, s.cell = entry.State, entry.Cell
+		if entry.UpSince != s.upSince {
+			// Started anew: nothing learned of it holds any more.
+			s.upSince, s.coldFrom = entry.UpSince, entry.UpSince
+			s.heard, s.queue, s.failing, s.outUntil, s.trial, s.lost = false, 0, 0, 0, false, false
+			s.pause = firstPause
+		}
+	}
+	g.holders = make([][]*server, g.cells)
+	g.ready = 0
+	for id, s := range g.servers {
+		if s.state == Gone && len(s.out) == 0 {
+			delete(g.servers, id)
+		} else if s.state == Ready && int(s.cell) < g.cells {
+			g.holders[s.cell] = append(g.holders[s.cell], s)
+			g.ready++
+		}
+	}
+	for _, cell := range g.holders {
+		slices.SortFunc(cell, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	}
+	if g.limit == 0 {
+		g.limit = limitFirst * float64(max(g.ready, 1))
+	}
+}
+
+// tally counts over the last span, in slots; it empties itself as time goes by.
+type tally struct {
+	slot Time
+	last Time // number of the present slot
+	n    [tallySlots + 1]float64
+}
+
+const tallySlots = 16
+
+func newTally(span Time) tally {
+	return tally{slot: max(1, (span+tallySlots-1)/tallySlots), last: -never}
+}
+
+func slotOf(k Time) Time { return (k%(tallySlots+1) + tallySlots + 1) % (tallySlots + 1) }
+
+func (t *tally) roll(now Time) {
+	at := now / t.slot
+	if at-t.last > tallySlots {
+		t.n, t.last = [tallySlots + 1]float64{}, at
+	}
+	for t.last < at {
+		t.last++
+		t.n[slotOf(t.last)] = 0
+	}
+}
+
+func (t *tally) add(now Time, v float64) {
+	t.roll(now)
+	t.n[slotOf(t.last)] += v
+}
+
+// most is the count over the span and up to a slot more; least, over up to a slot less.
+func (t *tally) most(now Time) float64 {
+	t.roll(now)
+	sum := 0.0
+	for _, v := range t.n {
+		sum += v
+	}
+	return sum
+}
+
+func (t *tally) least(now Time) float64 {
+	sum := t.most(now)
+	return sum - t.n[slotOf(t.last+1)]
+}
+
+// mwc is a multiply-with-carry generator: the low half is the last number, the high half the carry.
+type mwc uint64
+
+const mwcFactor = 4294957665
+
+func newMWC(seed uint64) mwc { return mwc((seed>>32)%(mwcFactor-1)<<32 | seed&math.MaxUint32 | 1) }
+
+func (m *mwc) below(n int) int {
+	*m = (*m&math.MaxUint32)*mwcFactor + *m>>32
+	return int(uint64(uint32(*m)) * uint64(n) >> 32)
+}
--- /dev/null
+++ b/brain/types.go
@@ -0,0 +1,233 @@
+// Package brain decides, for one gatherer, where the parts of each search go and when it is answered.
+// This file is its interface; brain.go holds every decision.
+package brain
+
+// Time is a moment or a span in whole tenths of a millisecond.
+type Time int64
+
+// Millisecond is the Time that one millisecond takes.
+const Millisecond Time = 10
+
+type (
+	SearchID   uint64 // a search, as its client's protocol names it
+	SearchNo   uint32 // a search's running number at this gatherer; later parts come under it
+	PartID     uint64 // one part of a search: what one shard is asked
+	ServerID   uint32
+	ShardNo    int
+	CellNo     int    // a place in the layout; it tells which shards a server holds
+	ZoneNo     int    // where a server or gatherer stands
+	QueryType  int    // position in Facts.QueryTypes
+	CustomerNo int    // position in Facts.Customers
+	SendNo     uint16 // number of a sub-request among those of its part, from 0
+	TimerID    uint32
+)
+
+// Effect says whether a part may run again.
+type Effect uint8
+
+const (
+	Idempotent    Effect = iota // may run again
+	Tokened                     // a repeat inside the window is dropped by the server
+	NonIdempotent               // must never run twice
+)
+
+// Facts is what a gatherer is told of its deployment when it starts.
+type Facts struct {
+	Seed       uint64
+	Gatherers  int
+	Zone       ZoneNo
+	Tick       Time // shortest time between two events' moments
+	QueryTypes []QueryTypeFacts
+	Customers  []CustomerFacts
+
+	Cells, Reach, Shards int // shard s is held in cells (s + j) mod Cells, j from 0 to Reach - 1
+	PartsPerCall         int // sub-requests sent together to one server share calls of so many
+
+	MostHeld        int  // searches and parts that may be open together; 0 = no limit
+	MostSubRequests int  // for one part
+	MayCancel       bool // Cancel may be used
+	MayProbe        bool
+	MayCopy         bool // two sub-requests of a part may be out together
+	AdviseRetry     Time // the longest advice that clients follow; 0 = none is given
+	ListOnRequest   bool // the server list comes only when asked for
+	AskWithin       Time // how long the list may go unasked before its news counts as told
+	DrainGrace      Time
+	ColdShare       float64 // a server starts with this share of its capacity, or more
+	ColdFor         Time    // and is warm after this
+	FallMultiple    float64 // sent more than so many times its capacity
+	FallWithin      Time    // for so long, a cold server falls over
+	HasBudget       bool
+	BudgetFree      float64
+	BudgetShare     float64
+	BudgetSpan      Time
+	OverShareFactor float64 // value of a search beyond its customer's share
+}
+
+// QueryTypeFacts describes one query type.
+type QueryTypeFacts struct {
+	Effect        Effect
+	LatencyTarget Time
+	ClientTimeout Time
+	Window        Time // tokened: how long repeats are dropped
+	Value         float64
+	LateValue     float64 // share of the value after the latency target
+	ShortValue    float64 // share of the value of an answer that is not whole
+	LeastShare    float64 // least share of parts, by weight, for an answer
+	WholeAt       float64 // share of parts, by weight, that makes a whole answer
+	SecondStep    int     // parts of the second step; 0 = one step
+}
+
+// CustomerFacts describes one customer: the searches a second, over all gatherers, within its share.
+type CustomerFacts struct {
+	SharePerSecond float64
+}
+
+// Report is the load that a server last told of itself. A negative figure was not told.
+type Report struct {
+	Queue    float64 // parts waiting
+	InFlight float64 // parts in hand
+}
+
+// Event is something that happened to this gatherer.
+type Event interface{ event() }
+
+// ServerState is what the list says of a server.
+type ServerState uint8
+
+const (
+	Gone ServerState = iota
+	Ready
+	Draining
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID      ServerID
+	Zone    ZoneNo
+	Cell    CellNo
+	State   ServerState
+	UpSince Time // 0 = long ago
+}
+
+// ListKind says how a ServerList relates to the list held.
+type ListKind uint8
+
+const (
+	ListChanges ListKind = iota // only the entries that changed
+	ListWhole                   // all servers; others are gone
+	ListCached                  // all servers as last known, perhaps long ago
+	ListFailed                  // a call failed or the subscription broke; no entries
+)
+
+// Part is one part of a search.
+type Part struct {
+	ID     PartID
+	Shard  ShardNo
+	Weight float64
+	Size   float64 // expected work in milliseconds; 0 = not told
+}
+
+// The events. A SearchArrived carries all its parts; a second step's parts come as MoreParts.
+type (
+	ServerList struct {
+		Kind    ListKind
+		Servers []Server
+	}
+	SearchArrived struct {
+		Search   SearchID
+		Number   SearchNo
+		Type     QueryType
+		Customer CustomerNo
+		Patience Time // until the client gives this try up
+		Repeat   bool // the client asks again
+		Parts    []Part
+	}
+	MoreParts struct {
+		Number SearchNo
+		Parts  []Part
+	}
+	// SubRequestEnded comes exactly once for each Send.
+	SubRequestEnded struct {
+		Part    PartID
+		Send    SendNo
+		Server  ServerID
+		Elapsed Time
+		Outcome Outcome
+		Report  *Report // nil = none came
+	}
+	// SearchLeft says that the client has gone.
+	SearchLeft struct{ Search SearchID }
+	TimerFired struct{ Timer TimerID }
+	Probed     struct {
+		Server  ServerID
+		Outcome Outcome
+		Report  *Report
+	}
+)
+
+func (ServerList) event()      {}
+func (SearchArrived) event()   {}
+func (MoreParts) event()       {}
+func (SubRequestEnded) event() {}
+func (SearchLeft) event()      {}
+func (TimerFired) event()      {}
+func (Probed) event()          {}
+
+// Outcome is how a sub-request or probe ended.
+type Outcome uint8
+
+const (
+	Answered      Outcome = iota
+	Errored               // it may have run
+	TurnedAway            // never ran: the server was full or draining
+	TimedOut              // it may have run or be running
+	ConnectFailed         // never ran
+	Reset                 // the connection broke; it may have run
+	Cancelled             // it may have run
+	Moot                  // never sent out
+)
+
+// NeverRan tells whether the outcome proves that the sub-request had no effect.
+func (o Outcome) NeverRan() bool { return o == TurnedAway || o == ConnectFailed || o == Moot }
+
+// Action is something that the gatherer is to do now, in the order given.
+type Action interface{ action() }
+
+// The actions. Answer, Shed and Fail are final for a search, save the Answer of a first step.
+type (
+	Send struct {
+		Part   PartID
+		Server ServerID
+		Limit  Time // time limit from now
+	}
+	Cancel struct {
+		Part PartID
+		Send SendNo
+	}
+	Answer struct {
+		Search SearchID
+		Whole  bool
+	}
+	// Shed tells the client that asking again is harmless.
+	Shed struct {
+		Search     SearchID
+		RetryAfter Time // 0 = no advice
+	}
+	// Fail ends a search and promises nothing.
+	Fail struct{ Search SearchID }
+	Wake struct {
+		At    Time
+		Timer TimerID
+	}
+	Subscribe struct{}
+	Probe     struct{ Server ServerID }
+)
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Answer) action()    {}
+func (Shed) action()      {}
+func (Fail) action()      {}
+func (Wake) action()      {}
+func (Subscribe) action() {}
+func (Probe) action()     {}
--- /dev/null
+++ b/internal/simwire/host.go
@@ -0,0 +1,393 @@
+package simwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"oxbowspan/brain"
+)
+
+// Codes of events and actions on the wire.
+const (
+	evWakeup, evAbandoned, evPingResult, evReply, evHead    = 0, 1, 2, 3, 4
+	evSheet, evStop, evWorkItem, evHello, evMail, evEntries = 5, 6, 7, 8, 9, 10
+
+	acWake, acTurnAway, acLose, acLog, acInspect, acKeepInformed = 0, 1, 2, 3, 4, 5
+	acAnswer, acStopAttempt, acTry                               = 9, 10, 11
+)
+
+const entrySize = 22
+
+const hintValid, clientRepeats = 1, 2
+
+// instance is one gatherer's decisions and what the wire needs to name things for it.
+type instance struct {
+	id      uint32
+	g       *brain.Gatherer
+	reports []string // names of a load report's figures
+	types   int      // how many query types and shards its settings name
+	shards  int
+	// A search with its parts comes as several records; they are gathered here until the next other record.
+	search *brain.SearchArrived
+	more   *brain.MoreParts
+}
+
+// host runs the instances of one process. Nothing is shared among them but the sheets, which the wire
+// makes valid for the whole process.
+type host struct {
+	instances map[uint32]*instance
+	sheets    map[uint32][]brain.Server
+	out       reply
+	now       brain.Time
+}
+
+// Serve reads batches until the end of input and answers each.
+func Serve(r io.Reader, w io.Writer) error {
+	in, out := bufio.NewReaderSize(r, 1<<16), bufio.NewWriterSize(w, 1<<16)
+	h := &host{instances: map[uint32]*instance{}, sheets: map[uint32][]brain.Server{}}
+	var buf []byte
+	for batch := 1; ; batch++ {
+		var err error
+		if buf, err = readFrame(in, buf); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("batch %d: %w", batch, err)
+		}
+		h.out.reset()
+		if err := h.batch(buf); err != nil {
+			return fmt.Errorf("batch %d: %w", batch, err)
+		}
+		if _, err := out.Write(h.out.frame()); err != nil {
+			return err
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *host) batch(b []byte) error {
+	f := &fields{b: b, at: 4}
+	clock := f.f64("clock")
+	if math.IsNaN(clock) || math.IsInf(clock, 0) {
+		return fmt.Errorf("the clock at byte 4 is not a number")
+	}
+	h.now = toTime(clock)
+	var open *instance // the one whose search is being gathered
+	count := f.u32("number of records")
+	for i := uint32(1); i <= count; i++ {
+		at := f.at
+		code, size := f.u8("code"), f.u32("record length")
+		if f.short != "" || uint64(size) > uint64(len(f.b)) {
+			return fmt.Errorf("record %d of %d at byte %d: its %d bytes do not fit the batch", i, count, at, size)
+		}
+		rec := &fields{b: f.b[:size], at: f.at}
+		f.b, f.at = f.b[size:], f.at+int(size)
+		if code == evSheet {
+			if err := h.sheet(rec); err != nil {
+				return fmt.Errorf("record %d (sheet) at byte %d: %w", i, at, err)
+			}
+			continue
+		}
+		id := rec.u32("gathererId")
+		if open != nil && (code != evWorkItem || open.id != id) {
+			h.flush(open)
+			open = nil
+		}
+		in, err := h.record(code, id, rec)
+		if err == nil && rec.short != "" {
+			err = errors.New(rec.short)
+		}
+		if err != nil {
+			return fmt.Errorf("record %d (code %d, instance %d) at byte %d: %w", i, code, id, at, err)
+		}
+		if code == evWorkItem {
+			open = in
+		}
+	}
+	if len(f.b) > 0 {
+		return fmt.Errorf("%d bytes stand after the last of %d records", len(f.b), count)
+	}
+	if open != nil {
+		h.flush(open)
+	}
+	return nil
+}
+
+// record turns one record into an event.
+func (h *host) record(code uint8, id uint32, f *fields) (*instance, error) {
+	if code == evHello {
+		return nil, h.hello(id, f)
+	}
+	in := h.instances[id]
+	if in == nil {
+		return nil, fmt.Errorf("an event for an instance that has had no hello")
+	}
+	var ev brain.Event
+	switch code {
+	case evStop:
+		delete(h.instances, id)
+		return nil, nil
+	case evWakeup:
+		ev = brain.TimerFired{Timer: brain.TimerID(f.u32("keyBack"))}
+	case evAbandoned:
+		ev = brain.SearchLeft{Search: brain.SearchID(f.u64("handle"))}
+	case evPingResult:
+		p := brain.Probed{Server: brain.ServerID(f.u32("server"))}
+		status := f.u8("status")
+		f.f64("elapsed")
+		p.Report = in.report(f)
+		var err error
+		if p.Outcome, err = outcome(status); err != nil {
+			return nil, err
+		}
+		ev = p
+	case evReply:
+		s := brain.SubRequestEnded{Part: brain.PartID(f.u64("handle")), Server: brain.ServerID(f.u32("server")),
+			Send: brain.SendNo(f.u16("sendNo")), Elapsed: toTime(f.f64("elapsed"))}
+		status := f.u8("status")
+		f.u8("closed")
+		s.Report = in.report(f)
+		var err error
+		if s.Outcome, err = outcome(status); err != nil {
+			return nil, err
+		}
+		ev = s
+	case evWorkItem:
+		return in, h.workItem(in, f)
+	case evEntries:
+		l, err := h.entries(f)
+		if err != nil {
+			return nil, err
+		}
+		ev = l
+	case evHead, evMail:
+		return in, nil // no streams and no peers here
+	default:
+		return nil, fmt.Errorf("unknown event code")
+	}
+	if f.short == "" {
+		h.act(in, ev)
+	}
+	return in, nil
+}
+
+func (h *host) hello(id uint32, f *fields) error {
+	seed := f.u64("salt")
+	text := f.take(int(f.u32("settings length")), "settings")
+	if f.short != "" {
+		return nil // the caller reports it
+	}
+	facts, names, err := parseFacts(string(text), seed)
+	if err != nil {
+		return err
+	}
+	h.instances[id] = &instance{id: id, g: brain.New(facts), reports: names,
+		types: len(facts.QueryTypes), shards: facts.Shards}
+	return nil
+}
+
+func (h *host) sheet(f *fields) error {
+	ref, n := f.u32("ref"), f.u32("number of entries")
+	if f.short != "" {
+		return errors.New(f.short)
+	}
+	if uint64(n)*entrySize > uint64(len(f.b)) {
+		return fmt.Errorf("%d entries of %d bytes do not fit the %d bytes left", n, entrySize, len(f.b))
+	}
+	list := make([]brain.Server, n)
+	for i := range list {
+		s := &list[i]
+		s.ID = brain.ServerID(f.u32("server"))
+		s.Zone = brain.ZoneNo(f.u16("regionPart"))
+		f.u8("hw")
+		s.Cell = brain.CellNo(f.u16("position"))
+		switch phase := f.u8("phase"); phase {
+		case 0:
+			s.State = brain.Gone
+		case 1:
+			s.State = brain.Ready
+		case 2:
+			s.State = brain.Draining
+		default:
+			return fmt.Errorf("entry %d at byte %d: unknown phase %d", i, f.at-1, phase)
+		}
+		f.f32("weight")
+		s.UpSince = toTime(f.f64("upSince"))
+	}
+	h.sheets[ref] = list
+	return nil
+}
+
+func (h *host) entries(f *fields) (brain.ServerList, error) {
+	f.u64("version")
+	ref, scope := f.u32("ref"), f.u8("scope")
+	l := brain.ServerList{}
+	if f.short != "" {
+		return l, nil
+	}
+	switch scope {
+	case 0:
+		l.Kind = brain.ListWhole
+	case 1:
+		l.Kind = brain.ListChanges
+	case 2:
+		l.Kind = brain.ListCached
+	case 3:
+		l.Kind = brain.ListFailed
+		return l, nil
+	default:
+		return l, fmt.Errorf("unknown scope %d", scope)
+	}
+	list, ok := h.sheets[ref]
+	if !ok {
+		return l, fmt.Errorf("sheet %d was never given", ref)
+	}
+	l.Servers = list
+	return l, nil
+}
+
+// workItem gathers a search with its parts, or the parts of a second step.
+func (h *host) workItem(in *instance, f *fields) error {
+	id := f.u64("handle")
+	lane, realm := f.u8("lane"), f.u16("realm")
+	f.u64("nameKey")
+	budget, effort := f.f64("budget"), f.f64("effort")
+	number, shard, heft := brain.SearchNo(f.f32("jobNo")), f.f32("rangeNo"), f.f32("heft")
+	flags := f.u8("stateBits")
+	if f.short != "" {
+		return nil
+	}
+	if int(lane) >= in.types {
+		return fmt.Errorf("type %d is not among the %d of the settings", lane, in.types)
+	}
+	if math.IsNaN(shard) || shard >= float64(in.shards) || math.IsNaN(heft) || math.IsNaN(budget) {
+		return fmt.Errorf("shard %v, weight %v or budget %v is out of range", shard, heft, budget)
+	}
+	if shard < 0 {
+		h.flush(in)
+		in.search = &brain.SearchArrived{Search: brain.SearchID(id), Number: number,
+			Type: brain.QueryType(lane), Customer: brain.CustomerNo(realm), Patience: toTime(budget),
+			Repeat: flags&clientRepeats != 0}
+		return nil
+	}
+	part := brain.Part{ID: brain.PartID(id), Shard: brain.ShardNo(shard), Weight: heft}
+	if flags&hintValid != 0 {
+		part.Size = effort
+	}
+	switch {
+	case in.search != nil && in.search.Number == number:
+		in.search.Parts = append(in.search.Parts, part)
+	case in.more != nil && in.more.Number == number:
+		in.more.Parts = append(in.more.Parts, part)
+	default:
+		h.flush(in)
+		in.more = &brain.MoreParts{Number: number, Parts: []brain.Part{part}}
+	}
+	return nil
+}
+
+// flush hands over the search or parts gathered so far.
+func (h *host) flush(in *instance) {
+	if in.search != nil {
+		ev := *in.search
+		in.search = nil
+		h.act(in, ev)
+	}
+	if in.more != nil {
+		ev := *in.more
+		in.more = nil
+		h.act(in, ev)
+	}
+}
+
+// report reads a load report; nil where none came.
+func (in *instance) report(f *fields) *brain.Report {
+	n := int(f.u8("pressure count"))
+	if n == 0 {
+		return nil
+	}
+	r := &brain.Report{Queue: -1, InFlight: -1}
+	for i := range n {
+		v := f.f32("pressure")
+		if i >= len(in.reports) || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		switch in.reports[i] {
+		case "waiting":
+			r.Queue = v
+		case "active":
+			r.InFlight = v
+		}
+	}
+	return r
+}
+
+func outcome(status uint8) (brain.Outcome, error) {
+	switch status {
+	case 0:
+		return brain.Answered, nil
+	case 255:
+		return brain.Errored, nil
+	case 254:
+		return brain.TurnedAway, nil
+	case 253:
+		return brain.TimedOut, nil
+	case 252:
+		return brain.ConnectFailed, nil
+	case 251:
+		return brain.Reset, nil
+	case 250:
+		return brain.Cancelled, nil
+	case 249:
+		return brain.Moot, nil
+	}
+	return 0, fmt.Errorf("unknown outcome %d", status)
+}
+
+// act hands one event to the module and writes its actions.
+func (h *host) act(in *instance, ev brain.Event) {
+	o := &h.out
+	for _, a := range in.g.Handle(h.now, ev) {
+		switch a := a.(type) {
+		case brain.Send:
+			o.begin(acTry, in.id)
+			o.u64(uint64(a.Part))
+			o.u32(uint32(a.Server))
+			o.f64(toMillis(a.Limit))
+		case brain.Cancel:
+			o.begin(acStopAttempt, in.id)
+			o.u64(uint64(a.Part))
+			o.u16(uint16(a.Send))
+		case brain.Answer:
+			o.begin(acAnswer, in.id)
+			o.u64(uint64(a.Search))
+			if a.Whole {
+				o.u8(1)
+			} else {
+				o.u8(0)
+			}
+		case brain.Shed:
+			o.begin(acTurnAway, in.id)
+			o.u64(uint64(a.Search))
+			o.f64(toMillis(a.RetryAfter))
+		case brain.Fail:
+			o.begin(acLose, in.id)
+			o.u64(uint64(a.Search))
+		case brain.Wake:
+			o.begin(acWake, in.id)
+			o.f64(toMillis(a.At))
+			o.u32(uint32(a.Timer))
+		case brain.Subscribe:
+			o.begin(acKeepInformed, in.id)
+			o.u8(1)
+		case brain.Probe:
+			o.begin(acInspect, in.id)
+			o.u32(uint32(a.Server))
+		}
+		o.end()
+	}
+}
