--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,23 +62,21 @@
 
 // Gatherer holds all that one gatherer knows.
 type Gatherer struct {
-	types         []typeRules
-	customers     []customer
-	cells, reach  int
-	most          int  // sub-requests for one part
-	margin        Time // what is to be sent by a moment is sent so much earlier
-	mayCancel     bool
-	mayCopy       bool
-	mayProbe      bool
-	onRequest     bool // the list must be asked for
-	overCounts    bool // searches beyond a customer's share are worth less
-	advise        Time // longest advice to a client; 0 = none
-	listPause     Time // longest pause between two calls for the list
-	coldShare     float64
-	coldFor       Time
-	coldMultiple  float64
-	fallWithin    Time
-	free, perItem float64 // budget: so many further sub-requests, and so many per search or part taken
+	types        []typeRules
+	customers    []customer
+	cells, reach int
+	most         int  // sub-requests for one part
+	margin       Time // what must be done by a moment is done so much earlier
+	advise       Time // longest advice to a client; 0 = none
+	listPause    Time // longest pause between two calls for the list
+
+	mayCancel, mayCopy, mayProbe bool
+	onRequest                    bool // the list must be asked for
+	overCounts                   bool // searches beyond a customer's share are worth less
+
+	coldFor, fallWithin     Time
+	coldShare, coldMultiple float64
+	free, perItem           float64 // budget: so many further sub-requests, and so many per search or part
 
 	now     Time
 	acts    []Action
@@ -99,9 +97,9 @@
 	size    float64 // smoothed size of a part
 	tail    float64 // latency over prediction that a share of 1 - tailQuantile exceeds
 	success float64 // smoothed share of further sub-requests that brought the answer
-	short   float64 // shortest of late of the next; 0 = none
 	present float64 // smoothed latency per unit size, over all answers
-	limit   float64 // parts in flight
+	short   float64 // the shortest that was of late; 0 = none
+	limit   float64 // parts in flight; 0 = none yet
 	extra   tally   // further sub-requests
 	taken   tally   // searches and parts
 }
@@ -161,6 +159,7 @@
 	weight float64
 	size   float64
 	tries  []*subRequest
+	flying int  // tries that have not ended
 	done   bool // its answer is in
 	spare  bool // not sent unless others are late or fail
 }
@@ -325,12 +324,12 @@
 			continue
 		}
 		if b.finish > best[0].finish+gap {
-			if s := g.earliest(b.p); s != nil && g.predict(s, b.p) < b.finish {
+			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s = s
 			}
 		}
 		if g.allowed(b.s, b.p) {
-			g.send(b.p, b.s, false)
+			g.send(b.p, b.s)
 		}
 	}
 	g.review(q)
@@ -361,7 +360,8 @@
 			return s
 		}
 	}
-	return g.leastBad(p)
+	s, _ := g.pick(p)
+	return s
 }
 
 // holder is the k-th of a part's ready replicas, in the order of cells and ids.
@@ -376,35 +376,26 @@
 	return nil
 }
 
-// best is the replica of a part that passes and has the least figure; nil if none passes.
-func (g *Gatherer) best(p *part, pass func(*server, *part) bool, figure func(*server) float64) *server {
-	var best *server
+// pick is the usable replica predicted to end a part first. When none is usable it is the least bad one
+// that the rules allow: one that fails seldom and ends soon.
+func (g *Gatherer) pick(p *part) (best *server, usable bool) {
 	least := math.Inf(1)
 	for k := 0; ; k++ {
 		s := g.holder(p, k)
 		if s == nil {
-			return best
+			return best, usable
 		}
-		if pass(s, p) {
-			if f := figure(s); f < least {
-				best, least = s, f
-			}
+		good := g.usable(s, p)
+		if usable && !good || !g.allowed(s, p) {
+			continue
+		}
+		figure := float64(g.predict(s, p)) / (1 - min(s.failing, 0.99))
+		if good && !usable || figure < least {
+			best, least, usable = s, figure, good
 		}
 	}
 }
 
-// earliest is the usable replica that is predicted to end a part first.
-func (g *Gatherer) earliest(p *part) *server {
-	return g.best(p, g.usable, func(s *server) float64 { return float64(g.predict(s, p)) })
-}
-
-// leastBad is what is left when no replica is usable: one that fails least, then ends first.
-func (g *Gatherer) leastBad(p *part) *server {
-	return g.best(p, g.allowed, func(s *server) float64 {
-		return float64(g.predict(s, p)) / (1 - min(s.failing, 0.99))
-	})
-}
-
 // allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
 // of the part out, and its cold allowance has room.
 func (g *Gatherer) allowed(s *server, p *part) bool {
@@ -470,17 +461,17 @@
 	}
 }
 
-func (g *Gatherer) send(p *part, s *server, further bool) {
+func (g *Gatherer) send(p *part, s *server) {
 	q := p.q
 	r := &subRequest{p: p, s: s, sentAt: g.now, ahead: s.backlog + s.queue*g.size,
-		predicted: max(g.predict(s, p), 1), further: further}
+		predicted: max(g.predict(s, p), 1), further: len(p.tries) > 0}
 	g.out[sendKey{p.id, SendNo(len(p.tries))}] = r
 	p.tries = append(p.tries, r)
-	p.spare = false
+	p.flying++
 	s.out = append(s.out, r)
 	s.backlog += p.size
 	s.sent.add(g.now, p.size)
-	if further {
+	if r.further {
 		g.extra.add(g.now, 1)
 	}
 	g.do(Send{p.id, s.id, q.end - g.now})
@@ -498,10 +489,10 @@
 	quiet := s.heardAt < r.sentAt
 	overdue := float64(e.Elapsed) / (float64(r.predicted) * g.tail)
 	r.ended, r.neverRan = true, e.Outcome.NeverRan()
+	p.flying--
 	s.out = slices.DeleteFunc(s.out, func(o *subRequest) bool { return o == r })
-	s.backlog = max(0, s.backlog-p.size)
-	if len(s.out) == 0 {
-		s.backlog = 0
+	if s.backlog -= p.size; len(s.out) == 0 {
+		s.backlog = 0 // no rounding is left over
 	}
 	s.report(e.Report)
 	won := e.Outcome == Answered && !p.done && g.open[p.q.id] == p.q
@@ -598,12 +589,12 @@
 			least = whole
 		}
 	}
-	got, reach := 0.0, 0.0
+	got, reach := 0.0, 0.0 // weights: in, and still to be had
 	for _, p := range q.parts {
 		if p.done {
 			got += p.weight
 		}
-		if p.done || len(p.tries) == 0 || p.flying() > 0 || g.mayRepeat(p) {
+		if p.done || p.flying > 0 || g.mayRepeat(p) {
 			reach += p.weight
 		}
 	}
@@ -622,80 +613,47 @@
 	if q.shortAt > g.now {
 		next = min(next, q.shortAt)
 	}
-	late := reach < whole // a whole answer is lost, or one of its parts is overdue: spares go out
+	late := reach < whole
 	for _, p := range q.parts {
 		if p.done || p.spare {
 			continue
 		}
 		due := never
-		flying := 0
 		for _, r := range p.tries {
 			if !r.ended {
-				flying++
 				due = min(due, r.sentAt+Time(float64(r.predicted)*g.tail))
 			}
 		}
-		switch {
-		case len(p.tries) == 0:
-			if s := g.anyOf(p); s != nil {
-				g.send(p, s, false)
-			}
-			next = min(next, g.now+lookPause)
-		case flying == 0:
-			late = true
-			if s := g.anyOf(p); g.mayRepeat(p) && s != nil && g.affords(1) {
-				g.send(p, s, true)
-			}
-			next = min(next, g.now+lookPause)
-		case due > g.now:
+		if due > g.now && p.flying > 0 {
 			next = min(next, due)
-		default:
-			// Overdue: the server may be slow, stalled or silent.
-			late = true
-			if flying == 1 && g.mayCopy && g.mayRepeat(p) && g.affords(max(copyFloor, g.success)) {
-				if s := g.earliest(p); s != nil && g.now+g.predict(s, p) < q.end {
-					g.send(p, s, true)
-				}
-			}
-			next = min(next, g.now+lookPause)
+			continue
+		}
+		// Unsent, ended without an answer, or overdue: its server may have failed, be slow, stalled or silent.
+		next = min(next, g.now+lookPause)
+		late = late || len(p.tries) > 0
+		s, usable := g.pick(p)
+		switch {
+		case s == nil || !g.mayRepeat(p):
+		case p.flying == 0 && (len(p.tries) == 0 || g.affords(1)):
+			g.send(p, s)
+		case p.flying == 1 && g.mayCopy && usable && g.affords(max(copyFloor, g.success)) &&
+			g.now+g.predict(s, p) < q.end:
+			g.send(p, s)
 		}
 	}
-	if late {
-		for _, p := range q.parts {
-			if p.spare {
-				p.spare = false
-				if s := g.anyOf(p); s != nil {
-					g.send(p, s, false)
-				}
+	for _, p := range q.parts {
+		if late && p.spare {
+			p.spare = false
+			if s, _ := g.pick(p); s != nil {
+				g.send(p, s)
 			}
 		}
 	}
 	g.look(q, next)
 }
 
-// anyOf is the earliest usable replica of a part, else the least bad.
-func (g *Gatherer) anyOf(p *part) *server {
-	if s := g.earliest(p); s != nil {
-		return s
-	}
-	return g.leastBad(p)
-}
-
-func (p *part) flying() int {
-	n := 0
-	for _, r := range p.tries {
-		if !r.ended {
-			n++
-		}
-	}
-	return n
-}
-
-// mayRepeat tells whether the effect of a part's type and the limit per part let it go out again.
+// mayRepeat tells whether the effect of a part's type and the limit per part let it go out, again or first.
 func (g *Gatherer) mayRepeat(p *part) bool {
-	if len(p.tries) >= g.most {
-		return false
-	}
 	for _, r := range p.tries {
 		if r.neverRan {
 			continue
@@ -704,10 +662,12 @@
 		case NonIdempotent:
 			return false
 		case Tokened:
-			return g.now+g.margin <= r.sentAt+p.q.rules.window
+			if g.now+g.margin > r.sentAt+p.q.rules.window {
+				return false
+			}
 		}
 	}
-	return true
+	return len(p.tries) < g.most
 }
 
 // affords tells whether one more further sub-request keeps within a part of the budget.
@@ -973,19 +933,15 @@
 }
 
 // most is the count over the span and up to a slot more; least, over up to a slot less.
-func (t *tally) most(now Time) float64 {
+func (t *tally) most(now Time) (sum float64) {
 	t.roll(now)
-	sum := 0.0
 	for _, v := range t.n {
 		sum += v
 	}
 	return sum
 }
 
-func (t *tally) least(now Time) float64 {
-	sum := t.most(now)
-	return sum - t.n[slotOf(t.last+1)]
-}
+func (t *tally) least(now Time) float64 { return t.most(now) - t.n[slotOf(t.last+1)] }
 
 // mwc is a multiply-with-carry generator: the low half is the last number, the high half the carry.
 type mwc uint64
