--- a/brain/brain.go
+++ b/brain/brain.go
@@ -313,11 +313,6 @@
 			best, needed, slowest = plan, n, plan[n-1].finish
 		}
 	}
-	// What cannot end in time is better not begun.
-	if !q.second && slowest < never && g.now+slowest > q.end {
-		g.giveUp(q)
-		return
-	}
 	clear(g.planned)
 	for i, b := range best {
 		if b.p.spare = i >= needed; b.p.spare || b.s == nil {
