Shed by predicted finish, but only after the move

Kept: a search no replica can end in time takes places from others; one slow replica no longer condemns it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -313,17 +313,31 @@
 			best, needed, slowest = plan, n, plan[n-1].finish
 		}
 	}
-	clear(g.planned)
-	for i, b := range best {
-		if b.p.spare = i >= needed; b.p.spare || b.s == nil {
-			continue
-		}
-		if b.finish > best[0].finish+gap {
+	// A part far behind the fastest moves once, to its earliest-finishing replica.
+	for _, b := range best[needed:] {
+		b.p.spare = true
+	}
+	best = best[:needed]
+	slowest = 0
+	for i := range best {
+		b := &best[i]
+		if b.s != nil && b.finish > best[0].finish+gap {
+			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
-				b.s = s
+				b.s, b.finish = s, g.predict(s, b.p)
 			}
+			g.planned[b.s] += b.p.size
 		}
-		if g.allowed(b.s, b.p) {
+		slowest = max(slowest, b.finish)
+	}
+	// What cannot end in time even so is better not begun.
+	clear(g.planned)
+	if !q.second && slowest < never && g.now+slowest > q.end {
+		g.giveUp(q)
+		return
+	}
+	for _, b := range best {
+		if b.s != nil && g.allowed(b.s, b.p) {
 			g.send(b.p, b.s)
 		}
 	}
