--- a/brain/brain.go
+++ b/brain/brain.go
@@ -6,7 +6,7 @@
 //
 // The design (docs/design.md) places each part: see fanOut, the ordinary path of a search. Beside it stand
 // six mechanisms:
-//  1. Health: errors and silence take a server out; a probe, then one trial part, bring it back.
+//  1. Health: errors and silence take a server out; one trial part at a time brings it back.
 //  2. Cold allowance: a server just started gets its share of what warm ones bear, by its age.
 //  3. Further sub-requests: resends and copies follow the recent ones' success, inside the stated budget.
 //  4. In-flight limit: follows the shortest over the present answer time; past it searches are shed.
@@ -70,9 +70,9 @@
 	advise       Time // longest advice to a client; 0 = none
 	listPause    Time // longest pause between two calls for the list
 
-	mayCancel, mayCopy, mayProbe bool
-	onRequest                    bool // the list must be asked for
-	overCounts                   bool // searches beyond a customer's share are worth less
+	mayCancel, mayCopy bool
+	onRequest          bool // the list must be asked for
+	overCounts         bool // searches beyond a customer's share are worth less
 
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
@@ -87,7 +87,7 @@
 	open    map[SearchID]*search    // emptied by the final answer or the client's leaving
 	numbers map[SearchNo]*search    // as open
 	out     map[sendKey]*subRequest // emptied by outcomes: each sub-request gets one
-	timers  map[TimerID]wake        // emptied by firing
+	timers  map[TimerID]SearchNo    // emptied by firing
 	timer   TimerID                 // last one used; 0 is the list's
 	asking  bool                    // the list's timer is set
 	nextAsk Time                    // its next pause
@@ -136,8 +136,7 @@
 	outUntil Time          // taken out until then
 	pause    Time          // the next time out
 	trial    bool          // back, with one part at a time, until it answers
-	probing  bool
-	lost     bool // its connections failed: it may come back cold
+	lost     bool          // its connections failed: it may come back cold
 }
 
 type search struct {
@@ -184,12 +183,12 @@
 func New(f Facts) *Gatherer {
 	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), most: f.MostSubRequests,
 		margin: max(2*f.Tick, 4*Millisecond), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
-		mayProbe: f.MayProbe, onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1,
+		onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1,
 		advise: f.AdviseRetry, listPause: max(f.AskWithin/2, listFirst), coldShare: f.ColdShare,
 		coldFor: f.ColdFor, coldMultiple: coldSafety * max(f.FallMultiple, 1),
 		fallWithin: f.FallWithin, rand: newMWC(f.Seed),
 		servers: map[ServerID]*server{}, open: map[SearchID]*search{}, numbers: map[SearchNo]*search{},
-		out: map[sendKey]*subRequest{}, timers: map[TimerID]wake{}, planned: map[*server]float64{},
+		out: map[sendKey]*subRequest{}, timers: map[TimerID]SearchNo{}, planned: map[*server]float64{},
 		nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
 		free: f.BudgetFree, perItem: f.BudgetShare}
 	span := f.BudgetSpan
@@ -230,8 +229,6 @@
 		}
 	case TimerFired:
 		g.fired(e.Timer)
-	case Probed:
-		g.probed(e)
 	}
 	return g.acts
 }
@@ -317,11 +314,14 @@
 	for _, b := range best[needed:] {
 		b.p.spare = true
 	}
-	best = best[:needed]
-	slowest = 0
+	best, slowest = best[:needed], 0
+	clear(g.planned)
+	for _, b := range best {
+		g.planned[b.s] += b.p.size
+	}
 	for i := range best {
 		b := &best[i]
-		if b.s != nil && b.finish > best[0].finish+gap {
+		if b.finish > best[0].finish+gap {
 			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s, b.finish = s, g.predict(s, b.p)
@@ -423,7 +423,7 @@
 			return false
 		}
 	}
-	if !g.allowed(s, p) || s.outUntil > g.now || s.probing || g.silent(s) {
+	if !g.allowed(s, p) || s.outUntil > g.now || g.silent(s) {
 		return false
 	}
 	if !s.trial {
@@ -736,20 +736,10 @@
 		return
 	}
 	q.lookAt = at
-	g.wake(at, wake{search: q.number})
-}
-
-// wake is what a timer was set for: a server's way back, else a search's next look.
-type wake struct {
-	search SearchNo
-	server *server
-}
-
-func (g *Gatherer) wake(at Time, w wake) {
 	if g.timer++; g.timer == 0 {
 		g.timer = 1
 	}
-	g.timers[g.timer] = w
+	g.timers[g.timer] = q.number
 	g.do(Wake{at, g.timer})
 }
 
@@ -759,16 +749,9 @@
 		g.do(Subscribe{})
 		return
 	}
-	w, ok := g.timers[t]
+	number, ok := g.timers[t]
 	delete(g.timers, t)
-	if s := w.server; s != nil {
-		if s.state == Ready && s.trial && !s.probing && s.outUntil <= g.now {
-			s.probing = true
-			g.do(Probe{s.id})
-		}
-		return
-	}
-	q := g.numbers[w.search]
+	q := g.numbers[number]
 	if ok && q != nil && q.lookAt <= g.now {
 		q.lookAt = 0
 		g.review(q)
@@ -787,22 +770,6 @@
 func (g *Gatherer) takeOut(s *server) {
 	s.outUntil, s.trial = g.now+s.pause, true
 	s.pause = min(2*s.pause, longestOut)
-	if g.mayProbe {
-		g.wake(s.outUntil, wake{server: s})
-	}
-}
-
-// probed lets a server that answers a probe have its trial part.
-func (g *Gatherer) probed(e Probed) {
-	s := g.servers[e.Server]
-	if s == nil || !s.probing {
-		return
-	}
-	s.probing = false
-	s.report(e.Report)
-	if e.Outcome != Answered && s.trial {
-		g.takeOut(s)
-	}
 }
 
 // silent tells that a server has been sent something long overdue and has said nothing since.
