--- a/brain/brain.go
+++ b/brain/brain.go
@@ -57,7 +57,8 @@
 	lookPause   = 20 * Millisecond
 	listFirst   = 500 * Millisecond // first pause between two calls for the list
 
-	never = Time(math.MaxInt64 / 4)
+	never     = Time(math.MaxInt64 / 4)
+	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
 )
 
 // Gatherer holds all that one gatherer knows.
@@ -82,18 +83,16 @@
 	acts    []Action
 	rand    mwc
 	servers map[ServerID]*server    // emptied by the list: gone, and nothing out
-	holders [][]*server             // ready ones by cell, in order of id; made anew with each list
-	ready   int                     // how many those are
+	ready   []*server               // those listed as ready, in order of id; made anew with each list
+	holders [][]*server             // of each shard, in order of cells and ids; made anew with each list
 	open    map[SearchID]*search    // emptied by the final answer or the client's leaving
 	numbers map[SearchNo]*search    // as open
 	out     map[sendKey]*subRequest // emptied by outcomes: each sub-request gets one
-	timers  map[TimerID]SearchNo    // emptied by firing
-	timer   TimerID                 // last one used; 0 is the list's
 	asking  bool                    // the list's timer is set
 	nextAsk Time                    // its next pause
 	planned map[*server]float64     // sizes within the plan being drawn; emptied by the next
 
-	average float64 // latency per unit size, over the servers heard from; 0 = none
+	average float64 // latency per unit size, over the ready servers heard from; 0 = none
 	size    float64 // smoothed size of a part
 	tail    float64 // latency over prediction that a share of 1 - tailQuantile exceeds
 	success float64 // smoothed share of further sub-requests that brought the answer
@@ -123,10 +122,10 @@
 	id       ServerID
 	cell     CellNo
 	state    ServerState
-	upSince  Time
+	upSince  Time // as listed
 	coldFrom Time // when it last started, as far as known; 0 = long ago
-	heard    bool
 	heardAt  Time
+	heard    bool
 	rate     float64       // smoothed latency per unit size, once heard
 	queue    float64       // parts it last reported
 	out      []*subRequest // in order of sending; emptied by outcomes
@@ -140,27 +139,24 @@
 }
 
 type search struct {
-	id      SearchID
-	number  SearchNo
-	rules   *typeRules
-	parts   []*part // of the present step
-	second  bool
-	whole   bool // the first step's answer was
-	shortAt Time // when an answer short of whole is given
-	end     Time // when it is given up
-	lookAt  Time // the pending timer's; 0 = none
+	id            SearchID
+	number        SearchNo
+	rules         *typeRules
+	parts         []*part // of the present step
+	second, whole bool    // the second step is on; the first step's answer was whole
+	shortAt, end  Time    // when an answer short of whole is given, and when it is given up
+	lookAt        Time    // the pending timer's; 0 = none
 }
 
 type part struct {
-	q      *search
-	id     PartID
-	shard  ShardNo
-	weight float64
-	size   float64
-	tries  []*subRequest
-	flying int  // tries that have not ended
-	done   bool // its answer is in
-	spare  bool // not sent unless others are late or fail
+	q            *search
+	id           PartID
+	shard        ShardNo
+	weight, size float64
+	tries        []*subRequest
+	flying       int  // tries that have not ended
+	done         bool // its answer is in
+	spare        bool // not sent unless others are late or fail
 }
 
 type sendKey struct {
@@ -169,14 +165,11 @@
 }
 
 type subRequest struct {
-	p         *part
-	s         *server
-	sentAt    Time
-	ahead     float64 // sizes unfinished there, as known, when it was sent
-	predicted Time
-	further   bool
-	ended     bool
-	neverRan  bool
+	p                        *part
+	s                        *server
+	sentAt, predicted        Time
+	ahead                    float64 // sizes unfinished there, as known, when it was sent
+	further, ended, neverRan bool
 }
 
 // New makes a gatherer that knows nothing yet but its facts.
@@ -188,7 +181,8 @@
 		coldFor: f.ColdFor, coldMultiple: coldSafety * max(f.FallMultiple, 1),
 		fallWithin: f.FallWithin, rand: newMWC(f.Seed),
 		servers: map[ServerID]*server{}, open: map[SearchID]*search{}, numbers: map[SearchNo]*search{},
-		out: map[sendKey]*subRequest{}, timers: map[TimerID]SearchNo{}, planned: map[*server]float64{},
+		out: map[sendKey]*subRequest{}, planned: map[*server]float64{},
+		holders: make([][]*server, f.Shards),
 		nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
 		free: f.BudgetFree, perItem: f.BudgetShare}
 	span := f.BudgetSpan
@@ -283,7 +277,7 @@
 		g.size += (own.size - g.size) * sizeWeight
 		q.parts = append(q.parts, own)
 	}
-	g.learnAverage()
+	g.average = g.mean(func(s *server) (float64, bool) { return s.rate, s.heard })
 	var best []placing
 	var needed int
 	slowest := Time(math.MaxInt64)
@@ -348,24 +342,18 @@
 // used. On a ring the offset marks every reach-th cell, so that each part's replicas hold one mark, and
 // the part goes to the replica at or after it; in sets the replicas are counted by offset plus shard.
 func (g *Gatherer) replica(p *part, offset int) *server {
-	n := 0
-	start := 0
-	nearest := g.reach
-	for j := range g.reach {
-		cell := (int(p.shard) + j) % g.cells
-		if far := ((cell-offset)%g.reach + g.reach) % g.reach; far < nearest && len(g.holders[cell]) > 0 {
-			start, nearest = n, far
-		}
-		n += len(g.holders[cell])
-	}
-	if n == 0 {
+	all := g.holders[p.shard]
+	if len(all) == 0 {
 		return nil
 	}
-	if g.reach == 1 {
-		start = (offset + int(p.shard)) % n
+	start, nearest := (offset+int(p.shard))%len(all), g.reach
+	for i, s := range all {
+		if far := ((int(s.cell)-offset)%g.reach + g.reach) % g.reach; g.reach > 1 && far < nearest {
+			start, nearest = i, far
+		}
 	}
-	for i := range n {
-		if s := g.holder(p, (start+i)%n); g.usable(s, p) {
+	for i := range all {
+		if s := all[(start+i)%len(all)]; g.usable(s, p) {
 			return s
 		}
 	}
@@ -373,27 +361,11 @@
 	return s
 }
 
-// holder is the k-th of a part's ready replicas, in the order of cells and ids.
-func (g *Gatherer) holder(p *part, k int) *server {
-	for j := range g.reach {
-		cell := g.holders[(int(p.shard)+j)%g.cells]
-		if k < len(cell) {
-			return cell[k]
-		}
-		k -= len(cell)
-	}
-	return nil
-}
-
 // pick is the usable replica predicted to end a part first. When none is usable it is the least bad one
 // that the rules allow: one that fails seldom and ends soon.
 func (g *Gatherer) pick(p *part) (best *server, usable bool) {
 	least := math.Inf(1)
-	for k := 0; ; k++ {
-		s := g.holder(p, k)
-		if s == nil {
-			return best, usable
-		}
+	for _, s := range g.holders[p.shard] {
 		good := g.usable(s, p)
 		if usable && !good || !g.allowed(s, p) {
 			continue
@@ -403,6 +375,7 @@
 			best, least, usable = s, figure, good
 		}
 	}
+	return best, usable
 }
 
 // allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
@@ -445,29 +418,21 @@
 	}
 	// A slowdown of seconds, before smoothing catches up: what is out longer than predicted tells the
 	// present rate. A stall shows likewise. Harm: one odd part makes a sound server look slow for a while.
-	if len(s.out) > 0 {
-		if r := s.out[0]; g.now-r.sentAt > r.predicted {
-			rate *= float64(g.now-r.sentAt) / float64(r.predicted)
-		}
-	}
+	rate *= max(1, g.lateness(s))
 	ahead := s.backlog + s.queue*g.size + g.planned[s]
 	return Time(min(rate*(ahead+p.size), float64(never-1)))
 }
 
-// learnAverage renews the latency that servers not heard from are given.
-func (g *Gatherer) learnAverage() {
+// mean is a figure's average over the ready servers that have it.
+func (g *Gatherer) mean(figure func(*server) (float64, bool)) float64 {
 	sum, n := 0.0, 0
-	for _, cell := range g.holders {
-		for _, s := range cell {
-			if s.heard {
-				sum += s.rate
-				n++
-			}
+	for _, s := range g.ready {
+		if v, ok := figure(s); ok {
+			sum += v
+			n++
 		}
 	}
-	if n > 0 {
-		g.average = sum / float64(n)
-	}
+	return sum / float64(max(n, 1))
 }
 
 func (g *Gatherer) send(p *part, s *server) {
@@ -488,12 +453,11 @@
 
 // ended takes a sub-request's outcome, also of parts and searches that are over.
 func (g *Gatherer) ended(e SubRequestEnded) {
-	key := sendKey{e.Part, e.Send}
-	r := g.out[key]
+	r := g.out[sendKey{e.Part, e.Send}]
 	if r == nil {
 		return
 	}
-	delete(g.out, key)
+	delete(g.out, sendKey{e.Part, e.Send})
 	s, p := r.s, r.p
 	quiet := s.heardAt < r.sentAt
 	overdue := float64(e.Elapsed) / (float64(r.predicted) * g.tail)
@@ -503,7 +467,11 @@
 	if s.backlog -= p.size; len(s.out) == 0 {
 		s.backlog = 0 // no rounding is left over
 	}
-	s.report(e.Report)
+	if e.Report != nil && e.Report.Queue >= 0 {
+		s.queue = e.Report.Queue
+	} else if e.Report != nil {
+		s.queue = max(e.Report.InFlight, 0)
+	}
 	won := e.Outcome == Answered && !p.done && g.open[p.q.id] == p.q
 	if r.further && e.Outcome != Moot {
 		g.success -= g.success * successWeight
@@ -517,21 +485,21 @@
 		g.answered(r, float64(max(e.Elapsed, 1)))
 		s.failing -= s.failing * goodWeight
 		if s.trial && r.sentAt >= s.outUntil {
-			if s.lost {
-				s.coldFrom = g.now // it went away and came back: cold, whatever the list says
+			if s.trial = false; s.lost {
+				s.lost, s.coldFrom = false, g.now // it went away and came back: cold, whatever the list says
 			}
-			s.trial, s.lost = false, false
 		}
 		if s.failing < goodWeight {
 			s.pause = firstPause
 		}
-	case Errored:
-		// An error comes fast: its time is no latency of the server's and must not make it look quick.
-		s.heardAt = g.now
-		g.failed(s, softFailure)
-	case TurnedAway:
+	case Errored, TurnedAway:
+		// These come fast: their time is no latency of the server's and must not make it look quick.
 		s.heardAt = g.now
-		g.failed(s, fullFailure)
+		if e.Outcome == Errored {
+			g.failed(s, softFailure)
+		} else {
+			g.failed(s, fullFailure)
+		}
 	case ConnectFailed, Reset:
 		s.lost = true
 		g.failed(s, hardFailure)
@@ -577,20 +545,12 @@
 	if falling < 1 || float64(len(g.out)) > g.limit/2 {
 		g.limit += (g.limit*falling + math.Sqrt(g.limit) - g.limit) * limitWeight
 	}
-	g.limit = max(g.limit, limitFloor*float64(g.ready))
+	g.limit = max(g.limit, limitFloor*float64(len(g.ready)))
 }
 
 // review does what is due for a search: answers it, sends what is to be sent, or gives it up; then it sets
 // the timer for the next look. It may be called at any moment.
 func (g *Gatherer) review(q *search) {
-	if len(q.parts) == 0 {
-		if q.second {
-			g.look(q, q.end)
-		} else {
-			g.giveUp(q)
-		}
-		return
-	}
 	least, whole := q.rules.least-weightSlack, q.rules.whole-weightSlack
 	if q.second {
 		whole = 1 - weightSlack
@@ -599,6 +559,9 @@
 		}
 	}
 	got, reach := 0.0, 0.0 // weights: in, and still to be had
+	if q.second && len(q.parts) == 0 {
+		reach = 1 // its parts are still to come
+	}
 	for _, p := range q.parts {
 		if p.done {
 			got += p.weight
@@ -663,17 +626,11 @@
 
 // mayRepeat tells whether the effect of a part's type and the limit per part let it go out, again or first.
 func (g *Gatherer) mayRepeat(p *part) bool {
+	rules := p.q.rules
 	for _, r := range p.tries {
-		if r.neverRan {
-			continue
-		}
-		switch p.q.rules.effect {
-		case NonIdempotent:
+		inWindow := rules.effect == Tokened && g.now+g.margin <= r.sentAt+rules.window
+		if !r.neverRan && rules.effect != Idempotent && !inWindow {
 			return false
-		case Tokened:
-			if g.now+g.margin > r.sentAt+p.q.rules.window {
-				return false
-			}
 		}
 	}
 	return len(p.tries) < g.most
@@ -736,23 +693,14 @@
 		return
 	}
 	q.lookAt = at
-	if g.timer++; g.timer == 0 {
-		g.timer = 1
-	}
-	g.timers[g.timer] = q.number
-	g.do(Wake{at, g.timer})
+	g.do(Wake{at, TimerID(q.number)})
 }
 
 func (g *Gatherer) fired(t TimerID) {
-	if t == 0 {
+	if t == listTimer {
 		g.asking = false
 		g.do(Subscribe{})
-		return
-	}
-	number, ok := g.timers[t]
-	delete(g.timers, t)
-	q := g.numbers[number]
-	if ok && q != nil && q.lookAt <= g.now {
+	} else if q := g.numbers[SearchNo(t)]; q != nil && q.lookAt <= g.now {
 		q.lookAt = 0
 		g.review(q)
 	}
@@ -763,31 +711,23 @@
 func (g *Gatherer) failed(s *server, weight float64) {
 	s.failing += (1 - s.failing) * weight
 	if s.outUntil <= g.now && (s.failing > failLimit || s.trial) {
-		g.takeOut(s)
+		s.outUntil, s.trial = g.now+s.pause, true
+		s.pause = min(2*s.pause, longestOut)
 	}
 }
 
-func (g *Gatherer) takeOut(s *server) {
-	s.outUntil, s.trial = g.now+s.pause, true
-	s.pause = min(2*s.pause, longestOut)
-}
-
-// silent tells that a server has been sent something long overdue and has said nothing since.
-func (g *Gatherer) silent(s *server) bool {
+// lateness is the age of the oldest unfinished sub-request at a server, as a multiple of its prediction.
+func (g *Gatherer) lateness(s *server) float64 {
 	if len(s.out) == 0 {
-		return false
+		return 0
 	}
-	r := s.out[0]
-	return s.heardAt < r.sentAt && float64(g.now-r.sentAt) > silentAfter*g.tail*float64(r.predicted)
+	return float64(g.now-s.out[0].sentAt) / float64(s.out[0].predicted)
 }
 
-func (s *server) report(r *Report) {
-	if r == nil {
-		return
-	}
-	if s.queue = r.Queue; s.queue < 0 {
-		s.queue = max(r.InFlight, 0)
-	}
+// silent tells that a server has been sent something long overdue and has said nothing since.
+func (g *Gatherer) silent(s *server) bool {
+	late := g.lateness(s)
+	return late > silentAfter*g.tail && s.heardAt < s.out[0].sentAt
 }
 
 // warmth is the share of its capacity that a server has at least, by its age.
@@ -812,16 +752,8 @@
 	if sent == 0 {
 		return true
 	}
-	load, n := 0.0, 0
-	for _, cell := range g.holders {
-		for _, w := range cell {
-			if g.warmth(w) >= 1 {
-				load += w.sent.least(g.now)
-				n++
-			}
-		}
-	}
-	return n > 0 && sent+size <= g.coldMultiple*warmth*load/float64(n)
+	load := g.mean(func(w *server) (float64, bool) { return w.sent.least(g.now), g.warmth(w) >= 1 })
+	return sent+size <= g.coldMultiple*warmth*load
 }
 
 // list applies what the list says. Where it must be asked for, a failed call or a broken subscription is
@@ -831,7 +763,7 @@
 	if e.Kind == ListFailed {
 		if g.onRequest && !g.asking {
 			g.asking = true
-			g.do(Wake{g.now + g.nextAsk/2 + Time(g.rand.below(int(g.nextAsk))), 0})
+			g.do(Wake{g.now + g.nextAsk/2 + Time(g.rand.below(int(g.nextAsk))), listTimer})
 			g.nextAsk = min(2*g.nextAsk, g.listPause)
 		}
 		return
@@ -859,21 +791,27 @@
 			s.pause = firstPause
 		}
 	}
-	g.holders = make([][]*server, g.cells)
-	g.ready = 0
+	g.ready = nil
 	for id, s := range g.servers {
 		if s.state == Gone && len(s.out) == 0 {
 			delete(g.servers, id)
-		} else if s.state == Ready && int(s.cell) < g.cells {
-			g.holders[s.cell] = append(g.holders[s.cell], s)
-			g.ready++
+		} else if s.state == Ready {
+			g.ready = append(g.ready, s)
+		}
+	}
+	slices.SortFunc(g.ready, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	for shard := range g.holders {
+		g.holders[shard] = nil
+		for j := range g.reach {
+			for _, s := range g.ready {
+				if int(s.cell) == (shard+j)%g.cells {
+					g.holders[shard] = append(g.holders[shard], s)
+				}
+			}
 		}
 	}
-	for _, cell := range g.holders {
-		slices.SortFunc(cell, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	}
 	if g.limit == 0 {
-		g.limit = limitFirst * float64(max(g.ready, 1))
+		g.limit = limitFirst * float64(max(len(g.ready), 1))
 	}
 }
 
