--- a/brain/brain.go
+++ b/brain/brain.go
@@ -10,7 +10,7 @@
 //  2. Cold allowance: a server just started gets its share of what warm ones bear, by its age.
 //  3. Further sub-requests: resends and copies follow the recent ones' success, inside the stated budget.
 //  4. In-flight limit: follows the shortest over the present answer time; past it searches are shed.
-//  5. Moment to answer: whole at once, short at the latency target, parts spared, given up in time.
+//  5. Moment to answer: whole at once, short at the latency target, given up in time.
 //  6. List keeping: a subscription asked for again with growing pauses; unlisted servers are forgotten.
 
 import (
@@ -144,6 +144,7 @@
 	rules         *typeRules
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
+	target        Time    // when it should be answered
 	shortAt, end  Time    // when an answer short of whole is given, and when it is given up
 	lookAt        Time    // the pending timer's; 0 = none
 }
@@ -156,7 +157,6 @@
 	tries        []*subRequest
 	flying       int  // tries that have not ended
 	done         bool // its answer is in
-	spare        bool // not sent unless others are late or fail
 }
 
 type sendKey struct {
@@ -234,14 +234,14 @@
 func (g *Gatherer) arrived(e SearchArrived) {
 	r := &g.types[e.Type]
 	q := &search{id: e.Search, number: e.Number, rules: r}
-	target := g.now + r.target - g.margin
 	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
+	q.target = min(g.now+r.target-g.margin, q.end)
 	if r.late == 0 {
-		q.end = min(q.end, target)
+		q.end = q.target
 	}
 	q.shortAt = q.end
 	if r.shortPart*r.least >= r.late {
-		q.shortAt = min(q.end, target)
+		q.shortAt = q.target
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
@@ -277,9 +277,12 @@
 		g.size += (own.size - g.size) * sizeWeight
 		q.parts = append(q.parts, own)
 	}
+	if len(parts) == 0 {
+		g.review(q)
+		return
+	}
 	g.average = g.mean(func(s *server) (float64, bool) { return s.rate, s.heard })
 	var best []placing
-	var needed int
 	slowest := Time(math.MaxInt64)
 	for range 2 {
 		offset := g.rand.below(offsetSpread)
@@ -294,21 +297,12 @@
 			plan = append(plan, b)
 		}
 		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
-		// The latest parts beyond what a whole answer needs are spared.
-		n, weight := 0, 0.0
-		for n < len(plan) && (q.second || weight < q.rules.whole-weightSlack) {
-			weight += plan[n].p.weight
-			n++
-		}
-		if n > 0 && plan[n-1].finish < slowest {
-			best, needed, slowest = plan, n, plan[n-1].finish
+		if end := plan[len(plan)-1].finish; end < slowest {
+			best, slowest = plan, end
 		}
 	}
 	// A part far behind the fastest moves once, to its earliest-finishing replica.
-	for _, b := range best[needed:] {
-		b.p.spare = true
-	}
-	best, slowest = best[:needed], 0
+	slowest = 0
 	clear(g.planned)
 	for _, b := range best {
 		g.planned[b.s] += b.p.size
@@ -326,7 +320,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.end {
+	if !q.second && slowest < never && g.now+slowest > q.target {
 		g.giveUp(q)
 		return
 	}
@@ -585,9 +579,8 @@
 	if q.shortAt > g.now {
 		next = min(next, q.shortAt)
 	}
-	late := reach < whole
 	for _, p := range q.parts {
-		if p.done || p.spare {
+		if p.done {
 			continue
 		}
 		due := never
@@ -602,7 +595,6 @@
 		}
 		// Unsent, ended without an answer, or overdue: its server may have failed, be slow, stalled or silent.
 		next = min(next, g.now+lookPause)
-		late = late || len(p.tries) > 0
 		s, usable := g.pick(p)
 		switch {
 		case s == nil || !g.mayRepeat(p):
@@ -613,14 +605,6 @@
 			g.send(p, s)
 		}
 	}
-	for _, p := range q.parts {
-		if late && p.spare {
-			p.spare = false
-			if s, _ := g.pick(p); s != nil {
-				g.send(p, s)
-			}
-		}
-	}
 	g.look(q, next)
 }
 
