--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,10 +46,10 @@
 	copyFloor     = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
 
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 2.0  // the present answer time may be so many times the shortest
-	limitFloor  = 2    // parts in flight for each ready server that are always allowed
+	limitSlack  = 3.0  // the present answer time may be so many times the shortest
+	limitFloor  = 1.5  // parts in flight for each ready server that are always allowed
 	limitFirst  = 8    // and allowed at first
-	shortestUp  = 1e-3 // the shortest answer time is forgotten so fast, per answer
+	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
 	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
 
@@ -320,7 +320,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.target {
+	if !q.second && slowest < never && g.now+slowest > q.end {
 		g.giveUp(q)
 		return
 	}
