--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,12 +45,13 @@
 	successWeight = 0.05 // smoothing of their success
 	copyFloor     = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
 
+	medianStep  = 0.02 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 3.0  // the present answer time may be so many times the shortest
-	limitFloor  = 1.5  // parts in flight for each ready server that are always allowed
+	limitSlack  = 2.0  // the present answer time may be so many times the shortest
+	limitFloor  = 2    // parts in flight for each ready server that are always allowed
 	limitFirst  = 8    // and allowed at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
-	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
+	pressed     = 0.8  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
@@ -96,7 +97,7 @@
 	size    float64 // smoothed size of a part
 	tail    float64 // latency over prediction that a share of 1 - tailQuantile exceeds
 	success float64 // smoothed share of further sub-requests that brought the answer
-	present float64 // smoothed latency per unit size, over all answers
+	present float64 // median latency per unit size of late, over all answers
 	short   float64 // the shortest that was of late; 0 = none
 	limit   float64 // parts in flight; 0 = none yet
 	extra   tally   // further sub-requests
@@ -533,7 +534,11 @@
 	if g.present == 0 {
 		g.present, g.short = unit, unit
 	}
-	g.present += (unit - g.present) * sizeWeight
+	if unit > g.present {
+		g.present *= 1 + medianStep
+	} else {
+		g.present *= 1 - medianStep
+	}
 	g.short = min(g.short*(1+shortestUp), g.present)
 	falling := min(1, max(0.5, limitSlack*g.short/g.present))
 	if falling < 1 || float64(len(g.out)) > g.limit/2 {
