--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,7 +47,7 @@
 
 	medianStep  = 0.02 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 2.0  // the present answer time may be so many times the shortest
+	limitSlack  = 3.0  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
 	limitFirst  = 8    // and allowed at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
