--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,8 +33,6 @@
 
 	failLimit   = 0.3 // smoothed share of failures that takes a server out
 	hardFailure = 0.4 // weight of a dead connection or of silence: one is enough
-	softFailure = 0.2 // weight of an error: two close together are needed
-	fullFailure = 0.1 // weight of being turned away: load, not yet a fault
 	goodWeight  = 0.1 // weight of an answer
 	firstPause  = 500 * Millisecond
 	longestOut  = 4000 * Millisecond // the pause doubles up to this
@@ -62,6 +60,10 @@
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
 )
 
+// failureWeight is how much an outcome counts against a server: of errors two close together are needed,
+// and being turned away tells of load before it tells of a fault.
+var failureWeight = [...]float64{Errored: 0.2, TurnedAway: 0.1, ConnectFailed: hardFailure, Reset: hardFailure}
+
 // Gatherer holds all that one gatherer knows.
 type Gatherer struct {
 	types        []typeRules
@@ -374,30 +376,20 @@
 }
 
 // allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
-// of the part out, and its cold allowance has room.
+// of the part out, and its cold allowance has room. usable says that it also looks sound and has not had
+// the part before; on trial it takes one part at a time, and none that must not run twice.
 func (g *Gatherer) allowed(s *server, p *part) bool {
-	for _, r := range p.tries {
-		if r.s == s && !r.ended {
-			return false
-		}
-	}
-	return s.state == Ready && g.room(s, p.size)
+	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
+	return !out && s.state == Ready && g.room(s, p.size)
 }
 
-// usable tells whether an allowed server also looks sound and has not had the part before.
 func (g *Gatherer) usable(s *server, p *part) bool {
-	for _, r := range p.tries {
-		if r.s == s {
-			return false
-		}
-	}
-	if !g.allowed(s, p) || s.outUntil > g.now || g.silent(s) {
+	had := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s })
+	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silent(s) {
 		return false
 	}
-	if !s.trial {
-		return true
-	}
-	return len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect == Idempotent
+	trying := len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect != NonIdempotent
+	return !s.trial || trying || g.now > s.outUntil+longestOut
 }
 
 // predict is when a part would end at a server, from now: its size after the unfinished ones there.
@@ -455,7 +447,6 @@
 	delete(g.out, sendKey{e.Part, e.Send})
 	s, p := r.s, r.p
 	quiet := s.heardAt < r.sentAt
-	overdue := float64(e.Elapsed) / (float64(r.predicted) * g.tail)
 	r.ended, r.neverRan = true, e.Outcome.NeverRan()
 	p.flying--
 	s.out = slices.DeleteFunc(s.out, func(o *subRequest) bool { return o == r })
@@ -474,10 +465,11 @@
 			g.success += successWeight
 		}
 	}
+	late := float64(e.Elapsed) / float64(r.predicted)
 	switch e.Outcome {
 	case Answered:
-		s.heardAt = g.now
 		g.answered(r, float64(max(e.Elapsed, 1)))
+		g.tail = max(1, g.tail-tailStep*(1-tailQuantile))
 		s.failing -= s.failing * goodWeight
 		if s.trial && r.sentAt >= s.outUntil {
 			if s.trial = false; s.lost {
@@ -487,24 +479,21 @@
 		if s.failing < goodWeight {
 			s.pause = firstPause
 		}
-	case Errored, TurnedAway:
-		// These come fast: their time is no latency of the server's and must not make it look quick.
-		s.heardAt = g.now
-		if e.Outcome == Errored {
-			g.failed(s, softFailure)
-		} else {
-			g.failed(s, fullFailure)
-		}
-	case ConnectFailed, Reset:
-		s.lost = true
-		g.failed(s, hardFailure)
 	case TimedOut, Cancelled:
-		if overdue > 1 {
-			g.tail += tailStep * tailQuantile
-		}
-		if overdue > silentAfter && quiet {
+		if late > silentAfter*g.tail && quiet {
 			g.failed(s, hardFailure)
 		}
+	case Errored, TurnedAway, ConnectFailed, Reset:
+		// These come fast: their time is no latency of the server's and must not make it look quick.
+		g.failed(s, failureWeight[e.Outcome])
+		s.lost = s.lost || e.Outcome == ConnectFailed || e.Outcome == Reset
+		late = 0
+	}
+	if late > g.tail {
+		g.tail += tailStep
+	}
+	if e.Outcome <= TurnedAway {
+		s.heardAt = g.now
 	}
 	if g.open[p.q.id] != p.q {
 		return
@@ -525,11 +514,6 @@
 		s.heard, s.rate = true, rate
 	}
 	s.rate += (rate - s.rate) * rateWeight
-	if latency > g.tail*float64(r.predicted) {
-		g.tail += tailStep * tailQuantile
-	} else {
-		g.tail = max(1, g.tail-tailStep*(1-tailQuantile))
-	}
 	unit := latency / p.size
 	if g.present == 0 {
 		g.present, g.short = unit, unit
@@ -636,9 +620,7 @@
 		g.close(q)
 		return
 	}
-	for _, p := range q.parts {
-		g.cancel(p)
-	}
+	g.cancel(q.parts...)
 	q.second, q.whole, q.parts = true, whole, nil
 	g.look(q, q.end)
 }
@@ -663,15 +645,15 @@
 func (g *Gatherer) close(q *search) {
 	delete(g.open, q.id)
 	delete(g.numbers, q.number)
-	for _, p := range q.parts {
-		g.cancel(p)
-	}
+	g.cancel(q.parts...)
 }
 
-func (g *Gatherer) cancel(p *part) {
-	for no, r := range p.tries {
-		if g.mayCancel && !r.ended {
-			g.do(Cancel{p.id, SendNo(no)})
+func (g *Gatherer) cancel(parts ...*part) {
+	for _, p := range parts {
+		for no, r := range p.tries {
+			if g.mayCancel && !r.ended {
+				g.do(Cancel{p.id, SendNo(no)})
+			}
 		}
 	}
 }
@@ -769,15 +751,14 @@
 	for _, entry := range e.Servers {
 		s := g.servers[entry.ID]
 		if s == nil {
-			s = &server{id: entry.ID, pause: firstPause, sent: newTally(g.fallWithin)}
+			s = &server{id: entry.ID, upSince: -1, sent: newTally(g.fallWithin)}
 			g.servers[entry.ID] = s
 		}
 		s.state, s.cell = entry.State, entry.Cell
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
-			s.upSince, s.coldFrom = entry.UpSince, entry.UpSince
+			s.upSince, s.coldFrom, s.pause = entry.UpSince, entry.UpSince, firstPause
 			s.heard, s.queue, s.failing, s.outUntil, s.trial, s.lost = false, 0, 0, 0, false, false
-			s.pause = firstPause
 		}
 	}
 	g.ready = nil
