--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,7 +62,8 @@
 
 // failureWeight is how much an outcome counts against a server: of errors two close together are needed,
 // and being turned away tells of load before it tells of a fault.
-var failureWeight = [...]float64{Errored: 0.2, TurnedAway: 0.1, ConnectFailed: hardFailure, Reset: hardFailure}
+var failureWeight = [...]float64{Errored: 0.2, TurnedAway: 0.1, ConnectFailed: hardFailure,
+	Reset: hardFailure}
 
 // Gatherer holds all that one gatherer knows.
 type Gatherer struct {
@@ -388,7 +389,7 @@
 	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silent(s) {
 		return false
 	}
-	trying := len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect != NonIdempotent
+	trying := len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect == Idempotent
 	return !s.trial || trying || g.now > s.outUntil+longestOut
 }
 
