--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,11 +20,10 @@
 )
 
 const (
-	gap          = 100 * Millisecond // the design's: a part so far behind the fastest moves once
-	firstShare   = 10                // the design's: before any answer a part takes target / firstShare
-	rateWeight   = 0.2               // smoothing of latency per unit size: about the last five answers
-	sizeWeight   = 0.05              // smoothing of a part's size
-	offsetSpread = 1 << 16           // offsets are drawn from so many
+	gap        = 100 * Millisecond // the design's: a part so far behind the fastest moves once
+	firstShare = 10                // the design's: before any answer a part takes target / firstShare
+	rateWeight = 0.2               // smoothing of latency per unit size: about the last five answers
+	sizeWeight = 0.05              // smoothing of a part's size
 
 	tailQuantile = 0.95 // a sub-request out longer than so many usually take is overdue
 	tailStep     = 0.1  // how fast that quantile is learned
@@ -47,7 +46,7 @@
 	limitWeight = 0.02 // smoothing of the in-flight limit
 	limitSlack  = 3.0  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
-	limitFirst  = 8    // and allowed at first
+	limitFirst  = 200  // parts in flight at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
 	pressed     = 0.8  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
@@ -102,19 +101,19 @@
 	success float64 // smoothed share of further sub-requests that brought the answer
 	present float64 // median latency per unit size of late, over all answers
 	short   float64 // the shortest that was of late; 0 = none
-	limit   float64 // parts in flight; 0 = none yet
+	limit   float64 // parts in flight
 	extra   tally   // further sub-requests
 	taken   tally   // searches and parts
 }
 
 // typeRules are the figures of one query type that decisions use.
 type typeRules struct {
-	effect          Effect
-	target, timeout Time
-	window          Time
-	late, shortPart float64 // share of the value: after the target, not whole
-	least, whole    float64
-	second          bool // a second step follows the first answer
+	effect                  Effect
+	target, timeout, window Time
+	least, whole            float64
+	lateCounts              bool // an answer after the target is worth something
+	shortCounts             bool // one short of whole, in time, is worth a late one or more
+	second                  bool // a second step follows the first answer
 }
 
 type customer struct {
@@ -148,7 +147,6 @@
 	rules         *typeRules
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
-	target        Time    // when it should be answered
 	shortAt, end  Time    // when an answer short of whole is given, and when it is given up
 	lookAt        Time    // the pending timer's; 0 = none
 }
@@ -178,26 +176,23 @@
 
 // New makes a gatherer that knows nothing yet but its facts.
 func New(f Facts) *Gatherer {
-	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), most: f.MostSubRequests,
-		margin: max(2*f.Tick, 4*Millisecond), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
-		onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1,
-		advise: f.AdviseRetry, listPause: max(f.AskWithin/2, listFirst), coldShare: f.ColdShare,
-		coldFor: f.ColdFor, coldMultiple: coldSafety * max(f.FallMultiple, 1),
-		fallWithin: f.FallWithin, rand: newMWC(f.Seed),
-		servers: map[ServerID]*server{}, open: map[SearchID]*search{}, numbers: map[SearchNo]*search{},
-		out: map[sendKey]*subRequest{}, planned: map[*server]float64{},
-		holders: make([][]*server, f.Shards),
-		nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
-		free: f.BudgetFree, perItem: f.BudgetShare}
+	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
+		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
+		listPause: max(f.AskWithin/2, listFirst), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
+		onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1, coldFor: f.ColdFor,
+		fallWithin: f.FallWithin, coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1),
+		free: f.BudgetFree, perItem: f.BudgetShare, rand: newMWC(f.Seed), servers: map[ServerID]*server{},
+		open: map[SearchID]*search{}, numbers: map[SearchNo]*search{}, out: map[sendKey]*subRequest{},
+		planned: map[*server]float64{}, nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
+		limit: limitFirst}
 	span := f.BudgetSpan
 	if !f.HasBudget {
 		g.free, g.perItem, span = float64(f.MostSubRequests), copyShare, 10*shareSpan
 	}
 	g.extra, g.taken = newTally(span), newTally(span)
 	for _, t := range f.QueryTypes {
-		g.types = append(g.types, typeRules{effect: t.Effect, target: t.LatencyTarget,
-			timeout: t.ClientTimeout, window: t.Window, late: t.LateValue, shortPart: t.ShortValue,
-			least: t.LeastShare, whole: t.WholeAt, second: t.SecondStep > 0})
+		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
+			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0})
 	}
 	spans := float64(shareSpan) / float64(1000*Millisecond) / float64(max(f.Gatherers, 1))
 	for _, c := range f.Customers {
@@ -239,13 +234,13 @@
 	r := &g.types[e.Type]
 	q := &search{id: e.Search, number: e.Number, rules: r}
 	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
-	q.target = min(g.now+r.target-g.margin, q.end)
-	if r.late == 0 {
-		q.end = q.target
+	target := min(g.now+r.target-g.margin, q.end)
+	if !r.lateCounts {
+		q.end = target
 	}
 	q.shortAt = q.end
-	if r.shortPart*r.least >= r.late {
-		q.shortAt = q.target
+	if r.shortCounts {
+		q.shortAt = target
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
@@ -256,7 +251,7 @@
 		over = g.overCounts && c.perSpan > 0 && c.came.least(g.now) > c.perSpan
 	}
 	inFlight := float64(len(g.out))
-	if inFlight >= g.limit || over && inFlight >= pressed*g.limit {
+	if len(e.Parts) == 0 || inFlight >= g.limit || over && inFlight >= pressed*g.limit {
 		g.giveUp(q)
 		return
 	}
@@ -274,22 +269,15 @@
 // whose slowest part ends first is sent.
 func (g *Gatherer) fanOut(q *search, parts []Part) {
 	for _, p := range parts {
-		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: p.Size}
-		if own.size <= 0 {
-			own.size = 1
-		}
+		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1)}
 		g.size += (own.size - g.size) * sizeWeight
 		q.parts = append(q.parts, own)
 	}
-	if len(parts) == 0 {
-		g.review(q)
-		return
-	}
 	g.average = g.mean(func(s *server) (float64, bool) { return s.rate, s.heard })
 	var best []placing
 	slowest := Time(math.MaxInt64)
 	for range 2 {
-		offset := g.rand.below(offsetSpread)
+		offset := g.rand.below(1 << 16)
 		clear(g.planned)
 		plan := make([]placing, 0, len(q.parts))
 		for _, p := range q.parts {
@@ -378,7 +366,8 @@
 
 // allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
 // of the part out, and its cold allowance has room. usable says that it also looks sound and has not had
-// the part before; on trial it takes one part at a time, and none that must not run twice.
+// the part before; on trial it takes one part at a time, an idempotent one unless
+// that is long in coming.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
 	return !out && s.state == Ready && g.room(s, p.size)
@@ -389,8 +378,8 @@
 	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silent(s) {
 		return false
 	}
-	trying := len(s.out) == 0 && g.planned[s] == 0 && p.q.rules.effect == Idempotent
-	return !s.trial || trying || g.now > s.outUntil+longestOut
+	fit := p.q.rules.effect == Idempotent || g.now > s.outUntil+longestOut
+	return !s.trial || fit && len(s.out) == 0 && g.planned[s] == 0
 }
 
 // predict is when a part would end at a server, from now: its size after the unfinished ones there.
@@ -555,11 +544,8 @@
 		}
 	}
 	switch {
-	case got >= whole && (!q.second || q.whole):
-		g.answer(q, true)
-		return
-	case got >= whole || got >= least && g.now >= q.shortAt || got >= least && reach <= got:
-		g.answer(q, false)
+	case got >= whole || got >= least && (g.now >= q.shortAt || reach <= got):
+		g.answer(q, got >= whole && (!q.second || q.whole))
 		return
 	case g.now >= q.end || reach < least:
 		g.giveUp(q)
@@ -781,9 +767,6 @@
 			}
 		}
 	}
-	if g.limit == 0 {
-		g.limit = limitFirst * float64(max(len(g.ready), 1))
-	}
 }
 
 // tally counts over the last span, in slots; it empties itself as time goes by.
