--- a/brain/brain.go
+++ b/brain/brain.go
@@ -85,7 +85,7 @@
 	now     Time
 	acts    []Action
 	rand    mwc
-	servers map[ServerID]*server    // emptied by the list: gone, and nothing out
+	servers map[ServerID]*server    // emptied by the list: gone, nothing out or just sent
 	ready   []*server               // those listed as ready, in order of id; made anew with each list
 	holders [][]*server             // of each shard, in order of cells and ids; made anew with each list
 	open    map[SearchID]*search    // emptied by the final answer or the client's leaving
@@ -293,7 +293,7 @@
 			best, slowest = plan, end
 		}
 	}
-	// A part far behind the fastest moves once, to its earliest-finishing replica.
+	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
 	slowest = 0
 	clear(g.planned)
 	for _, b := range best {
@@ -301,7 +301,7 @@
 	}
 	for i := range best {
 		b := &best[i]
-		if b.finish > best[0].finish+gap {
+		if b.finish > best[0].finish+gap || g.now+b.finish > q.end {
 			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s, b.finish = s, g.predict(s, b.p)
@@ -750,7 +750,7 @@
 	}
 	g.ready = nil
 	for id, s := range g.servers {
-		if s.state == Gone && len(s.out) == 0 {
+		if s.state == Gone && len(s.out) == 0 && s.sent.most(g.now) == 0 {
 			delete(g.servers, id)
 		} else if s.state == Ready {
 			g.ready = append(g.ready, s)
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,191 @@
+package brain
+
+import "testing"
+
+// bench is a gatherer with n servers that all hold the one shard, and what it did last.
+type bench struct {
+	*Gatherer
+	at   Time
+	last []Action
+	next uint64
+}
+
+func newBench(n int, change func(*Facts)) *bench {
+	f := Facts{Seed: 7, Gatherers: 2, Tick: 50, Cells: 1, Reach: 1, Shards: 1, MostSubRequests: 3, MayCopy: true,
+		MayCancel: true, ColdShare: 0.2, ColdFor: 100000, FallMultiple: 2, FallWithin: 10000, AskWithin: 100000,
+		OverShareFactor: 1, QueryTypes: []QueryTypeFacts{{LatencyTarget: 25000, ClientTimeout: 60000, Value: 1,
+			LateValue: 0.3, ShortValue: 0.9, LeastShare: 1, WholeAt: 1}}}
+	if change != nil {
+		change(&f)
+	}
+	b := &bench{Gatherer: New(f), at: 1000000}
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: ServerID(i + 1), State: Ready})
+	}
+	b.do(ServerList{ListCached, list})
+	return b
+}
+
+func (b *bench) do(e Event) []Action {
+	b.last = b.Handle(b.at, e)
+	return b.last
+}
+
+// search brings one search of so many parts and returns what was sent for it.
+func (b *bench) search(parts int) []Send {
+	b.next++
+	e := SearchArrived{Search: SearchID(b.next), Number: SearchNo(b.next), Patience: 60000}
+	for i := range parts {
+		e.Parts = append(e.Parts, Part{ID: PartID(b.next*100 + uint64(i)), Weight: 1 / float64(parts)})
+	}
+	return sends(b.do(e))
+}
+
+func sends(acts []Action) (out []Send) {
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (b *bench) end(s Send, after Time, o Outcome) []Action {
+	b.at += after
+	return b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: after, Outcome: o})
+}
+
+// to sends single searches until one goes to the given server, answering the others.
+func (b *bench) to(t *testing.T, id ServerID, latency Time) Send {
+	t.Helper()
+	for range 200 {
+		s := b.search(1)
+		if len(s) == 1 && s[0].Server == id {
+			return s[0]
+		}
+		if len(s) == 1 {
+			b.end(s[0], latency, Answered)
+		}
+	}
+	t.Fatalf("server %d was never chosen", id)
+	return Send{}
+}
+
+func TestFastErrorsDoNotMakeAServerQuick(t *testing.T) {
+	b := newBench(2, nil)
+	for range 20 {
+		b.end(b.search(1)[0], 1000, Answered)
+	}
+	before := b.servers[1].rate
+	b.end(b.to(t, 1, 1000), 10, Errored)
+	if b.servers[1].rate < before {
+		t.Errorf("rate fell from %v to %v after an error", before, b.servers[1].rate)
+	}
+	b.end(b.to(t, 1, 1000), 10, Errored)
+	for range 4 {
+		s := b.search(1)[0]
+		if s.Server == 1 {
+			t.Error("a server that errs goes on being chosen")
+		}
+		b.end(s, 1000, Answered)
+	}
+}
+
+func TestOverdueCountsBeforeSmoothing(t *testing.T) {
+	b := newBench(2, nil)
+	for range 20 {
+		b.end(b.search(1)[0], 1000, Answered)
+	}
+	s := b.to(t, 1, 1000)
+	p := &part{q: &search{rules: &b.types[0]}, size: 1}
+	due := b.predict(b.servers[1], p)
+	b.at += 10 * b.out[sendKey{s.Part, 0}].predicted
+	b.now = b.at
+	if late := b.predict(b.servers[1], p); late < 8*due {
+		t.Errorf("predicted %d while the oldest is ten times over, %d before", late, due)
+	}
+	if b.usable(b.servers[1], p) {
+		t.Error("a server that has long been silent is still usable")
+	}
+}
+
+func TestOneSlowReplicaDoesNotShed(t *testing.T) {
+	b := newBench(2, nil)
+	for range 20 {
+		b.end(b.search(1)[0], 1000, Answered)
+	}
+	b.servers[1].rate = 1e6
+	for range 10 {
+		got := b.search(2)
+		if len(got) != 2 {
+			t.Fatalf("%d of 2 parts sent with one sound replica: %v", len(got), b.last)
+		}
+		b.end(got[0], 1000, Answered)
+		b.end(got[1], 10, Answered)
+	}
+}
+
+func TestLostServerComesBackCold(t *testing.T) {
+	b := newBench(2, nil)
+	b.end(b.to(t, 1, 1000), 2500, ConnectFailed)
+	b.at = b.servers[1].outUntil + 1
+	b.end(b.to(t, 1, 1000), 1000, Answered)
+	if w := b.warmth(b.servers[1]); w > 0.3 {
+		t.Errorf("warmth %v right after it came back", w)
+	}
+}
+
+func TestListIsAskedForWithGrowingPauses(t *testing.T) {
+	b := newBench(1, func(f *Facts) { f.ListOnRequest = true })
+	if len(b.last) != 1 || b.last[0] != (Subscribe{}) {
+		t.Fatalf("at the start: %v", b.last)
+	}
+	longest := Time(0)
+	for range 12 {
+		wake := b.do(ServerList{Kind: ListFailed})[0].(Wake)
+		if len(b.do(ServerList{Kind: ListFailed})) != 0 {
+			t.Fatal("a second failure set a second timer")
+		}
+		longest = max(longest, wake.At-b.at)
+		b.at = wake.At
+		if got := b.do(TimerFired{wake.Timer}); len(got) != 1 || got[0] != (Subscribe{}) {
+			t.Fatalf("at the timer: %v", got)
+		}
+	}
+	if longest < 20000 || longest > 100000 {
+		t.Errorf("longest pause %d", longest)
+	}
+}
+
+func TestShortAnswerAtTheTarget(t *testing.T) {
+	b := newBench(3, func(f *Facts) { f.QueryTypes[0].LeastShare = 0.8; f.MayCopy = false })
+	got := b.search(5)
+	for _, s := range got[:4] {
+		b.end(s, 100, Answered)
+	}
+	for b.at < 1000000+25000 {
+		b.at += 50
+		for _, a := range b.do(TimerFired{1}) {
+			if a == (Answer{Search: 1}) {
+				return
+			}
+		}
+	}
+	t.Error("no short answer by the latency target")
+}
+
+func TestQuietAndBusyRunsLeaveNothingBehind(t *testing.T) {
+	b := newBench(4, nil)
+	for i := range 20000 {
+		for _, s := range b.search(2) {
+			b.end(s, Time(300+i%7), Answered)
+		}
+	}
+	if n := len(b.open) + len(b.numbers) + len(b.out); n != 0 {
+		t.Errorf("%d entries left", n)
+	}
+	if b.limit < 10 || b.servers[1].backlog != 0 {
+		t.Errorf("limit %v, backlog %v", b.limit, b.servers[1].backlog)
+	}
+}
--- /dev/null
+++ b/brain/rules_test.go
@@ -0,0 +1,465 @@
+package brain
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.checks": "400", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// rules is a slow, plain model of the six rules: it keeps everything that happened and looks through all of
+// it at each action. It shares nothing with the module but the interface.
+type rules struct {
+	t        *rapid.T
+	f        Facts
+	now      Time
+	searches []*ruledSearch
+	servers  map[ServerID]*ruledServer
+	taken    []Time
+}
+
+type ruledSearch struct {
+	id        SearchID
+	number    SearchNo
+	kind      QueryTypeFacts
+	came      Time
+	patience  Time
+	step      int
+	firstFull bool
+	ended     bool
+	parts     []*ruledPart
+}
+
+type ruledPart struct {
+	Part
+	step  int
+	okay  bool
+	sends []*ruledSend
+}
+
+type ruledSend struct {
+	at      Time
+	server  ServerID
+	size    float64
+	over    bool
+	outcome Outcome
+}
+
+type ruledServer struct {
+	Server
+	badSince Time // when it was told to drain or be gone; -1 = it was not
+	sends    []*ruledSend
+}
+
+func (m *rules) search(id SearchID) *ruledSearch {
+	for _, q := range m.searches {
+		if q.id == id {
+			return q
+		}
+	}
+	m.t.Fatalf("search %d was never given", id)
+	return nil
+}
+
+func (m *rules) part(id PartID) (*ruledSearch, *ruledPart) {
+	for _, q := range m.searches {
+		for _, p := range q.parts {
+			if p.ID == id {
+				return q, p
+			}
+		}
+	}
+	m.t.Fatalf("part %d was never given", id)
+	return nil, nil
+}
+
+func (m *rules) listed(e ServerList) {
+	if e.Kind == ListFailed {
+		return
+	}
+	for _, s := range m.servers {
+		if e.Kind == ListWhole || e.Kind == ListCached {
+			s.tell(Gone, m.now)
+		}
+	}
+	for _, entry := range e.Servers {
+		s := m.servers[entry.ID]
+		if s == nil {
+			s = &ruledServer{badSince: -1}
+			m.servers[entry.ID] = s
+		}
+		s.Server = entry
+		s.tell(entry.State, m.now)
+	}
+}
+
+func (s *ruledServer) tell(state ServerState, now Time) {
+	if s.State = state; state == Ready {
+		s.badSince = -1
+	} else if s.badSince < 0 {
+		s.badSince = now
+	}
+}
+
+// check holds one action against the rules.
+func (m *rules) check(a Action) {
+	switch a := a.(type) {
+	case Send:
+		m.checkSend(a)
+	case Answer:
+		m.checkAnswer(a)
+	case Shed:
+		q := m.search(a.Search)
+		for _, p := range q.parts {
+			for _, s := range p.sends {
+				if q.kind.Effect == NonIdempotent && !(s.over && s.outcome.NeverRan()) {
+					m.t.Fatalf("rule 2: search %d shed, but part %d may have run", q.id, p.ID)
+				}
+			}
+		}
+		m.final(q)
+	case Fail:
+		m.final(m.search(a.Search))
+	case Cancel:
+		_, p := m.part(a.Part)
+		if !m.f.MayCancel || int(a.Send) >= len(p.sends) {
+			m.t.Fatalf("cancel of part %d, send %d is not permitted", a.Part, a.Send)
+		}
+	case Wake:
+		if a.At <= m.now {
+			m.t.Fatalf("timer set for %d at %d", a.At, m.now)
+		}
+	}
+}
+
+func (m *rules) final(q *ruledSearch) {
+	if q.ended {
+		m.t.Fatalf("rule 1: search %d has two final answers", q.id)
+	}
+	q.ended = true
+}
+
+func (m *rules) checkAnswer(a Answer) {
+	q := m.search(a.Search)
+	got := 0.0
+	for _, p := range q.parts {
+		if p.step == q.step && p.okay {
+			got += p.Weight
+		}
+	}
+	least, whole := q.kind.LeastShare, q.kind.WholeAt
+	if q.step == 2 {
+		whole = 1
+		if q.kind.LeastShare >= q.kind.WholeAt {
+			least = 1
+		}
+	}
+	if got < least-1e-4 {
+		m.t.Fatalf("rule 5: search %d answered from %v of at least %v", q.id, got, least)
+	}
+	if a.Whole && (got < whole-1e-4 || q.step == 2 && !q.firstFull) {
+		m.t.Fatalf("rule 5: search %d marked whole at %v of %v", q.id, got, whole)
+	}
+	if q.kind.SecondStep > 0 && q.step == 1 {
+		if q.ended {
+			m.t.Fatalf("rule 1: search %d answered after its end", q.id)
+		}
+		q.step, q.firstFull = 2, a.Whole
+		return
+	}
+	m.final(q)
+}
+
+func (m *rules) checkSend(a Send) {
+	q, p := m.part(a.Part)
+	if q.ended || p.step != q.step || p.okay {
+		m.t.Fatalf("rule 1: part %d sent after it was over", p.ID)
+	}
+	if len(p.sends) >= m.f.MostSubRequests {
+		m.t.Fatalf("part %d sent %d times", p.ID, len(p.sends)+1)
+	}
+	s := m.servers[a.Server]
+	if s == nil || (int(s.Cell)-int(p.Shard)%m.f.Cells+m.f.Cells)%m.f.Cells >= m.f.Reach {
+		m.t.Fatalf("server %d does not hold shard %d", a.Server, p.Shard)
+	}
+	if s.badSince >= 0 && m.now > s.badSince+m.f.DrainGrace {
+		m.t.Fatalf("rule 3: server %d sent to %d after its end was told", a.Server, m.now-s.badSince)
+	}
+	firstRisk := Time(-1)
+	for _, before := range p.sends {
+		if !before.over && !m.f.MayCopy {
+			m.t.Fatalf("two sub-requests of part %d out at once", p.ID)
+		}
+		if firstRisk < 0 && !(before.over && before.outcome.NeverRan()) {
+			firstRisk = before.at
+		}
+	}
+	if firstRisk >= 0 && (q.kind.Effect == NonIdempotent ||
+		q.kind.Effect == Tokened && m.now > firstRisk+q.kind.Window) {
+		m.t.Fatalf("rule 2: part %d sent again, first at %d", p.ID, firstRisk)
+	}
+	send := &ruledSend{at: m.now, server: a.Server, size: max(p.Size, 1)}
+	if p.Size > 0 {
+		send.size = p.Size
+	}
+	p.sends = append(p.sends, send)
+	s.sends = append(s.sends, send)
+	if len(p.sends) > 1 {
+		m.checkBudget()
+	}
+	m.checkCold(s)
+}
+
+func (m *rules) checkBudget() {
+	if !m.f.HasBudget {
+		return
+	}
+	further, taken := 0.0, 0.0
+	for _, q := range m.searches {
+		for _, p := range q.parts {
+			for i, s := range p.sends {
+				if i > 0 && s.at > m.now-m.f.BudgetSpan && !(s.over && s.outcome == Moot) {
+					further++
+				}
+			}
+		}
+	}
+	for _, at := range m.taken {
+		if at > m.now-m.f.BudgetSpan {
+			taken++
+		}
+	}
+	if further > m.f.BudgetFree+m.f.BudgetShare*taken {
+		m.t.Fatalf("rule 6: %v further sub-requests with %v taken", further, taken)
+	}
+}
+
+// checkCold takes the most that any warm server was sent in the window as what one can do: a lower bound in
+// service. One send in a window is no rush.
+func (m *rules) checkCold(s *ruledServer) {
+	age := m.now - s.UpSince
+	if s.UpSince == 0 || age >= m.f.ColdFor {
+		return
+	}
+	load := func(s *ruledServer, span Time) (sum float64) {
+		for _, r := range s.sends {
+			if r.at >= m.now-span {
+				sum += r.size
+			}
+		}
+		return sum
+	}
+	warmest := 0.0
+	for _, w := range m.servers {
+		if w.UpSince == 0 || m.now-w.UpSince >= m.f.ColdFor {
+			warmest = max(warmest, load(w, m.f.FallWithin))
+		}
+	}
+	capacity := m.f.ColdShare + (1-m.f.ColdShare)*float64(age)/float64(m.f.ColdFor)
+	sent := load(s, m.f.FallWithin)
+	if last := s.sends[len(s.sends)-1]; sent > last.size && sent > m.f.FallMultiple*capacity*warmest+1e-9 {
+		m.t.Fatalf("rule 4: cold server %d sent %v, warm ones bear %v, it has %v", s.ID, sent, warmest, capacity)
+	}
+}
+
+// overdue finds a search kept past its client's patience.
+func (m *rules) overdue() {
+	for _, q := range m.searches {
+		if !q.ended && m.now > q.came+q.patience {
+			m.t.Fatalf("rule 1: search %d has no final answer in time", q.id)
+		}
+	}
+}
+
+// world plays generated events to the module, twice over, and holds what it does against the rules.
+type world struct {
+	*rules
+	g, twin *Gatherer
+	timers  []Wake
+	nextID  uint64
+	asked   int
+}
+
+func newWorld(t *rapid.T) *world {
+	f := Facts{
+		Seed: rapid.Uint64().Draw(t, "seed"), Gatherers: rapid.IntRange(1, 4).Draw(t, "gatherers"), Tick: 50,
+		Shards: rapid.IntRange(1, 12).Draw(t, "shards"), Cells: rapid.IntRange(1, 6).Draw(t, "cells"),
+		PartsPerCall: 1, MostHeld: 200, MostSubRequests: rapid.IntRange(1, 4).Draw(t, "most"),
+		MayCancel: rapid.Bool().Draw(t, "may cancel"), MayCopy: rapid.Bool().Draw(t, "may copy"),
+		ListOnRequest: rapid.Bool().Draw(t, "on request"), AskWithin: 100000,
+		DrainGrace: Time(rapid.IntRange(0, 10000).Draw(t, "grace")),
+		ColdShare:  0.2, ColdFor: 100000, FallMultiple: rapid.Float64Range(1, 4).Draw(t, "multiple"),
+		FallWithin: 10000, HasBudget: rapid.Bool().Draw(t, "budget"), BudgetFree: 2, BudgetShare: 0.1,
+		BudgetSpan: 50000, OverShareFactor: 0.1, Customers: []CustomerFacts{{20}, {0}},
+	}
+	f.Reach = rapid.IntRange(1, f.Cells).Draw(t, "reach")
+	for _, effect := range []Effect{Idempotent, Tokened, NonIdempotent} {
+		q := QueryTypeFacts{Effect: effect, LatencyTarget: 10000, ClientTimeout: 25000, Window: 8000, Value: 1,
+			LateValue: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late"), ShortValue: 0.9,
+			LeastShare: rapid.SampledFrom([]float64{0.5, 0.8, 1}).Draw(t, "least"), WholeAt: 1}
+		q.WholeAt = max(q.LeastShare, rapid.SampledFrom([]float64{0.75, 1}).Draw(t, "whole"))
+		q.SecondStep = rapid.SampledFrom([]int{0, 2}).Draw(t, "second step")
+		f.QueryTypes = append(f.QueryTypes, q)
+	}
+	m := &rules{t: t, f: f, now: 1000000, servers: map[ServerID]*ruledServer{}}
+	w := &world{rules: m, g: New(f), twin: New(f)}
+	var list []Server
+	for i := range rapid.IntRange(1, 10).Draw(t, "servers") {
+		list = append(list, w.server(ServerID(i+1)))
+	}
+	w.event(ServerList{ListCached, list})
+	return w
+}
+
+func (w *world) server(id ServerID) Server {
+	s := Server{ID: id, Cell: CellNo(int(id) % w.f.Cells),
+		State: rapid.SampledFrom([]ServerState{Ready, Ready, Ready, Draining, Gone}).Draw(w.t, "state")}
+	if rapid.Bool().Draw(w.t, "young") {
+		s.UpSince = w.now - Time(rapid.IntRange(0, 90000).Draw(w.t, "age"))
+	}
+	return s
+}
+
+func (w *world) event(e Event) {
+	if l, ok := e.(ServerList); ok {
+		w.listed(l)
+	}
+	acts := w.g.Handle(w.now, e)
+	if again := w.twin.Handle(w.now, e); !reflect.DeepEqual(acts, again) {
+		w.t.Fatalf("the same events gave %v and %v", acts, again)
+	}
+	for _, a := range acts {
+		w.check(a)
+		switch a := a.(type) {
+		case Wake:
+			w.timers = append(w.timers, a)
+		case Subscribe:
+			w.asked++
+		}
+	}
+	for _, q := range w.searches {
+		if !q.ended && q.step == 2 && !slices.ContainsFunc(q.parts, func(p *ruledPart) bool { return p.step == 2 }) {
+			w.event(MoreParts{q.number, w.addParts(q, 2)})
+		}
+	}
+}
+
+func (w *world) id() uint64 { w.nextID++; return w.nextID }
+
+func (w *world) addParts(q *ruledSearch, n int) []Part {
+	var parts []Part
+	for range n {
+		p := Part{ID: PartID(w.id()), Shard: ShardNo(rapid.IntRange(0, w.f.Shards-1).Draw(w.t, "shard")),
+			Weight: 1 / float64(n), Size: rapid.SampledFrom([]float64{0, 40, 90}).Draw(w.t, "size")}
+		parts = append(parts, p)
+		q.parts = append(q.parts, &ruledPart{Part: p, step: q.step})
+		w.taken = append(w.taken, w.now)
+	}
+	return parts
+}
+
+func (w *world) arrive() {
+	kind := rapid.IntRange(0, 2).Draw(w.t, "type")
+	q := &ruledSearch{id: SearchID(w.id()), number: SearchNo(w.nextID), kind: w.f.QueryTypes[kind], came: w.now,
+		patience: Time(rapid.IntRange(0, 25000).Draw(w.t, "patience")), step: 1}
+	w.searches = append(w.searches, q)
+	w.taken = append(w.taken, w.now)
+	parts := w.addParts(q, rapid.IntRange(1, 5).Draw(w.t, "parts"))
+	w.event(SearchArrived{Search: q.id, Number: q.number, Type: QueryType(kind), Patience: q.patience,
+		Customer: CustomerNo(rapid.IntRange(0, 1).Draw(w.t, "customer")), Parts: parts})
+}
+
+// settle ends one of the sub-requests out, or says again what is long over.
+func (w *world) settle(late bool) {
+	var e []SubRequestEnded
+	var sends []*ruledSend
+	for _, q := range w.searches {
+		for _, p := range q.parts {
+			for i, s := range p.sends {
+				if !s.over || late && i == 0 {
+					e = append(e, SubRequestEnded{Part: p.ID, Send: SendNo(i), Server: s.server, Elapsed: w.now - s.at})
+					sends = append(sends, s)
+				}
+			}
+		}
+	}
+	if len(e) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(e)-1).Draw(w.t, "which")
+	outcomes := []Outcome{Answered, Answered, Answered, Answered, Errored, TurnedAway, TimedOut, ConnectFailed, Reset,
+		Cancelled, Moot}
+	e[i].Outcome = rapid.SampledFrom(outcomes).Draw(w.t, "outcome")
+	if rapid.Bool().Draw(w.t, "reports") {
+		e[i].Report = &Report{Queue: rapid.Float64Range(-1, 40).Draw(w.t, "queue"), InFlight: 3}
+	}
+	if !sends[i].over {
+		sends[i].over, sends[i].outcome = true, e[i].Outcome
+		if q, p := w.part(e[i].Part); e[i].Outcome == Answered && !q.ended && p.step == q.step {
+			p.okay = true
+		}
+	}
+	w.event(e[i])
+}
+
+// advance moves the clock, firing each timer in the first tick at or after its time.
+func (w *world) advance(by Time) {
+	for end := w.now + by; w.now < end; {
+		w.now = (w.now/w.f.Tick + 1) * w.f.Tick
+		for i := 0; i < len(w.timers); i++ {
+			if due := w.timers[i]; due.At <= w.now {
+				w.timers = slices.Delete(w.timers, i, i+1)
+				i--
+				w.event(TimerFired{due.Timer})
+			}
+		}
+		w.overdue()
+	}
+}
+
+func TestKeepsTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2:
+				w.arrive()
+			case 3, 4, 5:
+				w.settle(false)
+			case 6:
+				w.advance(Time(rapid.IntRange(1, 12000).Draw(t, "for")))
+			case 7:
+				kind := rapid.SampledFrom([]ListKind{ListChanges, ListChanges, ListWhole, ListFailed}).Draw(t, "list")
+				w.event(ServerList{kind, []Server{w.server(ServerID(rapid.IntRange(1, 12).Draw(t, "server")))}})
+			case 8:
+				w.settle(true)
+			case 9:
+				if len(w.searches) > 0 {
+					q := w.searches[rapid.IntRange(0, len(w.searches)-1).Draw(t, "left")]
+					q.ended = true
+					w.event(SearchLeft{q.id})
+				}
+			}
+		}
+		w.advance(30000)
+		for n := 0; n < 200 && len(w.g.out) > 0; n++ {
+			w.settle(false)
+		}
+		if len(w.g.open)+len(w.g.numbers)+len(w.g.out) > 0 {
+			t.Fatalf("left over: %d searches, %d sub-requests", len(w.g.open), len(w.g.out))
+		}
+	})
+}
--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,158 @@
+package simwire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"strings"
+	"testing"
+)
+
+const settings = `classes.count=1
+classes.0.effect=free
+classes.0.slo=1000.0
+classes.0.hardLimit=2000.0
+classes.0.lateWorth=0.3
+domain.positions=1
+domain.slices=1
+domain.leastShare=1.0
+domain.wholeAt=1.0
+limits.attemptsCap=3
+limits.cancel=true
+instances=1
+tick=5.0
+unknown.key=a_b
+`
+
+func unhex(t *testing.T, text string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(strings.Join(strings.Fields(text), ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// batch frames records at clock 240 ms.
+func batch(records ...[]byte) []byte {
+	var w reply
+	w.u32(0)
+	w.f64(240)
+	w.u32(uint32(len(records)))
+	for _, r := range records {
+		w.b = append(w.b, r...)
+	}
+	w.b[2], w.b[3] = byte((len(w.b)-4)>>8), byte(len(w.b)-4)
+	return w.b
+}
+
+func hello(text string) []byte {
+	var w reply
+	w.b = append(w.b, 8, 0, 0, byte((16+len(text))>>8), byte(16+len(text)))
+	w.u32(3)
+	w.u64(99)
+	w.u32(uint32(len(text)))
+	return append(w.b, text...)
+}
+
+// One server (id 03124a07, cell 0, ready), then the list for instance 3.
+const sheet = `05 0000001e 00000000 00000001 03124a07 0000 00 0000 01 3f800000 0000000000000000`
+const list = `0a 00000011 00000003 0000000000000029 00000000 02`
+
+// A search (id 1, number 1, patience 240 ms) and its one part (id 2, shard 0, weight 1, hint 12 ms).
+const query = `07 00000034 00000003 0000000000000001 00 0000 0000000000000000 406e000000000000 0000000000000000
+	3f800000 bf800000 3f800000 00`
+const part = `07 00000034 00000003 0000000000000002 00 0000 0000000000000000 406e000000000000 4028000000000000
+	3f800000 00000000 3f800000 01`
+
+func serve(t *testing.T, in []byte) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Serve(bytes.NewReader(in), &out)
+	return hex.EncodeToString(out.Bytes()), err
+}
+
+func TestEmptyBatch(t *testing.T) {
+	got, err := serve(t, unhex(t, `0000000c 40c06e2000000000 00000000`))
+	if err != nil || got != "0000000400000000" {
+		t.Errorf("got %s, %v", got, err)
+	}
+}
+
+func TestSearchIsSentAndAnswered(t *testing.T) {
+	first := batch(hello(settings), unhex(t, sheet), unhex(t, list), unhex(t, query), unhex(t, part))
+	// The part's answer, with a byte after its known fields, which is skipped.
+	second := batch(unhex(t, `03 00000020 00000003 0000000000000002 03124a07 0000 4032800000000000 00 01 00 ff ff ff`))
+	got, err := serve(t, append(first, second...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// try: limit 230 ms, two ticks short of the client's 240; wake_me at 340 ms or before; answer, whole.
+	try := "0b00000018" + "00000003" + "0000000000000002" + "03124a07" + "406cc00000000000"
+	answer := "0000001600000001" + "090000000d" + "00000003" + "0000000000000001" + "01"
+	if !strings.Contains(got, try) || !strings.HasSuffix(got, answer) {
+		t.Errorf("got %s, want in it %s and last %s", got, try, answer)
+	}
+}
+
+func TestStopThenHelloInOneBatch(t *testing.T) {
+	stop := unhex(t, `06 00000004 00000003`)
+	got, err := serve(t, batch(hello(settings), unhex(t, sheet), unhex(t, list), stop, hello(settings), unhex(t, list)))
+	if err != nil || got != "0000000400000000" {
+		t.Errorf("got %s, %v", got, err)
+	}
+}
+
+func TestSheetNumberReusedInOneBatch(t *testing.T) {
+	other := strings.Replace(sheet, "03124a07", "000000aa", 1)
+	got, err := serve(t, batch(hello(settings), unhex(t, sheet), unhex(t, list), unhex(t, other),
+		unhex(t, strings.TrimSuffix(list, "02")+"00"), unhex(t, query), unhex(t, part)))
+	if err != nil || !strings.Contains(got, "000000aa406cc0") {
+		t.Errorf("got %s, %v: want a try to the second list's server", got, err)
+	}
+}
+
+func TestBadInputIsOnePlainError(t *testing.T) {
+	bad := func(from, to string) []byte { return hello(strings.Replace(settings, from, to, 1)) }
+	for want, in := range map[string][]byte{
+		"cut off after 2 of 4":     {0, 0},
+		"cut off after 3 bytes":    unhex(t, `0000000c 40c06e`),
+		"below the 12 bytes":       unhex(t, `00000003 000000`),
+		"do not fit the batch":     unhex(t, `00000011 40c06e2000000000 00000001 03 ffffffff`),
+		"stand after the last":     unhex(t, `0000000d 40c06e2000000000 00000000 00`),
+		"record 2 of 4294967295":   unhex(t, `00000018 40c06e2000000000 ffffffff 04 00000004 00000003 08 0000`),
+		"has had no hello":         batch(unhex(t, list)),
+		"unknown event code":       batch(hello(settings), unhex(t, `63 00000004 00000003`)),
+		"wants 8 bytes":            batch(hello(settings), unhex(t, `01 00000006 00000003 0000`)),
+		"sheet 0 was never given":  batch(hello(settings), unhex(t, list)),
+		"do not fit the 2 bytes":   batch(unhex(t, `05 0000000a 00000000 0fffffff 0000`)),
+		"unknown outcome 7":        batch(hello(settings), unhex(t, `03 0000001d 00000003 0000000000000002 03124a07 0000 4032800000000000 07 01 00`)),
+		"classes.0.slo is missing": batch(bad("classes.0.slo=1000.0\n", "")),
+		"effect is not known":      batch(bad("=free", "=odd")),
+		"is not a number":          batch(bad("hardLimit=2000.0", "hardLimit=x")),
+		"is out of range: 1e+12":   batch(bad("classes.count=1", "classes.count=1e12")),
+		"type 1 is not among":      batch(hello(settings), unhex(t, strings.Replace(query, "01 00 0000", "01 01 0000", 1))),
+		"shard 1, weight":          batch(hello(settings), unhex(t, query), unhex(t, strings.Replace(part, "3f800000 00000000", "3f800000 3f800000", 1))),
+	} {
+		if _, err := serve(t, in); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("got error %v, want one line with %q", err, want)
+		}
+	}
+}
+
+func TestTimesNeverGrow(t *testing.T) {
+	for ms, want := range map[float64]int64{0.3: 3, 230: 2300, 17.19: 171, 0.0999: 0, 1e300: 1e15, -2.05: -21} {
+		if got := toTime(ms); int64(got) != want {
+			t.Errorf("%v ms became %d tenths, want %d", ms, got, want)
+		}
+	}
+}
+
+func FuzzServe(f *testing.F) {
+	f.Add(batch(hello(settings)))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var out bytes.Buffer
+		if err := Serve(bytes.NewReader(in), &out); err != nil && strings.Contains(err.Error(), "\n") {
+			t.Errorf("message of several lines: %v", err)
+		}
+	})
+}
