--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -119,7 +119,7 @@
 		"below the 12 bytes":       unhex(t, `00000003 000000`),
 		"do not fit the batch":     unhex(t, `00000011 40c06e2000000000 00000001 03 ffffffff`),
 		"stand after the last":     unhex(t, `0000000d 40c06e2000000000 00000000 00`),
-		"record 2 of 4294967295":   unhex(t, `00000018 40c06e2000000000 ffffffff 04 00000004 00000003 08 0000`),
+		"record 2 of 4294967295":   unhex(t, `0000001c 40c06e2000000000 ffffffff 05 00000008 00000000 00000000 08 0000`),
 		"has had no hello":         batch(unhex(t, list)),
 		"unknown event code":       batch(hello(settings), unhex(t, `63 00000004 00000003`)),
 		"wants 8 bytes":            batch(hello(settings), unhex(t, `01 00000006 00000003 0000`)),
