--- a/brain/brain.go
+++ b/brain/brain.go
@@ -364,13 +364,13 @@
 	return best, usable
 }
 
-// allowed tells whether the rules let a part go to a server: it is listed as ready, it has no sub-request
-// of the part out, and its cold allowance has room. usable says that it also looks sound and has not had
+// allowed tells whether the rules let a part go to a ready server: it has no sub-request of the part out,
+// and its cold allowance has room. usable says that it also looks sound and has not had
 // the part before; on trial it takes one part at a time, an idempotent one unless
 // that is long in coming.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
-	return !out && s.state == Ready && g.room(s, p.size)
+	return !out && g.room(s, p.size)
 }
 
 func (g *Gatherer) usable(s *server, p *part) bool {
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -302,7 +302,7 @@
 		ListOnRequest: rapid.Bool().Draw(t, "on request"), AskWithin: 100000,
 		DrainGrace: Time(rapid.IntRange(0, 10000).Draw(t, "grace")),
 		ColdShare:  0.2, ColdFor: 100000, FallMultiple: rapid.Float64Range(1, 4).Draw(t, "multiple"),
-		FallWithin: 10000, HasBudget: rapid.Bool().Draw(t, "budget"), BudgetFree: 2, BudgetShare: 0.1,
+		FallWithin: 10000, HasBudget: rapid.Bool().Draw(t, "budget"), BudgetFree: 1, BudgetShare: 0.02,
 		BudgetSpan: 50000, OverShareFactor: 0.1, Customers: []CustomerFacts{{20}, {0}},
 	}
 	f.Reach = rapid.IntRange(1, f.Cells).Draw(t, "reach")
