--- a/brain/brain.go
+++ b/brain/brain.go
@@ -147,6 +147,7 @@
 	rules         *typeRules
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
+	target        Time    // when it should be answered
 	shortAt, end  Time    // when an answer short of whole is given, and when it is given up
 	lookAt        Time    // the pending timer's; 0 = none
 }
@@ -234,13 +235,13 @@
 	r := &g.types[e.Type]
 	q := &search{id: e.Search, number: e.Number, rules: r}
 	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
-	target := min(g.now+r.target-g.margin, q.end)
+	q.target = min(g.now+r.target-g.margin, q.end)
 	if !r.lateCounts {
-		q.end = target
+		q.end = q.target
 	}
 	q.shortAt = q.end
 	if r.shortCounts {
-		q.shortAt = target
+		q.shortAt = q.target
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
@@ -301,7 +302,7 @@
 	}
 	for i := range best {
 		b := &best[i]
-		if b.finish > best[0].finish+gap || g.now+b.finish > q.end {
+		if b.finish > best[0].finish+gap || g.now+b.finish > q.target {
 			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s, b.finish = s, g.predict(s, b.p)
@@ -312,7 +313,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.end {
+	if !q.second && slowest < never && g.now+slowest > q.target {
 		g.giveUp(q)
 		return
 	}
