--- a/brain/brain.go
+++ b/brain/brain.go
@@ -302,7 +302,7 @@
 	}
 	for i := range best {
 		b := &best[i]
-		if b.finish > best[0].finish+gap || g.now+b.finish > q.target {
+		if b.finish > best[0].finish+gap || g.now+b.finish > q.end {
 			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s, b.finish = s, g.predict(s, b.p)
@@ -313,7 +313,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.target {
+	if !q.second && slowest < never && g.now+slowest > q.end {
 		g.giveUp(q)
 		return
 	}
@@ -675,12 +675,13 @@
 	}
 }
 
-// lateness is the age of the oldest unfinished sub-request at a server, as a multiple of its prediction.
+// lateness is how long the oldest unfinished sub-request at a server has been out with no word from the
+// server, as a multiple of its prediction.
 func (g *Gatherer) lateness(s *server) float64 {
 	if len(s.out) == 0 {
 		return 0
 	}
-	return float64(g.now-s.out[0].sentAt) / float64(s.out[0].predicted)
+	return float64(g.now-max(s.out[0].sentAt, s.heardAt)) / float64(s.out[0].predicted)
 }
 
 // silent tells that a server has been sent something long overdue and has said nothing since.
