--- a/brain/brain.go
+++ b/brain/brain.go
@@ -313,7 +313,8 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.end {
+	middle := best[len(best)/2].finish
+	if !q.second && slowest < never && (g.now+slowest > q.end || g.now+middle > q.target) {
 		g.giveUp(q)
 		return
 	}
