--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,9 +42,9 @@
 	successWeight = 0.05 // smoothing of their success
 	copyFloor     = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
 
-	medianStep  = 0.02 // how fast the median answer time is learned
+	medianStep  = 0.01 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 3.0  // the present answer time may be so many times the shortest
+	limitSlack  = 2.0  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
 	limitFirst  = 200  // parts in flight at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
@@ -313,8 +313,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	middle := best[len(best)/2].finish
-	if !q.second && slowest < never && (g.now+slowest > q.end || g.now+middle > q.target) {
+	if !q.second && slowest < never && g.now+slowest > q.end {
 		g.giveUp(q)
 		return
 	}
@@ -508,7 +507,8 @@
 	s.rate += (rate - s.rate) * rateWeight
 	unit := latency / p.size
 	if g.present == 0 {
-		g.present, g.short = unit, unit
+		g.present = float64(p.q.rules.target) / firstShare / p.size // as the design has it before any answer
+		g.short = g.present
 	}
 	if unit > g.present {
 		g.present *= 1 + medianStep
