--- a/brain/brain.go
+++ b/brain/brain.go
@@ -118,7 +118,7 @@
 
 type customer struct {
 	perSpan float64 // this gatherer's part of the customer's share in shareSpan; 0 = no limit
-	came    tally
+	took    tally   // its searches that were not shed
 }
 
 type server struct {
@@ -245,17 +245,21 @@
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
-	over := false
+	inFlight, allowed := float64(len(g.out)), g.limit
+	var share *customer
 	if int(e.Customer) < len(g.customers) {
-		c := &g.customers[e.Customer]
-		c.came.add(g.now, 1)
-		over = g.overCounts && c.perSpan > 0 && c.came.least(g.now) > c.perSpan
+		share = &g.customers[e.Customer]
+		if g.overCounts && share.perSpan > 0 && share.took.least(g.now) >= share.perSpan {
+			allowed *= pressed
+		}
 	}
-	inFlight := float64(len(g.out))
-	if len(e.Parts) == 0 || inFlight >= g.limit || over && inFlight >= pressed*g.limit {
+	if len(e.Parts) == 0 || inFlight >= allowed {
 		g.giveUp(q)
 		return
 	}
+	if share != nil {
+		share.took.add(g.now, 1)
+	}
 	g.fanOut(q, e.Parts)
 }
 
