--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 	rateWeight = 0.2               // smoothing of latency per unit size: about the last five answers
 	sizeWeight = 0.05              // smoothing of a part's size
 
-	tailQuantile = 0.95 // a sub-request out longer than so many usually take is overdue
+	tailQuantile = 0.90 // a sub-request out longer than so many usually take is overdue
 	tailStep     = 0.1  // how fast that quantile is learned
 	tailFirst    = 3.0  // and where it starts, as a multiple of the prediction
 	silentAfter  = 2.0  // nothing heard in so many times the overdue age: silent
@@ -44,11 +44,11 @@
 
 	medianStep  = 0.01 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 1.2  // the present answer time may be so many times the shortest
+	limitSlack  = 1.5  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
 	limitFirst  = 200  // parts in flight at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
-	pressed     = 0.6  // of the limit: past it, searches over their customer's share are shed
+	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
@@ -76,7 +76,6 @@
 
 	mayCancel, mayCopy bool
 	onRequest          bool // the list must be asked for
-	overCounts         bool // searches beyond a customer's share are worth less
 
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
@@ -180,7 +179,7 @@
 	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
 		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
 		listPause: max(f.AskWithin/2, listFirst), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
-		onRequest: f.ListOnRequest, overCounts: f.OverShareFactor < 1, coldFor: f.ColdFor,
+		onRequest: f.ListOnRequest, coldFor: f.ColdFor,
 		fallWithin: f.FallWithin, coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1),
 		free: f.BudgetFree, perItem: f.BudgetShare, rand: newMWC(f.Seed), servers: map[ServerID]*server{},
 		open: map[SearchID]*search{}, numbers: map[SearchNo]*search{}, out: map[sendKey]*subRequest{},
@@ -199,6 +198,9 @@
 	for _, c := range f.Customers {
 		g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
 	}
+	if len(f.Customers) == 0 || f.OverShareFactor >= 1 {
+		g.customers = []customer{{0, newTally(shareSpan)}} // shares do not count
+	}
 	return g
 }
 
@@ -245,21 +247,16 @@
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
-	inFlight, allowed := float64(len(g.out)), g.limit
-	var share *customer
-	if int(e.Customer) < len(g.customers) {
-		share = &g.customers[e.Customer]
-		if g.overCounts && share.perSpan > 0 && share.took.least(g.now) >= share.perSpan {
-			allowed *= pressed
-		}
+	allowed := g.limit
+	c := &g.customers[min(int(e.Customer), len(g.customers)-1)]
+	if c.perSpan > 0 && c.took.least(g.now) >= c.perSpan {
+		allowed *= pressed
 	}
-	if len(e.Parts) == 0 || inFlight >= allowed {
+	if len(e.Parts) == 0 || float64(len(g.out)) >= allowed {
 		g.giveUp(q)
 		return
 	}
-	if share != nil {
-		share.took.add(g.now, 1)
-	}
+	c.took.add(g.now, 1)
 	g.fanOut(q, e.Parts)
 }
 
@@ -514,11 +511,7 @@
 		g.present = float64(p.q.rules.target) / firstShare / p.size // as the design has it before any answer
 		g.short = g.present
 	}
-	if unit > g.present {
-		g.present *= 1 + medianStep
-	} else {
-		g.present *= 1 - medianStep
-	}
+	g.present *= 1 + math.Copysign(medianStep, unit-g.present)
 	g.short = min(g.short*(1+shortestUp), g.present)
 	falling := min(1, max(0.5, limitSlack*g.short/g.present))
 	if falling < 1 || float64(len(g.out)) > g.limit/2 {
@@ -620,7 +613,7 @@
 
 // giveUp ends a search without an answer: shed where asking again is sure to be harmless, else errored.
 func (g *Gatherer) giveUp(q *search) {
-	harmless := true
+	harmless := !q.second || q.rules.effect == Idempotent // a first step has run
 	for _, p := range q.parts {
 		for _, r := range p.tries {
 			harmless = harmless && (r.neverRan || q.rules.effect == Idempotent)
