--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,7 +46,6 @@
 	limitWeight = 0.02 // smoothing of the in-flight limit
 	limitSlack  = 1.5  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
-	limitFirst  = 200  // parts in flight at first
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
 	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
@@ -183,8 +182,7 @@
 		fallWithin: f.FallWithin, coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1),
 		free: f.BudgetFree, perItem: f.BudgetShare, rand: newMWC(f.Seed), servers: map[ServerID]*server{},
 		open: map[SearchID]*search{}, numbers: map[SearchNo]*search{}, out: map[sendKey]*subRequest{},
-		planned: map[*server]float64{}, nextAsk: listFirst, size: 1, tail: tailFirst, success: 1,
-		limit: limitFirst}
+		planned: map[*server]float64{}, nextAsk: listFirst, size: 1, tail: tailFirst, success: 1}
 	span := f.BudgetSpan
 	if !f.HasBudget {
 		g.free, g.perItem, span = float64(f.MostSubRequests), copyShare, 10*shareSpan
@@ -757,6 +755,7 @@
 		}
 	}
 	slices.SortFunc(g.ready, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
+	g.limit = max(g.limit, limitFloor*float64(len(g.ready)))
 	for shard := range g.holders {
 		g.holders[shard] = nil
 		for j := range g.reach {
