--- a/brain/brain.go
+++ b/brain/brain.go
@@ -293,6 +293,10 @@
 			best, slowest = plan, end
 		}
 	}
+	late := q.end
+	if float64(len(g.out)) >= pressed*g.limit {
+		late = q.target
+	}
 	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
 	slowest = 0
 	clear(g.planned)
@@ -301,7 +305,7 @@
 	}
 	for i := range best {
 		b := &best[i]
-		if b.finish > best[0].finish+gap || g.now+b.finish > q.end {
+		if b.finish > best[0].finish+gap || g.now+b.finish > late {
 			g.planned[b.s] -= b.p.size
 			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
 				b.s, b.finish = s, g.predict(s, b.p)
@@ -312,7 +316,7 @@
 	}
 	// What cannot end in time even so is better not begun.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > q.end {
+	if !q.second && slowest < never && g.now+slowest > late {
 		g.giveUp(q)
 		return
 	}
