--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,10 +44,10 @@
 
 	medianStep  = 0.01 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
-	limitSlack  = 1.5  // the present answer time may be so many times the shortest
+	limitSlack  = 2.0  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
-	pressed     = 0.35 // of the limit: past it, searches over their customer's share are shed
+	pressed     = 0.65 // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
