--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,6 +20,7 @@
 )
 
 const (
+	nearer     = 50 * Millisecond // a plan all in other zones must end so much sooner
 	gap        = 100 * Millisecond // the design's: a part so far behind the fastest moves once
 	firstShare = 10                // the design's: before any answer a part takes target / firstShare
 	rateWeight = 0.2               // smoothing of latency per unit size: about the last five answers
@@ -68,6 +69,7 @@
 	types        []typeRules
 	customers    []customer
 	cells, reach int
+	zone         ZoneNo
 	most         int  // sub-requests for one part
 	margin       Time // what must be done by a moment is done so much earlier
 	advise       Time // longest advice to a client; 0 = none
@@ -122,6 +124,7 @@
 type server struct {
 	id       ServerID
 	cell     CellNo
+	zone     ZoneNo
 	state    ServerState
 	upSince  Time // as listed
 	coldFrom Time // when it last started, as far as known; 0 = long ago
@@ -175,7 +178,7 @@
 
 // New makes a gatherer that knows nothing yet but its facts.
 func New(f Facts) *Gatherer {
-	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
+	g := &Gatherer{zone: f.Zone, cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
 		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
 		listPause: max(f.AskWithin/2, listFirst), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
 		onRequest: f.ListOnRequest, coldFor: f.ColdFor,
@@ -279,17 +282,22 @@
 	for range 2 {
 		offset := g.rand.below(1 << 16)
 		clear(g.planned)
-		plan := make([]placing, 0, len(q.parts))
+		plan, far := make([]placing, 0, len(q.parts)), 0
 		for _, p := range q.parts {
 			b := placing{p, g.replica(p, offset), never}
 			if b.s != nil {
 				b.finish = g.predict(b.s, p)
 				g.planned[b.s] += p.size
+				if b.s.zone != g.zone {
+					far++
+				}
 			}
 			plan = append(plan, b)
 		}
 		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
-		if end := plan[len(plan)-1].finish; end < slowest {
+		// One that stays in this gatherer's zone counts as up to nearer sooner.
+		end := plan[len(plan)-1].finish + nearer*Time(far)/Time(len(plan))
+		if end < slowest {
 			best, slowest = plan, end
 		}
 	}
@@ -751,7 +759,7 @@
 			s = &server{id: entry.ID, upSince: -1, sent: newTally(g.fallWithin)}
 			g.servers[entry.ID] = s
 		}
-		s.state, s.cell = entry.State, entry.Cell
+		s.state, s.cell, s.zone = entry.State, entry.Cell, entry.Zone
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
 			s.upSince, s.coldFrom, s.pause = entry.UpSince, entry.UpSince, firstPause
