--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,11 +20,10 @@
 )
 
 const (
-	nearer     = 50 * Millisecond // a plan all in other zones must end so much sooner
 	gap        = 100 * Millisecond // the design's: a part so far behind the fastest moves once
 	firstShare = 10                // the design's: before any answer a part takes target / firstShare
 	rateWeight = 0.2               // smoothing of latency per unit size: about the last five answers
-	sizeWeight = 0.05              // smoothing of a part's size
+	slowWeight = 0.05              // smoothing of a part's size, and of success
 
 	tailQuantile = 0.90 // a sub-request out longer than so many usually take is overdue
 	tailStep     = 0.1  // how fast that quantile is learned
@@ -39,9 +38,8 @@
 
 	coldSafety = 0.5 // of the rule's multiple: others may send more than this gatherer does
 
-	copyShare     = 0.2  // further sub-requests per search or part taken, where no budget is stated
-	successWeight = 0.05 // smoothing of their success
-	copyFloor     = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
+	copyShare = 0.2 // further sub-requests per search or part taken, where no budget is stated
+	copyFloor = 0.1 // of the budget left to copies when none succeeds, so that success can be seen
 
 	medianStep  = 0.01 // how fast the median answer time is learned
 	limitWeight = 0.02 // smoothing of the in-flight limit
@@ -69,7 +67,6 @@
 	types        []typeRules
 	customers    []customer
 	cells, reach int
-	zone         ZoneNo
 	most         int  // sub-requests for one part
 	margin       Time // what must be done by a moment is done so much earlier
 	advise       Time // longest advice to a client; 0 = none
@@ -124,7 +121,6 @@
 type server struct {
 	id       ServerID
 	cell     CellNo
-	zone     ZoneNo
 	state    ServerState
 	upSince  Time // as listed
 	coldFrom Time // when it last started, as far as known; 0 = long ago
@@ -178,7 +174,7 @@
 
 // New makes a gatherer that knows nothing yet but its facts.
 func New(f Facts) *Gatherer {
-	g := &Gatherer{zone: f.Zone, cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
+	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
 		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
 		listPause: max(f.AskWithin/2, listFirst), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
 		onRequest: f.ListOnRequest, coldFor: f.ColdFor,
@@ -273,7 +269,7 @@
 func (g *Gatherer) fanOut(q *search, parts []Part) {
 	for _, p := range parts {
 		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1)}
-		g.size += (own.size - g.size) * sizeWeight
+		g.size += (own.size - g.size) * slowWeight
 		q.parts = append(q.parts, own)
 	}
 	g.average = g.mean(func(s *server) (float64, bool) { return s.rate, s.heard })
@@ -282,22 +278,17 @@
 	for range 2 {
 		offset := g.rand.below(1 << 16)
 		clear(g.planned)
-		plan, far := make([]placing, 0, len(q.parts)), 0
+		plan := make([]placing, 0, len(q.parts))
 		for _, p := range q.parts {
 			b := placing{p, g.replica(p, offset), never}
 			if b.s != nil {
 				b.finish = g.predict(b.s, p)
 				g.planned[b.s] += p.size
-				if b.s.zone != g.zone {
-					far++
-				}
 			}
 			plan = append(plan, b)
 		}
 		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
-		// One that stays in this gatherer's zone counts as up to nearer sooner.
-		end := plan[len(plan)-1].finish + nearer*Time(far)/Time(len(plan))
-		if end < slowest {
+		if end := plan[len(plan)-1].finish; end < slowest {
 			best, slowest = plan, end
 		}
 	}
@@ -425,7 +416,6 @@
 }
 
 func (g *Gatherer) send(p *part, s *server) {
-	q := p.q
 	r := &subRequest{p: p, s: s, sentAt: g.now, ahead: s.backlog + s.queue*g.size,
 		predicted: max(g.predict(s, p), 1), further: len(p.tries) > 0}
 	g.out[sendKey{p.id, SendNo(len(p.tries))}] = r
@@ -437,7 +427,7 @@
 	if r.further {
 		g.extra.add(g.now, 1)
 	}
-	g.do(Send{p.id, s.id, q.end - g.now})
+	g.do(Send{p.id, s.id, p.q.end - g.now})
 }
 
 // ended takes a sub-request's outcome, also of parts and searches that are over.
@@ -462,12 +452,21 @@
 	}
 	won := e.Outcome == Answered && !p.done && g.open[p.q.id] == p.q
 	if r.further && e.Outcome != Moot {
-		g.success -= g.success * successWeight
+		g.success -= g.success * slowWeight
 		if won {
-			g.success += successWeight
+			g.success += slowWeight
 		}
 	}
 	late := float64(e.Elapsed) / float64(r.predicted)
+	gaveUp := e.Outcome == TimedOut || e.Outcome == Cancelled
+	if e.Outcome == Answered || gaveUp && late > 1 {
+		// A time-out would have taken longer still; without it only the quick ones would be on record.
+		rate := float64(max(e.Elapsed, 1)) / (p.size + r.ahead)
+		if !s.heard {
+			s.heard, s.rate = true, rate
+		}
+		s.rate += (rate - s.rate) * rateWeight
+	}
 	switch e.Outcome {
 	case Answered:
 		g.answered(r, float64(max(e.Elapsed, 1)))
@@ -482,9 +481,6 @@
 			s.pause = firstPause
 		}
 	case TimedOut, Cancelled:
-		if late > 1 { // it would have taken longer still; without it only the quick ones would be on record
-			s.learn(r, float64(e.Elapsed))
-		}
 		if quiet && late > 1 {
 			g.failed(s, hardFailure*min(1, late/(silentAfter*g.tail)))
 		}
@@ -510,14 +506,11 @@
 	g.review(p.q)
 }
 
-// answered learns from an answer's latency: the server's rate, how late the late ones are, and the
-// in-flight limit, which follows the shortest over the present latency.
+// answered moves the in-flight limit, which follows the shortest over the present (median) latency.
 func (g *Gatherer) answered(r *subRequest, latency float64) {
-	s, p := r.s, r.p
-	s.learn(r, latency)
-	unit := latency / p.size
+	unit := latency / r.p.size
 	if g.present == 0 {
-		g.present = float64(p.q.rules.target) / firstShare / p.size // as the design has it before any answer
+		g.present = float64(r.p.q.rules.target) / firstShare / r.p.size // as the design has it before any answer
 		g.short = g.present
 	}
 	g.present *= 1 + math.Copysign(medianStep, unit-g.present)
@@ -529,15 +522,6 @@
 	g.limit = max(g.limit, limitFloor*float64(len(g.ready)))
 }
 
-// learn smooths a server's latency per unit size: the part's own and what stood before it.
-func (s *server) learn(r *subRequest, latency float64) {
-	rate := latency / (r.p.size + r.ahead)
-	if !s.heard {
-		s.heard, s.rate = true, rate
-	}
-	s.rate += (rate - s.rate) * rateWeight
-}
-
 // review does what is due for a search: answers it, sends what is to be sent, or gives it up; then it sets
 // the timer for the next look. It may be called at any moment.
 func (g *Gatherer) review(q *search) {
@@ -759,7 +743,7 @@
 			s = &server{id: entry.ID, upSince: -1, sent: newTally(g.fallWithin)}
 			g.servers[entry.ID] = s
 		}
-		s.state, s.cell, s.zone = entry.State, entry.Cell, entry.Zone
+		s.state, s.cell = entry.State, entry.Cell
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
 			s.upSince, s.coldFrom, s.pause = entry.UpSince, entry.UpSince, firstPause
@@ -805,10 +789,7 @@
 
 func (t *tally) roll(now Time) {
 	at := now / t.slot
-	if at-t.last > tallySlots {
-		t.n, t.last = [tallySlots + 1]float64{}, at
-	}
-	for t.last < at {
+	for t.last = max(t.last, at-tallySlots-1); t.last < at; {
 		t.last++
 		t.n[slotOf(t.last)] = 0
 	}
