--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 	copyFloor = 0.1 // of the budget left to copies when none succeeds, so that success can be seen
 
 	medianStep  = 0.01 // how fast the median answer time is learned
+	learnFirst  = 100  // answers that only teach what the median is
 	limitWeight = 0.02 // smoothing of the in-flight limit
 	limitSlack  = 1.5  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
@@ -98,6 +99,7 @@
 	success float64 // smoothed share of further sub-requests that brought the answer
 	present float64 // median latency per unit size of late, over all answers
 	short   float64 // the shortest that was of late; 0 = none
+	learned int     // answers that taught the two above
 	limit   float64 // parts in flight
 	extra   tally   // further sub-requests
 	taken   tally   // searches and parts
@@ -509,8 +511,11 @@
 // answered moves the in-flight limit, which follows the shortest over the present (median) latency.
 func (g *Gatherer) answered(r *subRequest, latency float64) {
 	unit := latency / r.p.size
-	if g.present == 0 {
-		g.present = float64(r.p.q.rules.target) / firstShare / r.p.size // as the design has it before any answer
+	if g.learned++; g.learned == 1 {
+		g.present = unit
+	}
+	if g.learned <= learnFirst {
+		g.present *= 1 + math.Copysign(4*medianStep, unit-g.present)
 		g.short = g.present
 	}
 	g.present *= 1 + math.Copysign(medianStep, unit-g.present)
