--- a/brain/brain.go
+++ b/brain/brain.go
@@ -46,6 +46,7 @@
 	limitWeight = 0.02 // smoothing of the in-flight limit
 	limitSlack  = 1.5  // the present answer time may be so many times the shortest
 	limitFloor  = 2    // parts in flight for each ready server that are always allowed
+	widestFloor = 3    // and so many of the widest searches
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
 	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
 	shareSpan   = 2000 * Millisecond
@@ -100,6 +101,7 @@
 	present float64 // median latency per unit size of late, over all answers
 	short   float64 // the shortest that was of late; 0 = none
 	learned int     // answers that taught the two above
+	widest  int     // most parts that a search had
 	limit   float64 // parts in flight
 	extra   tally   // further sub-requests
 	taken   tally   // searches and parts
@@ -246,7 +248,8 @@
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, float64(1+len(e.Parts)))
-	allowed := g.limit
+	g.widest = max(g.widest, len(e.Parts))
+	allowed := max(g.limit, g.floor())
 	c := &g.customers[min(int(e.Customer), len(g.customers)-1)]
 	if c.perSpan > 0 && c.took.least(g.now) >= c.perSpan {
 		allowed *= pressed
@@ -524,7 +527,12 @@
 	if falling < 1 || float64(len(g.out)) > g.limit/2 {
 		g.limit += (g.limit*falling + math.Sqrt(g.limit) - g.limit) * limitWeight
 	}
-	g.limit = max(g.limit, limitFloor*float64(len(g.ready)))
+	g.limit = max(g.limit, g.floor())
+}
+
+// floor is what may always be in flight: some parts a server, and a few of the widest searches.
+func (g *Gatherer) floor() float64 {
+	return float64(max(limitFloor*len(g.ready), widestFloor*g.widest))
 }
 
 // review does what is due for a search: answers it, sends what is to be sent, or gives it up; then it sets
@@ -764,7 +772,6 @@
 		}
 	}
 	slices.SortFunc(g.ready, func(a, b *server) int { return cmp.Compare(a.id, b.id) })
-	g.limit = max(g.limit, limitFloor*float64(len(g.ready)))
 	for shard := range g.holders {
 		g.holders[shard] = nil
 		for j := range g.reach {
