--- a/brain/brain.go
+++ b/brain/brain.go
@@ -215,7 +215,6 @@
 		g.arrived(e)
 	case MoreParts:
 		if q := g.numbers[e.Number]; q != nil && q.second && len(q.parts) == 0 {
-			g.taken.add(g.now, float64(len(e.Parts)))
 			g.fanOut(q, e.Parts)
 		}
 	case SubRequestEnded:
@@ -247,9 +246,10 @@
 		q.shortAt = q.target
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
-	g.taken.add(g.now, float64(1+len(e.Parts)))
+	g.taken.add(g.now, 1)
 	g.widest = max(g.widest, len(e.Parts))
-	allowed := max(g.limit, g.floor())
+	g.limit = max(g.limit, float64(max(limitFloor*len(g.ready), widestFloor*g.widest)))
+	allowed := g.limit
 	c := &g.customers[min(int(e.Customer), len(g.customers)-1)]
 	if c.perSpan > 0 && c.took.least(g.now) >= c.perSpan {
 		allowed *= pressed
@@ -272,6 +272,7 @@
 // fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
 // whose slowest part ends first is sent.
 func (g *Gatherer) fanOut(q *search, parts []Part) {
+	g.taken.add(g.now, float64(len(parts)))
 	for _, p := range parts {
 		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1)}
 		g.size += (own.size - g.size) * slowWeight
@@ -337,10 +338,7 @@
 // the part goes to the replica at or after it; in sets the replicas are counted by offset plus shard.
 func (g *Gatherer) replica(p *part, offset int) *server {
 	all := g.holders[p.shard]
-	if len(all) == 0 {
-		return nil
-	}
-	start, nearest := (offset+int(p.shard))%len(all), g.reach
+	start, nearest := (offset+int(p.shard))%max(len(all), 1), g.reach
 	for i, s := range all {
 		if far := ((int(s.cell)-offset)%g.reach + g.reach) % g.reach; g.reach > 1 && far < nearest {
 			start, nearest = i, far
@@ -514,11 +512,8 @@
 // answered moves the in-flight limit, which follows the shortest over the present (median) latency.
 func (g *Gatherer) answered(r *subRequest, latency float64) {
 	unit := latency / r.p.size
-	if g.learned++; g.learned == 1 {
-		g.present = unit
-	}
-	if g.learned <= learnFirst {
-		g.present *= 1 + math.Copysign(4*medianStep, unit-g.present)
+	if g.learned++; g.learned <= learnFirst {
+		g.present += (unit - g.present) / float64(g.learned) // the mean, to start from
 		g.short = g.present
 	}
 	g.present *= 1 + math.Copysign(medianStep, unit-g.present)
@@ -527,12 +522,6 @@
 	if falling < 1 || float64(len(g.out)) > g.limit/2 {
 		g.limit += (g.limit*falling + math.Sqrt(g.limit) - g.limit) * limitWeight
 	}
-	g.limit = max(g.limit, g.floor())
-}
-
-// floor is what may always be in flight: some parts a server, and a few of the widest searches.
-func (g *Gatherer) floor() float64 {
-	return float64(max(limitFloor*len(g.ready), widestFloor*g.widest))
 }
 
 // review does what is due for a search: answers it, sends what is to be sent, or gives it up; then it sets
