A repeated search's target counts from its client's first try

Guards against retry storms of any cause; harm: a client that is merely less patient on a repeat is taken to have waited.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -115,6 +115,7 @@
 	lateCounts              bool // an answer after the target is worth something
 	shortCounts             bool // one short of whole, in time, is worth a late one or more
 	second                  bool // a second step follows the first answer
+	patience                Time // the longest of a first try, seen so far
 }
 
 type customer struct {
@@ -193,7 +194,7 @@
 	g.extra, g.taken = newTally(span), newTally(span)
 	for _, t := range f.QueryTypes {
 		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
-			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0})
+			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0})
 	}
 	spans := float64(shareSpan) / float64(1000*Millisecond) / float64(max(f.Gatherers, 1))
 	for _, c := range f.Customers {
@@ -237,7 +238,13 @@
 	r := &g.types[e.Type]
 	q := &search{id: e.Search, number: e.Number, rules: r}
 	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
-	q.target = min(g.now+r.target-g.margin, q.end)
+	q.target = g.now + r.target - g.margin
+	if !e.Repeat {
+		r.patience = max(r.patience, e.Patience)
+	} else if e.Patience < r.patience {
+		q.target -= r.timeout - e.Patience // less than a first try's: what is left after earlier tries
+	}
+	q.target = min(q.target, q.end)
 	if !r.lateCounts {
 		q.end = q.target
 	}
