--- a/brain/brain.go
+++ b/brain/brain.go
@@ -631,7 +631,11 @@
 		}
 	}
 	if harmless {
-		g.do(Shed{q.id, min(g.advise, q.rules.target/2)})
+		wait := g.advise
+		if g.now < q.target {
+			wait = min(wait, q.rules.target/2) // another try may still be in time
+		}
+		g.do(Shed{q.id, wait})
 	} else {
 		g.do(Fail{q.id})
 	}
