--- a/brain/brain.go
+++ b/brain/brain.go
@@ -631,11 +631,7 @@
 		}
 	}
 	if harmless {
-		wait := g.advise
-		if g.now < q.target {
-			wait = min(wait, q.rules.target/2) // another try may still be in time
-		}
-		g.do(Shed{q.id, wait})
+		g.do(Shed{q.id, g.advise})
 	} else {
 		g.do(Fail{q.id})
 	}
