--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,8 +1,7 @@
 package brain
 
 // How to call it: New makes the decisions of one gatherer from its Facts. Handle takes one Event and the
-// moment it came and returns the Actions to perform, in order. types.go is the interface: ids, units,
-// events, actions. Events of one moment are handed over one by one, in their order of arrival.
+// moment it came, in order of arrival, and returns the Actions to perform, in order. Interface: types.go.
 //
 // The design (docs/design.md) places each part: see fanOut, the ordinary path of a search. Beside it stand
 // six mechanisms:
@@ -150,7 +149,7 @@
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
 	target        Time    // when it should be answered
-	shortAt, end  Time    // when an answer short of whole is given, and when it is given up
+	end           Time    // when it is given up
 	lookAt        Time    // the pending timer's; 0 = none
 }
 
@@ -248,10 +247,6 @@
 	if !r.lateCounts {
 		q.end = q.target
 	}
-	q.shortAt = q.end
-	if r.shortCounts {
-		q.shortAt = q.target
-	}
 	g.open[q.id], g.numbers[q.number] = q, q
 	g.taken.add(g.now, 1)
 	g.widest = max(g.widest, len(e.Parts))
@@ -378,9 +373,8 @@
 }
 
 // allowed tells whether the rules let a part go to a ready server: it has no sub-request of the part out,
-// and its cold allowance has room. usable says that it also looks sound and has not had
-// the part before; on trial it takes one part at a time, an idempotent one unless
-// that is long in coming.
+// and its cold allowance has room. usable says that it also looks sound and has not had the part before; on
+// trial it takes one part at a time, an idempotent one unless that is long in coming.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
 	return !out && g.room(s, p.size)
@@ -479,7 +473,7 @@
 	}
 	switch e.Outcome {
 	case Answered:
-		g.answered(r, float64(max(e.Elapsed, 1)))
+		g.answered(float64(max(e.Elapsed, 1)) / p.size)
 		g.tail = max(1, g.tail-tailStep*(1-tailQuantile))
 		s.failing -= s.failing * goodWeight
 		if s.trial && r.sentAt >= s.outUntil {
@@ -517,8 +511,7 @@
 }
 
 // answered moves the in-flight limit, which follows the shortest over the present (median) latency.
-func (g *Gatherer) answered(r *subRequest, latency float64) {
-	unit := latency / r.p.size
+func (g *Gatherer) answered(unit float64) {
 	if g.learned++; g.learned <= learnFirst {
 		g.present += (unit - g.present) / float64(g.learned) // the mean, to start from
 		g.short = g.present
@@ -535,11 +528,10 @@
 // the timer for the next look. It may be called at any moment.
 func (g *Gatherer) review(q *search) {
 	least, whole := q.rules.least-weightSlack, q.rules.whole-weightSlack
-	if q.second {
+	if q.second && least >= whole {
+		least, whole = 1-weightSlack, 1-weightSlack
+	} else if q.second {
 		whole = 1 - weightSlack
-		if q.rules.least >= q.rules.whole {
-			least = whole
-		}
 	}
 	got, reach := 0.0, 0.0 // weights: in, and still to be had
 	if q.second && len(q.parts) == 0 {
@@ -553,8 +545,9 @@
 			reach += p.weight
 		}
 	}
+	ripe := g.now >= q.end || reach <= got || q.rules.shortCounts && g.now >= q.target
 	switch {
-	case got >= whole || got >= least && (g.now >= q.shortAt || reach <= got):
+	case got >= whole || got >= least && ripe:
 		g.answer(q, got >= whole && (!q.second || q.whole))
 		return
 	case g.now >= q.end || reach < least:
@@ -562,8 +555,8 @@
 		return
 	}
 	next := q.end
-	if q.shortAt > g.now {
-		next = min(next, q.shortAt)
+	if q.target > g.now {
+		next = min(next, q.target)
 	}
 	for _, p := range q.parts {
 		if p.done {
