--- a/brain/brain.go
+++ b/brain/brain.go
@@ -130,7 +130,9 @@
 	coldFrom Time // when it last started, as far as known; 0 = long ago
 	heardAt  Time
 	heard    bool
-	rate     float64       // smoothed latency per unit size, once heard
+	took     float64       // smoothed latency
+	size     float64       // smoothed sizes that took it: the part's and what stood before it
+	rate     float64       // the one over the other, once heard: small parts must not weigh like large ones
 	queue    float64       // parts it last reported
 	out      []*subRequest // in order of sending; emptied by outcomes
 	backlog  float64       // their sizes
@@ -465,11 +467,13 @@
 	gaveUp := e.Outcome == TimedOut || e.Outcome == Cancelled
 	if e.Outcome == Answered || gaveUp && late > 1 {
 		// A time-out would have taken longer still; without it only the quick ones would be on record.
-		rate := float64(max(e.Elapsed, 1)) / (p.size + r.ahead)
+		took, size := float64(max(e.Elapsed, 1)), p.size+r.ahead
 		if !s.heard {
-			s.heard, s.rate = true, rate
+			s.heard, s.took, s.size = true, took, size
 		}
-		s.rate += (rate - s.rate) * rateWeight
+		s.took += (took - s.took) * rateWeight
+		s.size += (size - s.size) * rateWeight
+		s.rate = s.took / s.size
 	}
 	switch e.Outcome {
 	case Answered:
