--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,7 +44,7 @@
 	learnFirst  = 100  // answers that only teach what the median is
 	limitWeight = 0.02 // smoothing of the in-flight limit
 	limitSlack  = 1.5  // the present answer time may be so many times the shortest
-	limitFloor  = 2    // parts in flight for each ready server that are always allowed
+	limitFloor  = 3    // parts in flight for each ready server that are always allowed
 	widestFloor = 3    // and so many of the widest searches
 	shortestUp  = 1e-4 // the shortest answer time is forgotten so fast, per answer
 	pressed     = 0.5  // of the limit: past it, searches over their customer's share are shed
