--- a/brain/brain.go
+++ b/brain/brain.go
@@ -123,25 +123,24 @@
 }
 
 type server struct {
-	id       ServerID
-	cell     CellNo
-	state    ServerState
-	upSince  Time // as listed
-	coldFrom Time // when it last started, as far as known; 0 = long ago
-	heardAt  Time
-	heard    bool
-	took     float64       // smoothed latency
-	size     float64       // smoothed sizes that took it: the part's and what stood before it
-	rate     float64       // the one over the other, once heard: small parts must not weigh like large ones
-	queue    float64       // parts it last reported
-	out      []*subRequest // in order of sending; emptied by outcomes
-	backlog  float64       // their sizes
-	sent     tally         // sizes sent
-	failing  float64       // smoothed share of failures
-	outUntil Time          // taken out until then
-	pause    Time          // the next time out
-	trial    bool          // back, with one part at a time, until it answers
-	lost     bool          // its connections failed: it may come back cold
+	id          ServerID
+	cell        CellNo
+	state       ServerState
+	upSince     Time // as listed
+	coldFrom    Time // when it last started, as far as known; 0 = long ago
+	heardAt     Time
+	heard       bool
+	took        float64       // smoothed latency,
+	size        float64       // and the sizes that took it: the part's and what stood before it
+	rate        float64       // the one over the other: small parts must not weigh like large ones
+	queue       float64       // parts it last reported
+	out         []*subRequest // in order of sending; emptied by outcomes
+	backlog     float64       // their sizes
+	sent        tally         // sizes sent
+	failing     float64       // smoothed share of failures
+	outUntil    Time          // taken out until then
+	pause       Time          // the next time out
+	trial, lost bool          // one part at a time until it answers; its connections failed: it may come back cold
 }
 
 type search struct {
@@ -150,8 +149,7 @@
 	rules         *typeRules
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
-	target        Time    // when it should be answered
-	end           Time    // when it is given up
+	target, end   Time    // when it should be answered, and when it is given up
 	lookAt        Time    // the pending timer's; 0 = none
 }
 
@@ -233,8 +231,7 @@
 
 func (g *Gatherer) do(a Action) { g.acts = append(g.acts, a) }
 
-// arrived takes a search in and sets its moments: when a short answer is worth as much as waiting on, and
-// when nothing more is to be won. An answer that is worth nothing after the target is not waited for.
+// arrived takes a search in and sets its moments; what is past the limit is shed unseen.
 func (g *Gatherer) arrived(e SearchArrived) {
 	r := &g.types[e.Type]
 	q := &search{id: e.Search, number: e.Number, rules: r}
@@ -444,7 +441,6 @@
 	}
 	delete(g.out, sendKey{e.Part, e.Send})
 	s, p := r.s, r.p
-	quiet := s.heardAt < r.sentAt
 	r.ended, r.neverRan = true, e.Outcome.NeverRan()
 	p.flying--
 	s.out = slices.DeleteFunc(s.out, func(o *subRequest) bool { return o == r })
@@ -489,7 +485,7 @@
 			s.pause = firstPause
 		}
 	case TimedOut, Cancelled:
-		if quiet && late > 1 {
+		if s.heardAt < r.sentAt && late > 1 {
 			g.failed(s, hardFailure*min(1, late/(silentAfter*g.tail)))
 		}
 	case Errored, TurnedAway, ConnectFailed, Reset:
@@ -516,8 +512,8 @@
 
 // answered moves the in-flight limit, which follows the shortest over the present (median) latency.
 func (g *Gatherer) answered(unit float64) {
-	if g.learned++; g.learned <= learnFirst {
-		g.present += (unit - g.present) / float64(g.learned) // the mean, to start from
+	if g.learned++; g.learned <= learnFirst { // the mean, to start from
+		g.present += (unit - g.present) / float64(g.learned)
 		g.short = g.present
 	}
 	g.present *= 1 + math.Copysign(medianStep, unit-g.present)
