--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,7 @@
 	rateWeight = 0.2               // smoothing of latency per unit size: about the last five answers
 	slowWeight = 0.05              // smoothing of a part's size, and of success
 
-	tailQuantile = 0.90 // a sub-request out longer than so many usually take is overdue
+	tailQuantile = 0.95 // a sub-request out longer than so many usually take is overdue
 	tailStep     = 0.1  // how fast that quantile is learned
 	tailFirst    = 3.0  // and where it starts, as a multiple of the prediction
 	silentAfter  = 2.0  // nothing heard in so many times the overdue age: silent
