--- a/brain/brain.go
+++ b/brain/brain.go
@@ -196,12 +196,14 @@
 			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0})
 	}
 	spans := float64(shareSpan) / float64(1000*Millisecond) / float64(max(f.Gatherers, 1))
+	all := customer{0, newTally(shareSpan)} // the last one stands for all of them
 	for _, c := range f.Customers {
-		g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
-	}
-	if len(f.Customers) == 0 || f.OverShareFactor >= 1 {
-		g.customers = []customer{{0, newTally(shareSpan)}} // shares do not count
+		if f.OverShareFactor < 1 {
+			g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
+			all.perSpan += c.SharePerSecond * spans
+		}
 	}
+	g.customers = append(g.customers, all)
 	return g
 }
 
@@ -251,8 +253,10 @@
 	g.widest = max(g.widest, len(e.Parts))
 	g.limit = max(g.limit, float64(max(limitFloor*len(g.ready), widestFloor*g.widest)))
 	allowed := g.limit
-	c := &g.customers[min(int(e.Customer), len(g.customers)-1)]
-	if c.perSpan > 0 && c.took.least(g.now) >= c.perSpan {
+	last := len(g.customers) - 1
+	c, all := &g.customers[min(int(e.Customer), last)], &g.customers[last]
+	took := c.took.least(g.now)
+	if c.perSpan > 0 && took >= c.perSpan && took*all.perSpan > all.took.least(g.now)*c.perSpan {
 		allowed *= pressed
 	}
 	if len(e.Parts) == 0 || float64(len(g.out)) >= allowed {
@@ -260,6 +264,7 @@
 		return
 	}
 	c.took.add(g.now, 1)
+	all.took.add(g.now, 1)
 	g.fanOut(q, e.Parts)
 }
 
