--- a/brain/brain.go
+++ b/brain/brain.go
@@ -83,15 +83,15 @@
 	now     Time
 	acts    []Action
 	rand    mwc
-	servers map[ServerID]*server    // emptied by the list: gone, nothing out or just sent
-	ready   []*server               // those listed as ready, in order of id; made anew with each list
-	holders [][]*server             // of each shard, in order of cells and ids; made anew with each list
-	open    map[SearchID]*search    // emptied by the final answer or the client's leaving
-	numbers map[SearchNo]*search    // as open
-	out     map[sendKey]*subRequest // emptied by outcomes: each sub-request gets one
-	asking  bool                    // the list's timer is set
-	nextAsk Time                    // its next pause
-	planned map[*server]float64     // sizes within the plan being drawn; emptied by the next
+	servers map[ServerID]*server // emptied by the list: gone, nothing out or just sent
+	ready   []*server            // those listed as ready, in order of id; made anew with each list
+	holders [][]*server          // of each shard, in order of cells and ids; made anew with each list
+	open    map[SearchID]*search // emptied by the final answer or the client's leaving
+	numbers map[SearchNo]*search // as open
+	out     map[PartID]*part     // parts in flight; emptied by outcomes: each sub-request gets one
+	asking  bool                 // the list's timer is set
+	nextAsk Time                 // its next pause
+	planned map[*server]float64  // sizes within the plan being drawn; emptied by the next
 
 	average float64 // latency per unit size, over the ready servers heard from; 0 = none
 	size    float64 // smoothed size of a part
@@ -123,24 +123,24 @@
 }
 
 type server struct {
-	id          ServerID
-	cell        CellNo
-	state       ServerState
-	upSince     Time // as listed
-	coldFrom    Time // when it last started, as far as known; 0 = long ago
-	heardAt     Time
-	heard       bool
-	took        float64       // smoothed latency,
-	size        float64       // and the sizes that took it: the part's and what stood before it
-	rate        float64       // the one over the other: small parts must not weigh like large ones
-	queue       float64       // parts it last reported
-	out         []*subRequest // in order of sending; emptied by outcomes
-	backlog     float64       // their sizes
-	sent        tally         // sizes sent
-	failing     float64       // smoothed share of failures
-	outUntil    Time          // taken out until then
-	pause       Time          // the next time out
-	trial, lost bool          // one part at a time until it answers; its connections failed: it may come back cold
+	id       ServerID
+	cell     CellNo
+	state    ServerState
+	upSince  Time // as listed
+	coldFrom Time // when it last started, as far as known; 0 = long ago
+	heardAt  Time
+	heard    bool
+	took     float64       // smoothed latency,
+	size     float64       // and the sizes that took it: the part's and what stood before it
+	rate     float64       // the one over the other: small parts must not weigh like large ones
+	queue    float64       // parts it last reported
+	out      []*subRequest // in order of sending; emptied by outcomes
+	backlog  float64       // their sizes
+	sent     tally         // sizes sent
+	failing  float64       // smoothed share of failures
+	outUntil Time          // taken out until then
+	pause    Time          // the next time out
+	trial    bool          // one part at a time until it answers
 }
 
 type search struct {
@@ -163,11 +163,6 @@
 	done         bool // its answer is in
 }
 
-type sendKey struct {
-	part PartID
-	send SendNo
-}
-
 type subRequest struct {
 	p                        *part
 	s                        *server
@@ -184,7 +179,7 @@
 		onRequest: f.ListOnRequest, coldFor: f.ColdFor,
 		fallWithin: f.FallWithin, coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1),
 		free: f.BudgetFree, perItem: f.BudgetShare, rand: newMWC(f.Seed), servers: map[ServerID]*server{},
-		open: map[SearchID]*search{}, numbers: map[SearchNo]*search{}, out: map[sendKey]*subRequest{},
+		open: map[SearchID]*search{}, numbers: map[SearchNo]*search{}, out: map[PartID]*part{},
 		planned: map[*server]float64{}, nextAsk: listFirst, size: 1, tail: tailFirst, success: 1}
 	span := f.BudgetSpan
 	if !f.HasBudget {
@@ -426,7 +421,7 @@
 func (g *Gatherer) send(p *part, s *server) {
 	r := &subRequest{p: p, s: s, sentAt: g.now, ahead: s.backlog + s.queue*g.size,
 		predicted: max(g.predict(s, p), 1), further: len(p.tries) > 0}
-	g.out[sendKey{p.id, SendNo(len(p.tries))}] = r
+	g.out[p.id] = p
 	p.tries = append(p.tries, r)
 	p.flying++
 	s.out = append(s.out, r)
@@ -440,14 +435,16 @@
 
 // ended takes a sub-request's outcome, also of parts and searches that are over.
 func (g *Gatherer) ended(e SubRequestEnded) {
-	r := g.out[sendKey{e.Part, e.Send}]
-	if r == nil {
+	p := g.out[e.Part]
+	if p == nil || int(e.Send) >= len(p.tries) || p.tries[e.Send].ended {
 		return
 	}
-	delete(g.out, sendKey{e.Part, e.Send})
-	s, p := r.s, r.p
+	r := p.tries[e.Send]
+	s := r.s
 	r.ended, r.neverRan = true, e.Outcome.NeverRan()
-	p.flying--
+	if p.flying--; p.flying == 0 {
+		delete(g.out, p.id)
+	}
 	s.out = slices.DeleteFunc(s.out, func(o *subRequest) bool { return o == r })
 	if s.backlog -= p.size; len(s.out) == 0 {
 		s.backlog = 0 // no rounding is left over
@@ -482,9 +479,7 @@
 		g.tail = max(1, g.tail-tailStep*(1-tailQuantile))
 		s.failing -= s.failing * goodWeight
 		if s.trial && r.sentAt >= s.outUntil {
-			if s.trial = false; s.lost {
-				s.lost, s.coldFrom = false, g.now // it went away and came back: cold, whatever the list says
-			}
+			s.trial = false
 		}
 		if s.failing < goodWeight {
 			s.pause = firstPause
@@ -496,7 +491,6 @@
 	case Errored, TurnedAway, ConnectFailed, Reset:
 		// These come fast: their time is no latency of the server's and must not make it look quick.
 		g.failed(s, failureWeight[e.Outcome])
-		s.lost = s.lost || e.Outcome == ConnectFailed || e.Outcome == Reset
 		late = 0
 	}
 	if late > g.tail {
@@ -754,7 +748,7 @@
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
 			s.upSince, s.coldFrom, s.pause = entry.UpSince, entry.UpSince, firstPause
-			s.heard, s.queue, s.failing, s.outUntil, s.trial, s.lost = false, 0, 0, 0, false, false
+			s.heard, s.queue, s.failing, s.outUntil, s.trial = false, 0, 0, 0, false
 		}
 	}
 	g.ready = nil
