--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -6,14 +6,14 @@
 type bench struct {
 	*Gatherer
 	at   Time
-	last []Action
+	last []Action // what the last event brought
 	next uint64
 }
 
 func newBench(n int, change func(*Facts)) *bench {
 	f := Facts{Seed: 7, Gatherers: 2, Tick: 50, Cells: 1, Reach: 1, Shards: 1, MostSubRequests: 3, MayCopy: true,
 		MayCancel: true, ColdShare: 0.2, ColdFor: 100000, FallMultiple: 2, FallWithin: 10000, AskWithin: 100000,
-		OverShareFactor: 1, QueryTypes: []QueryTypeFacts{{LatencyTarget: 25000, ClientTimeout: 60000, Value: 1,
+		OverShareFactor: 1, QueryTypes: []QueryTypeFacts{{LatencyTarget: 25000, ClientTimeout: 60000,
 			LateValue: 0.3, ShortValue: 0.9, LeastShare: 1, WholeAt: 1}}}
 	if change != nil {
 		change(&f)
@@ -146,11 +146,10 @@
 	longest := Time(0)
 	for range 12 {
 		wake := b.do(ServerList{Kind: ListFailed})[0].(Wake)
-		if len(b.do(ServerList{Kind: ListFailed})) != 0 {
-			t.Fatal("a second failure set a second timer")
+		if again := b.do(ServerList{Kind: ListFailed}); len(again) != 0 {
+			t.Fatalf("a second failure brought %v", again)
 		}
-		longest = max(longest, wake.At-b.at)
-		b.at = wake.At
+		longest, b.at = max(longest, wake.At-b.at), wake.At
 		if got := b.do(TimerFired{wake.Timer}); len(got) != 1 || got[0] != (Subscribe{}) {
 			t.Fatalf("at the timer: %v", got)
 		}
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -28,6 +28,7 @@
 	now      Time
 	searches []*ruledSearch
 	servers  map[ServerID]*ruledServer
+	sends    []*ruledSend
 	taken    []Time
 }
 
@@ -51,6 +52,8 @@
 }
 
 type ruledSend struct {
+	part    PartID
+	no      SendNo
 	at      Time
 	server  ServerID
 	size    float64
@@ -65,21 +68,17 @@
 }
 
 func (m *rules) search(id SearchID) *ruledSearch {
-	for _, q := range m.searches {
-		if q.id == id {
-			return q
-		}
+	i := slices.IndexFunc(m.searches, func(q *ruledSearch) bool { return q.id == id })
+	if i < 0 {
+		m.t.Fatalf("search %d was never given", id)
 	}
-	m.t.Fatalf("search %d was never given", id)
-	return nil
+	return m.searches[i]
 }
 
 func (m *rules) part(id PartID) (*ruledSearch, *ruledPart) {
 	for _, q := range m.searches {
-		for _, p := range q.parts {
-			if p.ID == id {
-				return q, p
-			}
+		if i := slices.IndexFunc(q.parts, func(p *ruledPart) bool { return p.ID == id }); i >= 0 {
+			return q, q.parts[i]
 		}
 	}
 	m.t.Fatalf("part %d was never given", id)
@@ -173,14 +172,10 @@
 	if a.Whole && (got < whole-1e-4 || q.step == 2 && !q.firstFull) {
 		m.t.Fatalf("rule 5: search %d marked whole at %v of %v", q.id, got, whole)
 	}
+	m.final(q)
 	if q.kind.SecondStep > 0 && q.step == 1 {
-		if q.ended {
-			m.t.Fatalf("rule 1: search %d answered after its end", q.id)
-		}
-		q.step, q.firstFull = 2, a.Whole
-		return
+		q.step, q.firstFull, q.ended = 2, a.Whole, false
 	}
-	m.final(q)
 }
 
 func (m *rules) checkSend(a Send) {
@@ -211,10 +206,11 @@
 		q.kind.Effect == Tokened && m.now > firstRisk+q.kind.Window) {
 		m.t.Fatalf("rule 2: part %d sent again, first at %d", p.ID, firstRisk)
 	}
-	send := &ruledSend{at: m.now, server: a.Server, size: max(p.Size, 1)}
-	if p.Size > 0 {
-		send.size = p.Size
+	send := &ruledSend{part: p.ID, no: SendNo(len(p.sends)), at: m.now, server: a.Server, size: p.Size}
+	if p.Size == 0 {
+		send.size = 1
 	}
+	m.sends = append(m.sends, send)
 	p.sends = append(p.sends, send)
 	s.sends = append(s.sends, send)
 	if len(p.sends) > 1 {
@@ -228,13 +224,9 @@
 		return
 	}
 	further, taken := 0.0, 0.0
-	for _, q := range m.searches {
-		for _, p := range q.parts {
-			for i, s := range p.sends {
-				if i > 0 && s.at > m.now-m.f.BudgetSpan && !(s.over && s.outcome == Moot) {
-					further++
-				}
-			}
+	for _, s := range m.sends {
+		if s.no > 0 && s.at > m.now-m.f.BudgetSpan && !(s.over && s.outcome == Moot) {
+			further++
 		}
 	}
 	for _, at := range m.taken {
@@ -297,8 +289,8 @@
 	f := Facts{
 		Seed: rapid.Uint64().Draw(t, "seed"), Gatherers: rapid.IntRange(1, 4).Draw(t, "gatherers"), Tick: 50,
 		Shards: rapid.IntRange(1, 12).Draw(t, "shards"), Cells: rapid.IntRange(1, 6).Draw(t, "cells"),
-		PartsPerCall: 1, MostHeld: 200, MostSubRequests: rapid.IntRange(1, 4).Draw(t, "most"),
-		MayCancel: rapid.Bool().Draw(t, "may cancel"), MayCopy: rapid.Bool().Draw(t, "may copy"),
+		MostSubRequests: rapid.IntRange(1, 4).Draw(t, "most"),
+		MayCancel:       rapid.Bool().Draw(t, "may cancel"), MayCopy: rapid.Bool().Draw(t, "may copy"),
 		ListOnRequest: rapid.Bool().Draw(t, "on request"), AskWithin: 100000,
 		DrainGrace: Time(rapid.IntRange(0, 10000).Draw(t, "grace")),
 		ColdShare:  0.2, ColdFor: 100000, FallMultiple: rapid.Float64Range(1, 4).Draw(t, "multiple"),
@@ -307,7 +299,7 @@
 	}
 	f.Reach = rapid.IntRange(1, f.Cells).Draw(t, "reach")
 	for _, effect := range []Effect{Idempotent, Tokened, NonIdempotent} {
-		q := QueryTypeFacts{Effect: effect, LatencyTarget: 10000, ClientTimeout: 25000, Window: 8000, Value: 1,
+		q := QueryTypeFacts{Effect: effect, LatencyTarget: 10000, ClientTimeout: 25000, Window: 8000,
 			LateValue: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late"), ShortValue: 0.9,
 			LeastShare: rapid.SampledFrom([]float64{0.5, 0.8, 1}).Draw(t, "least"), WholeAt: 1}
 		q.WholeAt = max(q.LeastShare, rapid.SampledFrom([]float64{0.75, 1}).Draw(t, "whole"))
@@ -384,35 +376,29 @@
 
 // settle ends one of the sub-requests out, or says again what is long over.
 func (w *world) settle(late bool) {
-	var e []SubRequestEnded
-	var sends []*ruledSend
-	for _, q := range w.searches {
-		for _, p := range q.parts {
-			for i, s := range p.sends {
-				if !s.over || late && i == 0 {
-					e = append(e, SubRequestEnded{Part: p.ID, Send: SendNo(i), Server: s.server, Elapsed: w.now - s.at})
-					sends = append(sends, s)
-				}
-			}
+	var some []*ruledSend
+	for _, s := range w.sends {
+		if !s.over || late && s.no == 0 {
+			some = append(some, s)
 		}
 	}
-	if len(e) == 0 {
+	if len(some) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(e)-1).Draw(w.t, "which")
-	outcomes := []Outcome{Answered, Answered, Answered, Answered, Errored, TurnedAway, TimedOut, ConnectFailed, Reset,
-		Cancelled, Moot}
-	e[i].Outcome = rapid.SampledFrom(outcomes).Draw(w.t, "outcome")
+	s := rapid.SampledFrom(some).Draw(w.t, "which")
+	outcomes := []Outcome{0, 0, 0, Answered, Errored, TurnedAway, TimedOut, ConnectFailed, Reset, Cancelled, Moot}
+	e := SubRequestEnded{Part: s.part, Send: s.no, Server: s.server, Elapsed: w.now - s.at,
+		Outcome: rapid.SampledFrom(outcomes).Draw(w.t, "outcome")}
 	if rapid.Bool().Draw(w.t, "reports") {
-		e[i].Report = &Report{Queue: rapid.Float64Range(-1, 40).Draw(w.t, "queue"), InFlight: 3}
+		e.Report = &Report{Queue: rapid.Float64Range(-1, 40).Draw(w.t, "queue"), InFlight: 3}
 	}
-	if !sends[i].over {
-		sends[i].over, sends[i].outcome = true, e[i].Outcome
-		if q, p := w.part(e[i].Part); e[i].Outcome == Answered && !q.ended && p.step == q.step {
+	if !s.over {
+		s.over, s.outcome = true, e.Outcome
+		if q, p := w.part(s.part); e.Outcome == Answered && !q.ended && p.step == q.step {
 			p.okay = true
 		}
 	}
-	w.event(e[i])
+	w.event(e)
 }
 
 // advance moves the clock, firing each timer in the first tick at or after its time.
--- a/brain/types.go
+++ b/brain/types.go
@@ -35,18 +35,14 @@
 type Facts struct {
 	Seed       uint64
 	Gatherers  int
-	Zone       ZoneNo
 	Tick       Time // shortest time between two events' moments
 	QueryTypes []QueryTypeFacts
 	Customers  []CustomerFacts
 
 	Cells, Reach, Shards int // shard s is held in cells (s + j) mod Cells, j from 0 to Reach - 1
-	PartsPerCall         int // sub-requests sent together to one server share calls of so many
 
-	MostHeld        int  // searches and parts that may be open together; 0 = no limit
 	MostSubRequests int  // for one part
 	MayCancel       bool // Cancel may be used
-	MayProbe        bool
 	MayCopy         bool // two sub-requests of a part may be out together
 	AdviseRetry     Time // the longest advice that clients follow; 0 = none is given
 	ListOnRequest   bool // the server list comes only when asked for
@@ -68,8 +64,7 @@
 	Effect        Effect
 	LatencyTarget Time
 	ClientTimeout Time
-	Window        Time // tokened: how long repeats are dropped
-	Value         float64
+	Window        Time    // tokened: how long repeats are dropped
 	LateValue     float64 // share of the value after the latency target
 	ShortValue    float64 // share of the value of an answer that is not whole
 	LeastShare    float64 // least share of parts, by weight, for an answer
--- a/internal/simwire/host.go
+++ b/internal/simwire/host.go
@@ -350,44 +350,48 @@
 
 // act hands one event to the module and writes its actions.
 func (h *host) act(in *instance, ev brain.Event) {
-	o := &h.out
 	for _, a := range in.g.Handle(h.now, ev) {
-		switch a := a.(type) {
-		case brain.Send:
-			o.begin(acTry, in.id)
-			o.u64(uint64(a.Part))
-			o.u32(uint32(a.Server))
-			o.f64(toMillis(a.Limit))
-		case brain.Cancel:
-			o.begin(acStopAttempt, in.id)
-			o.u64(uint64(a.Part))
-			o.u16(uint16(a.Send))
-		case brain.Answer:
-			o.begin(acAnswer, in.id)
-			o.u64(uint64(a.Search))
-			if a.Whole {
-				o.u8(1)
-			} else {
-				o.u8(0)
-			}
-		case brain.Shed:
-			o.begin(acTurnAway, in.id)
-			o.u64(uint64(a.Search))
-			o.f64(toMillis(a.RetryAfter))
-		case brain.Fail:
-			o.begin(acLose, in.id)
-			o.u64(uint64(a.Search))
-		case brain.Wake:
-			o.begin(acWake, in.id)
-			o.f64(toMillis(a.At))
-			o.u32(uint32(a.Timer))
-		case brain.Subscribe:
-			o.begin(acKeepInformed, in.id)
+		h.out.action(in.id, a)
+	}
+}
+
+// action writes one action as a record.
+func (o *reply) action(id uint32, a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		o.begin(acTry, id)
+		o.u64(uint64(a.Part))
+		o.u32(uint32(a.Server))
+		o.f64(toMillis(a.Limit))
+	case brain.Cancel:
+		o.begin(acStopAttempt, id)
+		o.u64(uint64(a.Part))
+		o.u16(uint16(a.Send))
+	case brain.Answer:
+		o.begin(acAnswer, id)
+		o.u64(uint64(a.Search))
+		if a.Whole {
 			o.u8(1)
-		case brain.Probe:
-			o.begin(acInspect, in.id)
-			o.u32(uint32(a.Server))
+		} else {
+			o.u8(0)
 		}
-		o.end()
+	case brain.Shed:
+		o.begin(acTurnAway, id)
+		o.u64(uint64(a.Search))
+		o.f64(toMillis(a.RetryAfter))
+	case brain.Fail:
+		o.begin(acLose, id)
+		o.u64(uint64(a.Search))
+	case brain.Wake:
+		o.begin(acWake, id)
+		o.f64(toMillis(a.At))
+		o.u32(uint32(a.Timer))
+	case brain.Subscribe:
+		o.begin(acKeepInformed, id)
+		o.u8(1)
+	case brain.Probe:
+		o.begin(acInspect, id)
+		o.u32(uint32(a.Server))
 	}
+	o.end()
 }
