--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,7 +35,7 @@
 	firstPause  = 500 * Millisecond  // how long a server is out at first
 	longestOut  = 4000 * Millisecond // the pause doubles up to this
 
-	coldSafety = 0.7 // of the rule's multiple: others may send more, or this gatherer before a restart
+	coldSafety = 0.6 // of the rule's multiple: others may send more, or this gatherer before a restart
 
 	copyShare = 0.2 // further sub-requests per search or part taken, where no budget is stated
 	copyFloor = 0.1 // of the budget left to copies when none succeeds, so that success can be seen
