--- a/brain/brain.go
+++ b/brain/brain.go
@@ -686,11 +686,8 @@
 	return float64(g.now-max(s.out[0].sentAt, s.heardAt)) / float64(s.out[0].predicted)
 }
 
-// silent tells that a server has been sent something long overdue and has said nothing since.
-func (g *Gatherer) silent(s *server) bool {
-	late := g.lateness(s)
-	return late > silentAfter*g.tail && s.heardAt < s.out[0].sentAt
-}
+// silent tells that something long overdue is out at a server that has said nothing for as long.
+func (g *Gatherer) silent(s *server) bool { return g.lateness(s) > silentAfter*g.tail }
 
 // warmth is the share of its capacity that a server has at least, by its age.
 func (g *Gatherer) warmth(s *server) float64 {
