--- a/brain/brain.go
+++ b/brain/brain.go
@@ -486,8 +486,8 @@
 			s.pause = firstPause
 		}
 	case TimedOut, Cancelled:
-		if s.heardAt < r.sentAt && late > 1 {
-			g.failed(s, hardFailure*min(1, late/(silentAfter*g.tail)))
+		if quiet := float64(g.now-max(r.sentAt, s.heardAt)) / float64(r.predicted); quiet > 1 {
+			g.failed(s, hardFailure*min(1, quiet/(silentAfter*g.tail)))
 		}
 	case Errored, TurnedAway, ConnectFailed, Reset:
 		// These come fast: their time is no latency of the server's and must not make it look quick.
