--- a/brain/brain.go
+++ b/brain/brain.go
@@ -486,7 +486,7 @@
 			s.pause = firstPause
 		}
 	case TimedOut, Cancelled:
-		if quiet := float64(g.now-max(r.sentAt, s.heardAt)) / float64(r.predicted); quiet > 1 {
+		if quiet := float64(g.now-max(r.sentAt, s.heardAt)) / float64(r.predicted); quiet > g.tail {
 			g.failed(s, hardFailure*min(1, quiet/(silentAfter*g.tail)))
 		}
 	case Errored, TurnedAway, ConnectFailed, Reset:
