--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -114,7 +114,6 @@
 	}
 }
 
-// check holds one action against the rules.
 func (m *rules) check(a Action) {
 	switch a := a.(type) {
 	case Send:
@@ -237,8 +236,7 @@
 	}
 }
 
-// checkCold takes the most that a warm server was sent in any window so far as what one can do. One send in a
-// window is no rush.
+// checkCold takes the most that a warm server was sent in any window so far as what one can do.
 func (m *rules) checkCold(s *ruledServer) {
 	load := func(s *ruledServer, span Time) (sum float64) {
 		for _, r := range s.sends {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -34,7 +34,6 @@
 	return b
 }
 
-// batch frames records at clock 240 ms.
 func batch(records ...[]byte) []byte {
 	var w reply
 	w.u32(0)
