--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -5,6 +5,7 @@
 package gatherer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -13,7 +14,10 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"strconv"
+	"strings"
+	"sync"
 
 	"oxbowspan/brain"
 	"oxbowspan/internal/discovery"
@@ -45,48 +49,61 @@
 	return s, nil
 }
 
-// Gatherer is one gatherer.
-type Gatherer struct {
-	setup  Setup
-	front  *front
-	module *module
-	d      facts.Deployment
-	known  discovery.List
-}
-
-// New checks a setup and makes a gatherer of it. It opens nothing.
-func New(s Setup) (*Gatherer, error) {
+// deployment checks a setup and reads its settings.
+func (s Setup) deployment() (d facts.Deployment, err error) {
 	if s.Listen == "" || s.Discovery == "" {
-		return nil, errors.New("an address is missing: listen and discovery are both needed")
+		return d, errors.New("an address is missing: listen and discovery are both needed")
+	}
+	if _, _, err := net.SplitHostPort(s.Discovery); err != nil {
+		return d, fmt.Errorf("discovery: %w", err)
 	}
 	seed := uint64(0)
 	if s.Seed != "" {
-		var err error
 		if seed, err = strconv.ParseUint(s.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed %.40q is not a hex number", s.Seed)
+			return d, fmt.Errorf("seed %.40q is not a hex number", s.Seed)
 		}
 	}
 	if len(s.Settings) == 0 {
-		return nil, errors.New("settings are missing")
+		return d, errors.New("settings are missing")
 	}
-	d, err := facts.FromJSON(s.Settings, seed)
-	if err != nil {
-		return nil, err
+	if d, err = facts.FromJSON(s.Settings, seed); err != nil {
+		return d, err
 	}
 	for i := range d.Facts.QueryTypes {
 		q := &d.Facts.QueryTypes[i]
 		if q.SecondStep > 0 {
-			return nil, fmt.Errorf("query type %q has a second step, which the protocol on sockets does not have", d.QueryTypes[i])
+			return d, fmt.Errorf("query type %q has a second step, which the protocol on sockets does not have", d.QueryTypes[i])
 		}
 		if q.Effect == brain.Tokened { // the protocol names no place in a frame for the token, so no server could tell a repeat
 			q.Effect = brain.NonIdempotent
 		}
 	}
 	if d.ConnectTimeout <= 0 {
-		return nil, errors.New("setting limits.dialTimeout is missing")
+		return d, errors.New("setting limits.dialTimeout is missing")
+	}
+	return d, nil
+}
+
+// Gatherer is one gatherer.
+type Gatherer struct {
+	mu     sync.Mutex
+	setup  Setup            // in force; discovery may change
+	list   *discovery.Actor // nil = Run has not begun, or is over
+	front  *front
+	module *module
+	d      facts.Deployment
+	known  discovery.List
+}
+
+// New checks a setup and makes a gatherer of it. It opens nothing.
+func New(s Setup) (*Gatherer, error) {
+	d, err := s.deployment()
+	if err != nil {
+		return nil, err
 	}
 	g := &Gatherer{setup: s, d: d}
 	if len(s.Known) > 0 && string(s.Known) != "null" {
+		var err error
 		if g.known, err = discovery.Parse(s.Known, g.fits); err != nil {
 			log.Printf("event=known_left_out error=%q", err) // the list will come from discovery
 		}
@@ -122,7 +139,10 @@
 	}
 	log.Printf("event=listening name=%s addr=%s", g.setup.Name, l.Addr())
 	m := g.module
+	g.mu.Lock()
 	m.list = discovery.Start(g.setup.Discovery, g.known.Seq, duration(g.d.ConnectTimeout), g.fits, m.mailbox, !g.d.Facts.ListOnRequest)
+	g.list = m.list
+	g.mu.Unlock()
 	stop := make(chan struct{})
 	m.takeList(brain.ListCached, g.known)
 	go m.run(stop)
@@ -130,6 +150,42 @@
 	err = g.front.serve(ctx, l, clients, duration(g.d.LongestTimeout))
 	close(stop)
 	<-m.ended
+	g.mu.Lock()
+	g.list = nil
+	g.mu.Unlock()
 	m.list.Stop()
 	return err
 }
+
+// Reload takes a setup that has been read anew, at any time and as often as one likes, while Run goes on. A changed
+// discovery address is watched at once. What else differs is named in the log, as it needs a restart; the list and
+// the seed are for a start alone. A setup that New would refuse changes nothing.
+func (g *Gatherer) Reload(s Setup) error {
+	if _, err := s.deployment(); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	moved := s.Discovery != g.setup.Discovery
+	if g.setup.Discovery = s.Discovery; moved && g.list != nil {
+		g.list.Move(s.Discovery)
+	}
+	var restart []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"name", s.Name == g.setup.Name}, {"listen", s.Listen == g.setup.Listen}, {"limits", s.Limits == g.setup.Limits},
+		{"settings", sameJSON(s.Settings, g.setup.Settings)}} {
+		if !f.same {
+			restart = append(restart, f.name)
+		}
+	}
+	log.Printf("event=reload discovery=%s moved=%t needs_restart=%s", s.Discovery, moved, cmp.Or(strings.Join(restart, ","), "none"))
+	return nil
+}
+
+// sameJSON tells whether two texts hold the same, whatever the order and the spaces.
+func sameJSON(a, b []byte) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
+}
--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -175,6 +176,55 @@
 	}
 }
 
+func TestReloadMovesToTheFilesDiscovery(t *testing.T) {
+	a, b := startShard(t, "s-a", nil), startShard(t, "s-b", nil)
+	was, is := startList(t, a), startList(t, b)
+	is.seq = 1 // it counts its versions in its own way
+	p := start(t, was, nil)
+	hup := func() { p.cmd.Process.Signal(syscall.SIGHUP) }
+	// A file that is missing, cut off or unfit leaves what is in force, and the next signal finds it mended.
+	for _, text := range []string{"", `{"listen":"127.0`, `{"listen":"127.0.0.1:0","discovery":"nowhere","settings":{}}`} {
+		if os.Remove(p.file); text != "" {
+			os.WriteFile(p.file, []byte(text), 0o600)
+		}
+		hup()
+		p.line("event=reload_failed")
+	}
+	p.setup.Limits.Sockets = 512
+	p.configure()
+	hup()
+	p.line("event=reload ", "moved=false", "needs_restart=limits")
+	if status, body, _ := p.ask("lookup", 0); status != 200 || body != wholeAnswer(0) {
+		t.Errorf("got %d %s", status, body)
+	}
+	p.setup.Discovery = is.addr
+	p.configure()
+	for range 20 {
+		hup()
+	}
+	p.line("event=reload ", "moved=true")
+	p.line("event=discovery_conn_end", "addr="+was.addr, "reason=moved")
+	if q := await(t, is.calls, func(string) bool { return true }); q != "/api/targets" {
+		t.Errorf("the new discovery is asked %s", q)
+	}
+	for end := time.Now().Add(patience); len(b.got) == 0 && time.Now().Before(end); {
+		p.ask("lookup", 0)
+	}
+	before := len(a.got)
+	was.change(a.entry()) // nobody listens any more
+	for range 5 {
+		p.ask("lookup", 0)
+	}
+	if len(a.got) != before {
+		t.Errorf("%d more parts went to the server that only the old discovery lists", len(a.got)-before)
+	}
+	hup()
+	p.term()
+	if err := p.ends(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
 func TestDiscoveryLostAndBack(t *testing.T) {
 	a, b := startShard(t, "s-a", nil), startShard(t, "s-b", nil)
 	l := startList(t, a)
--- a/gatherer/standin_test.go
+++ b/gatherer/standin_test.go
@@ -238,7 +238,9 @@
 			return
 		}
 		json.NewEncoder(w).Encode(now)
-		w.(http.Flusher).Flush()
+		if w.(http.Flusher).Flush(); r.URL.Query().Get("watch") == "" {
+			return
+		}
 		select {
 		case <-changed:
 		case <-r.Context().Done():
@@ -251,6 +253,8 @@
 type program struct {
 	t     *testing.T
 	cmd   *exec.Cmd
+	setup Setup // as its configuration file has it
+	file  string
 	addr  string
 	lines chan string // its log
 	exit  chan error
@@ -263,15 +267,10 @@
 	if edit != nil {
 		edit(&s)
 	}
-	raw, err := json.Marshal(s)
-	if err != nil {
-		t.Fatal(err)
-	}
 	config := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := &program{t: t, cmd: exec.Command(binary, "serve", "--config", config), lines: make(chan string, 100000), exit: make(chan error, 1)}
+	p := &program{t: t, setup: s, file: config, cmd: exec.Command(binary, "serve", "--config", config), lines: make(chan string, 100000), exit: make(chan error, 1)}
+	p.configure()
+	p.cmd.Env = append(os.Environ(), "PROXY_DISCOVERY="+l.addr) // as the platform gives it
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -301,6 +300,18 @@
 	}
 }
 
+// configure writes the configuration file.
+func (p *program) configure() {
+	p.t.Helper()
+	raw, err := json.Marshal(p.setup)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.file, raw, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // line waits for a log line that holds all the words.
 func (p *program) line(words ...string) string {
 	p.t.Helper()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,6 +2,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -97,18 +98,19 @@
 	if *config == "" {
 		return fail(errors.New("no configuration: give --config or set PROXY_CONFIG"))
 	}
-	setup, err := gatherer.Load(*config)
+	// A SIGHUP that comes before all is set up is heard once it is, and never ends the program.
+	reloads := make(chan os.Signal, 1)
+	if command == "serve" {
+		signal.Notify(reloads, syscall.SIGHUP)
+		defer signal.Stop(reloads)
+	}
+	file, err := gatherer.Load(*config)
 	if err != nil {
 		return fail(err)
 	}
-	for _, given := range []struct {
-		from string
-		to   *string
-	}{{*name, &setup.Name}, {*listen, &setup.Listen}, {*discovery, &setup.Discovery}} {
-		if given.from != "" {
-			*given.to = given.from
-		}
-	}
+	setup := file
+	setup.Name, setup.Listen = cmp.Or(*name, file.Name), cmp.Or(*listen, file.Listen)
+	setup.Discovery = cmp.Or(*discovery, file.Discovery)
 	g, err := gatherer.New(setup)
 	if err != nil {
 		return fail(err)
@@ -133,6 +135,26 @@
 		os.Exit(exitBad)
 	}()
 	log.Printf("event=start name=%s listen=%s discovery=%s version=%q", setup.Name, setup.Listen, setup.Discovery, version())
+	go func() {
+		for range reloads {
+			again, err := gatherer.Load(*config)
+			if err == nil {
+				// What the file newly says of discovery goes before the environment, though not before the flag.
+				next := again
+				next.Name, next.Listen = cmp.Or(*name, again.Name), cmp.Or(*listen, again.Listen)
+				if again.Discovery == "" || again.Discovery == file.Discovery || flags.Changed("discovery") {
+					next.Discovery = setup.Discovery
+				}
+				err = g.Reload(next)
+				if err == nil {
+					file, setup.Discovery = again, next.Discovery
+				}
+			}
+			if err != nil {
+				log.Printf("event=reload_failed error=%q", err)
+			}
+		}
+	}()
 	if err := g.Run(ctx); err != nil {
 		return fail(err)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -116,13 +117,17 @@
 	endReset   = "reset"
 	endConnect = "connect_failed"
 	endReplace = "replaced" // ours: a new watch was asked for
+	endMoved   = "moved"    // ours: discovery has another address now
+	endListed  = "listed"   // it told the whole list, asked for alone; a watch follows
 	endStopped = "stopped"  // ours: the program ends
 )
 
 // Actor is the list's actor.
 type Actor struct {
-	addr    string
-	seq     uint64 // the version held
+	target  atomic.Pointer[string] // the address in force
+	addr    string                 // that of the present watch
+	seq     uint64                 // the version held
+	whole   bool                   // what is held was told at another address: the whole list is asked for first
 	fits    func(Entry) error
 	sink    Sink
 	client  *http.Client
@@ -136,10 +141,12 @@
 // deployment has it whose list comes unasked.
 func Start(addr string, held uint64, connect time.Duration, fits func(Entry) error, sink Sink, keep bool) *Actor {
 	d := net.Dialer{Timeout: connect, KeepAlive: -1}
-	a := &Actor{addr: addr, seq: held, fits: fits, sink: sink, mailbox: make(chan struct{}, 1), keep: keep,
+	a := &Actor{seq: held, fits: fits, sink: sink, mailbox: make(chan struct{}, 1), keep: keep,
 		stop: make(chan struct{}), done: make(chan struct{}),
 		client: &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }, Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true,
 			DisableKeepAlives: true, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10}}}
+	a.addr = addr
+	a.target.Store(&addr)
 	if keep {
 		a.Subscribe()
 	}
@@ -147,6 +154,12 @@
 	return a
 }
 
+// Move says where discovery is from now on. The watch on the old address ends and one on the new begins at once.
+func (a *Actor) Move(addr string) {
+	a.target.Store(&addr)
+	a.Subscribe()
+}
+
 // Subscribe asks for a new watch. One asked for and not yet begun is not asked for twice.
 func (a *Actor) Subscribe() {
 	select {
@@ -181,9 +194,17 @@
 func (a *Actor) watch() (replaced bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if to := *a.target.Load(); to != a.addr {
+		// Another service may count its versions in its own way: what is held says nothing to it.
+		a.addr, a.seq, a.whole = to, 0, true
+	}
 	lines, began := make(chan []byte), time.Now()
 	ended := make(chan watchEnd, 1)
-	go func() { ended <- a.read(ctx, lines) }()
+	query := "?watch=1&after=" + strconv.FormatUint(a.seq, 10)
+	if a.whole {
+		query = ""
+	}
+	go func() { ended <- a.read(ctx, query, lines) }()
 	silence := time.NewTimer(silentFrom)
 	defer silence.Stop()
 	reason, detail, told := "", "", 0
@@ -199,16 +220,23 @@
 				reason, detail = endForm, err.Error()
 				break
 			}
-			a.seq = l.Seq
+			if a.whole && !l.Whole {
+				reason, detail = endForm, "changes to a list that was never told whole"
+				break
+			}
+			a.seq, a.whole = l.Seq, false
 			told++
 			a.sink.Listed(l)
 		case e := <-ended:
-			reason, detail = e.reason, e.detail
+			reason, detail, replaced = e.reason, e.detail, e.reason == endListed && !a.whole
 			ended <- e
 		case <-silence.C:
 			reason = endSilent
 		case <-a.mailbox:
 			reason, replaced = endReplace, true
+			if *a.target.Load() != a.addr {
+				reason = endMoved
+			}
 		case <-a.stop:
 			reason = endStopped
 		}
@@ -223,7 +251,7 @@
 	}
 	log.Printf("event=discovery_conn_end addr=%s reason=%s seq=%d told=%d age_ms=%d detail=%q", a.addr, reason, a.seq, told,
 		time.Since(began).Milliseconds(), detail)
-	if reason != endReplace && reason != endStopped {
+	if !replaced && reason != endStopped {
 		a.sink.ListFailed()
 	}
 	return replaced
@@ -231,9 +259,9 @@
 
 type watchEnd struct{ reason, detail string }
 
-// read calls discovery and passes on the lines of the answer.
-func (a *Actor) read(ctx context.Context, lines chan<- []byte) watchEnd {
-	url := "http://" + a.addr + "/api/targets?watch=1&after=" + strconv.FormatUint(a.seq, 10)
+// read calls discovery and passes on the lines of the answer, or all of it as one where no watch was asked for.
+func (a *Actor) read(ctx context.Context, query string, lines chan<- []byte) watchEnd {
+	url := "http://" + a.addr + "/api/targets" + query
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return watchEnd{endConnect, err.Error()}
@@ -251,6 +279,17 @@
 		return watchEnd{endStatus, res.Status}
 	}
 	r := bufio.NewReaderSize(res.Body, 4<<10)
+	if query == "" {
+		all, err := io.ReadAll(io.LimitReader(r, mostLine))
+		if err != nil {
+			return watchEnd{endReset, err.Error()}
+		}
+		select {
+		case lines <- all:
+		case <-ctx.Done():
+		}
+		return watchEnd{endListed, ""}
+	}
 	for {
 		line, err := readLine(r)
 		switch {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -83,6 +83,29 @@
 	}
 }
 
+// Changes alone say nothing to what another service listed: the whole is asked for before they are watched.
+func TestMovedWatchBeginsWithAWholeList(t *testing.T) {
+	asked := make(chan string, 10)
+	a, sink := watch(t, false, func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, `{"seq":8,"whole":true,"hosts":[]}`+"\n")
+	})
+	moved := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.String()
+		fmt.Fprintf(w, `{"seq":2,"whole":%t,"hosts":[%s]}`+"\n", r.URL.RawQuery == "", entry)
+	}))
+	t.Cleanup(moved.Close)
+	a.Move(strings.TrimPrefix(moved.URL, "http://"))
+	if l := take(t, sink.lists); l.Seq != 2 || !l.Whole || len(l.Hosts) != 1 {
+		t.Errorf("got %+v", l)
+	}
+	for _, want := range []string{"/api/targets", "/api/targets?watch=1&after=2"} {
+		if q := take(t, asked); q != want {
+			t.Errorf("asked %s, want %s", q, want)
+		}
+	}
+	take(t, sink.failed) // the last watch ended
+}
+
 // Where the list comes unasked, the actor keeps a watch by itself.
 func TestKeptWatchIsAskedForAgain(t *testing.T) {
 	_, sink := watch(t, true, func(w http.ResponseWriter, r *http.Request) {
