Spoilt answers fail their own part alone; unknown ids, noise and second copies end the connection

Causes: an answer under an id that was never asked for was taken for a late one (peer.go, came), so that its part waited; each part beside a spoilt answer counted as a reset, one of which takes a server out (peer.go, connEnded). Now the part that the answer names, else the oldest, has errored; the others are given up; what comes in one read is told at once, so that nothing new follows noise; a report that cannot be read is none. Ruled out: truncated values, none was seen.

--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -158,22 +158,19 @@
 	}
 }
 
-func TestLateAnswersAndUnknownIDsLeaveTheConnection(t *testing.T) {
+func TestAnswersThatComeTwiceAreUsedOnce(t *testing.T) {
 	a := startShard(t, "s-a", nil)
 	a.do = func(c *shardConn, part string) {
-		c.answer("00ff.1", "served", "for nobody")
 		c.answer(part, "served", "value of c41e77d0")
 		c.answer(part, "served", "again")
 	}
 	p := start(t, startList(t, a), nil)
-	for range 5 {
+	for range 20 {
 		if status, body, _ := p.ask("lookup", 0); status != 200 || body != wholeAnswer(0) {
 			t.Fatalf("got %d %s", status, body)
 		}
 	}
-	if conns, _ := a.counts(); conns != 1 {
-		t.Errorf("%d connections, want one", conns)
-	}
+	p.line("event=server_conn_end", "reason=bad_form")
 }
 
 func TestReloadMovesToTheFilesDiscovery(t *testing.T) {
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -2,6 +2,7 @@
 package frame
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"errors"
@@ -52,6 +53,17 @@
 // Whole is a frame made in one go.
 func Whole(letter byte, rest string) []byte { return End(append(Begin(nil, letter), rest...), 0) }
 
+// Buffered tells whether Read would return without waiting for more: a whole frame has come, or what came cannot
+// be one.
+func Buffered(r *bufio.Reader) bool {
+	if r.Buffered() < 4 {
+		return false
+	}
+	head, _ := r.Peek(4)
+	left := int64(binary.BigEndian.Uint32(head))
+	return left < 1 || left > MostIn || int64(r.Buffered()-4) >= left
+}
+
 // Read reads one frame into buf, growing it only as bytes really come. At a clean end it returns io.EOF.
 func Read(r io.Reader, buf []byte) (letter byte, rest, grown []byte, err error) {
 	buf = append(buf[:0], 0, 0, 0, 0)
@@ -97,17 +109,22 @@
 	End               Ending
 }
 
-// ParseAnswer reads the rest of an answer frame.
+// ParseAnswer reads the rest of an answer frame. With an error it still gives the id, where the line has one: the
+// part that it names has run.
 func ParseAnswer(rest []byte) (a Answered, err error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
-	words := bytes.Split(line, []byte{' '})
+	words := bytes.SplitN(line, []byte{' '}, 4)
+	a.ID = words[0]
 	if !ok || len(words) != 4 || len(words[0]) == 0 {
 		return a, &FormError{fmt.Sprintf("answer line %.60q is not 'ID END SCORE REPORT'", line)}
 	}
+	if _, err := strconv.ParseFloat(string(words[2]), 64); err != nil && string(words[2]) != "-" {
+		return a, &FormError{fmt.Sprintf("the score %.40q is no number", words[2])}
+	}
 	if !utf8.Valid(value) {
 		return a, &FormError{"the value is not text, and could not be passed on as it came"}
 	}
-	a = Answered{ID: words[0], Report: words[3], Value: value}
+	a.Report, a.Value = words[3], value
 	switch string(words[1]) {
 	case "served":
 		a.End = Served
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,10 +42,12 @@
 
 	parts           int // parts out on it
 	usedAt, heardAt brain.Time
-	silent          bool // a part was given up on it without a word since
-	leaving         bool // it gets no new parts and is closed when done
-	closed          bool
-	frames          int // frames that came
+	silent          bool   // a part was given up on it without a word since
+	leaving         string // why it gets no new parts and is closed when done; "" = it stays
+	closed, spoilt  bool
+	frames          int             // frames that came
+	past            [pastIDs]pastID // the last ids answered or given up on it
+	pasts, owed     int             // how many there have been; those given up and not answered since
 
 	mu      sync.Mutex
 	ready   sync.Cond
@@ -56,6 +59,15 @@
 	detail  string
 }
 
+type pastID struct {
+	id       string
+	answered bool
+}
+
+// pastIDs is how many ids that have ended a connection remembers, to tell an answer that crossed a give-up, or came
+// twice, from one that was never asked for: several times what it carries at once.
+const pastIDs = 256
+
 // News from the goroutines to the actor.
 type (
 	dialed struct {
@@ -63,9 +75,15 @@
 		addr string
 		err  error
 	}
+	// came is all that one read of a connection brought.
 	came struct {
-		c                 *conn
-		at                brain.Time
+		c      *conn
+		at     brain.Time
+		frames []inFrame
+		more   bool // bytes of a frame that is not whole yet
+		bad    error
+	}
+	inFrame struct {
 		letter            byte
 		id, report, value string
 		end               frame.Ending
@@ -160,44 +178,104 @@
 	}
 }
 
+// read passes on what comes. All that came at once is told at once, so that nothing new is sent on a connection
+// whose last answer brought noise with it.
 func (c *conn) read() {
 	r := bufio.NewReaderSize(c.c, 4<<10)
 	var buf []byte
+	n := came{c: c}
 	for {
+		if !frame.Buffered(r) {
+			if n.more = r.Buffered() > 0; n.more || len(n.frames) > 0 {
+				n.at = c.p.now()
+				c.p.news <- n
+				n = came{c: c}
+			}
+			if r.Buffered() == 0 {
+				if _, err := r.Peek(1); err != nil {
+					c.stop(brokenBy(err), err.Error())
+					return
+				}
+				continue
+			}
+		}
 		letter, rest, grown, err := frame.Read(r, buf)
 		buf = grown
-		if err != nil {
-			c.stop(brokenBy(err), err.Error())
-			return
+		f, badForm := inFrame{letter: letter}, frame.BadForm(err)
+		if err == nil {
+			f, err = parse(letter, rest)
+			badForm = frame.BadForm(err)
 		}
-		n := came{c: c, at: c.p.now(), letter: letter}
-		switch letter {
-		case frame.Answer:
-			a, err := frame.ParseAnswer(rest)
-			if err != nil {
-				c.stop(endForm, err.Error())
-				return
-			}
-			n.id, n.report, n.value, n.end = string(a.ID), string(a.Report), string(a.Value), a.End
-		case frame.Probe, frame.Load:
-			n.report = string(rest)
-			if n.report == "broke" {
-				n.end = frame.Broke
+		switch {
+		case badForm: // the actor ends it, with what the answer was for
+			n.at, n.bad = c.p.now(), err
+			n.frames = append(n.frames, f)
+			c.p.news <- n
+			return
+		case err != nil:
+			if len(n.frames) > 0 {
+				n.at = c.p.now()
+				c.p.news <- n
 			}
-			if letter == frame.Probe {
-				n.report = ""
+			why := brokenBy(err)
+			if letter == frame.Fault {
+				why = endFault
 			}
-		case frame.Fault:
-			c.stop(endFault, string(rest[:min(len(rest), 100)]))
-			return
-		default:
-			c.stop(endForm, "unknown letter "+strconv.QuoteRune(rune(letter)))
+			c.stop(why, err.Error())
 			return
 		}
-		c.p.news <- n
+		n.frames = append(n.frames, f)
 	}
 }
 
+// parse reads one frame. With an error of the form it gives the id that the frame names, if any.
+func parse(letter byte, rest []byte) (f inFrame, err error) {
+	f.letter = letter
+	switch letter {
+	case frame.Answer:
+		var a frame.Answered
+		a, err = frame.ParseAnswer(rest)
+		f.id, f.report, f.value, f.end = string(a.ID), string(a.Report), string(a.Value), a.End
+	case frame.Probe, frame.Load:
+		f.report = string(rest)
+		if f.report == "broke" {
+			f.end = frame.Broke
+		}
+		if letter == frame.Probe {
+			f.report = ""
+		}
+	case frame.Fault:
+		err = errors.New(string(rest[:min(len(rest), 100)]))
+	default:
+		err = &frame.FormError{What: "unknown letter " + strconv.QuoteRune(rune(letter))}
+	}
+	return f, err
+}
+
+// over notes that an id has ended on this connection.
+func (c *conn) over(id string, answered bool) {
+	c.past[c.pasts%pastIDs] = pastID{id, answered}
+	c.pasts++
+	if !answered {
+		c.owed++
+	}
+}
+
+// again takes an answer for an id that has ended here of late; false = there was none.
+func (c *conn) again(id string) bool {
+	at := slices.IndexFunc(c.past[:], func(p pastID) bool { return p.id == id && id != "" })
+	switch {
+	case at < 0:
+		return false
+	case c.past[at].answered: // it came twice: what is out may still be answered, but nothing new is trusted to it
+		c.leaving = endForm
+	default: // it was given up, an ordinary race
+		c.past[at].answered = true
+		c.owed--
+	}
+	return true
+}
+
 func brokenBy(err error) string {
 	switch {
 	case frame.BadForm(err):
@@ -227,8 +305,8 @@
 	}
 }
 
-func (c *conn) closeIfDone(why string) {
-	if c.leaving && c.parts == 0 {
-		c.close(why)
+func (c *conn) closeIfDone() {
+	if c.leaving != "" && c.parts == 0 {
+		c.close(c.leaving)
 	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,8 @@
 	"container/heap"
 	"log"
 	"net"
+	"slices"
+	"strconv"
 	"time"
 
 	"oxbowspan/brain"
@@ -239,8 +241,8 @@
 		if o.Since > c.openedAt {
 			c.close(endRestarted)
 		} else if o.Addr != p.addr {
-			c.leaving = true
-			c.closeIfDone(endMoved)
+			c.leaving = endMoved
+			c.closeIfDone()
 		}
 	}
 	p.addr = o.Addr
@@ -276,7 +278,7 @@
 // may be cut off, and only a new connection can tell.
 func (p *Peer) room(n int) *conn {
 	for _, c := range p.conns {
-		if !c.closed && !c.leaving && !c.silent && c.parts+n <= p.f.Streams {
+		if !c.closed && c.leaving == "" && !c.silent && c.parts+n <= p.f.Streams {
 			return c
 		}
 	}
@@ -325,13 +327,14 @@
 		o = brain.ConnectFailed
 	} else {
 		c.put(frame.Whole(frame.GiveUp, s.Wire))
+		c.over(s.Wire, false)
 		if c.heardAt <= s.SentAt {
 			p.silent(c)
 		}
 	}
 	s.call.drop(s)
 	p.end(s, o, nil, "")
-	c.closeIfDone(endMoved)
+	c.closeIfDone()
 }
 
 // silent marks a connection on which a part was given up without a word since it was sent. Past
@@ -416,7 +419,9 @@
 		c := newConn(p, n)
 		p.conns = append(p.conns, c)
 		p.running++
-		c.leaving = n.addr != p.addr
+		if n.addr != p.addr {
+			c.leaving = endMoved
+		}
 		p.place()
 	case came:
 		p.came(n)
@@ -425,45 +430,79 @@
 	}
 }
 
-// came takes one frame from a server.
+// came takes what a server sent.
 func (p *Peer) came(n came) {
 	c := n.c
 	c.heardAt, c.silent = n.at, false
-	c.frames++
-	if c.closed {
-		return
-	}
-	switch n.letter {
-	case frame.Answer:
-		// The oldest sub-request under this id on this connection; none = it was given up, an ordinary race.
-		s := p.find(c, n.id)
-		if s == nil {
-			break
+	c.frames += len(n.frames)
+	for i, f := range n.frames {
+		switch {
+		case c.closed:
+			return
+		case n.bad != nil && i == len(n.frames)-1:
+			p.spoilt(c, f.id, n.bad.Error(), i == 0)
+		case f.letter == frame.Answer:
+			p.answered(c, f, i == 0)
+		case len(p.probes) > 0 && slices.Contains(p.probes, c):
+			at := slices.Index(p.probes, c)
+			p.probes = slices.Delete(p.probes, at, at+1)
+			probed := brain.Probed{Server: p.id, Report: p.report(f.report)}
+			if f.end == frame.Broke {
+				probed.Outcome = brain.Errored
+			}
+			p.sink.Probed(probed)
+		default:
+			p.spoilt(c, "", "an answer to a probe that was never sent", false)
 		}
-		s.call.drop(s)
-		switch n.end {
-		case frame.Served:
-			p.end(s, brain.Answered, p.report(n.report), n.value)
-		case frame.Broke:
-			p.end(s, brain.Errored, p.report(n.report), "")
-		case frame.Skipped:
-			p.end(s, brain.TurnedAway, p.report(n.report), "")
+	}
+	if n.more && c.parts+c.owed == 0 && !slices.Contains(p.probes, c) {
+		p.spoilt(c, "", "bytes that answer nothing", false)
+	}
+	c.closeIfDone()
+	p.place()
+}
+
+func (p *Peer) answered(c *conn, f inFrame, first bool) {
+	s := p.find(c, f.id)
+	if s == nil {
+		if !c.again(f.id) {
+			p.spoilt(c, "", "an answer to an id that was never asked for: "+strconv.Quote(f.id[:min(len(f.id), 40)]), first)
 		}
-	case frame.Probe, frame.Load:
-		for i, other := range p.probes {
-			if other == c {
-				p.probes = append(p.probes[:i], p.probes[i+1:]...)
-				probed := brain.Probed{Server: p.id, Report: p.report(n.report)}
-				if n.end == frame.Broke {
-					probed.Outcome = brain.Errored
-				}
-				p.sink.Probed(probed)
-				break
+		return
+	}
+	s.call.drop(s)
+	c.over(s.Wire, true)
+	switch f.end {
+	case frame.Served:
+		p.end(s, brain.Answered, p.report(f.report), f.value)
+	case frame.Broke:
+		p.end(s, brain.Errored, p.report(f.report), "")
+	case frame.Skipped:
+		p.end(s, brain.TurnedAway, p.report(f.report), "")
+	}
+}
+
+// spoilt ends a connection on which came what cannot be an answer: whatever follows cannot be told apart. The part
+// named, or else the oldest unless a good answer came just before, was answered by it and has failed. The others are
+// given up: they may have run, but their loss says nothing of the server's health, as one spoilt answer would
+// otherwise count for as many failures as there were parts beside it.
+func (p *Peer) spoilt(c *conn, id, detail string, answer bool) {
+	hit := p.find(c, id)
+	if hit == nil && answer {
+		for _, s := range p.limits {
+			if s.call.conn == c && (hit == nil || s.SentAt < hit.SentAt) {
+				hit = s
 			}
 		}
 	}
-	c.closeIfDone(endMoved)
-	p.place()
+	if hit != nil {
+		hit.call.drop(hit)
+		p.end(hit, brain.Errored, nil, "")
+	}
+	if !c.closed {
+		c.closed, c.spoilt = true, true
+		c.stop(endForm, detail)
+	}
 }
 
 func (p *Peer) find(c *conn, wire string) (found *sub) {
@@ -475,18 +514,24 @@
 	return found
 }
 
-// report reads a load report; nil where none came.
+// mostLoad is beyond any count of parts that a server could hold: a figure past it is not one.
+const mostLoad = 1e6
+
+// report reads a load report; nil where none came, or none that can be read: the older one just ages.
 func (p *Peer) report(text string) *brain.Report {
 	if !p.f.Reports || text == "" || text == "-" {
 		return nil
 	}
 	r := &brain.Report{Queue: -1, InFlight: -1}
-	if v, ok := frame.Figure([]byte(text), "queue"); ok {
+	if v, ok := frame.Figure([]byte(text), "queue"); ok && 0 <= v && v < mostLoad {
 		r.Queue = v
 	}
-	if v, ok := frame.Figure([]byte(text), "inflight"); ok {
+	if v, ok := frame.Figure([]byte(text), "inflight"); ok && 0 <= v && v < mostLoad {
 		r.InFlight = v
 	}
+	if r.Queue < 0 && r.InFlight < 0 {
+		return nil
+	}
 	return r
 }
 
@@ -499,7 +544,9 @@
 		if s.call.conn == c {
 			o := brain.ConnectFailed
 			if s.call.no <= written {
-				o = brain.Reset
+				if o = brain.Reset; c.spoilt {
+					o = brain.Cancelled
+				}
 			}
 			p.end(s, o, nil, "")
 		}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -265,3 +265,53 @@
 	}
 	r.want(parts[0].ID, brain.Reset)
 }
+
+// What cannot be an answer fails the part it was for, and says nothing against the server by the parts beside it.
+func TestSpoiltAnswerFailsItsPartAlone(t *testing.T) {
+	for text, hit := range map[string]int{
+		string(frame.Whole(frame.Answer, "b.0 served? 5 -\nv")): 1, // names its part
+		string(frame.Whole(frame.Answer, "b.0 served")):         1,
+		string(frame.Whole(frame.Answer, "ff.0 served 5 -\nv")): 0, // asked of nobody: the oldest waits for it
+		string(frame.Whole('z', "b.0 served 5 -\nv")):           0,
+		"\xb2\xd0\x5e\x00a":          0, // 3 GB
+		"\xff\xff\xff\xfca.0 served": 0,
+	} {
+		r := newRig(t)
+		parts := r.call("a.0")
+		r.pass(1)
+		parts = append(parts, r.call("b.0")...)
+		c := take(t, r.dials)
+		for range 2 {
+			r.frame(c)
+		}
+		c.Write([]byte(text))
+		r.want(parts[hit].ID, brain.Errored)
+		r.want(parts[1-hit].ID, brain.Cancelled)
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("%q leaves a connection that gives %v", text, err)
+		}
+	}
+}
+
+// A good answer is used whatever follows it at once, and nothing new goes out on its connection.
+func TestMoreThanBelongsToAnAnswerEndsItsConnectionOnly(t *testing.T) {
+	answer := "a.0 served 5 queue=zz,inflight=1e300\nv"
+	for _, more := range []string{string(frame.Whole(frame.Answer, answer)), "\xde\xad", "\x00\x00\x00\x05zzzzz"} {
+		r := newRig(t)
+		parts := r.call("a.0")
+		c := take(t, r.dials)
+		r.frame(c)
+		c.Write(append(frame.Whole(frame.Answer, answer), more...))
+		if e := r.want(parts[0].ID, brain.Answered); e.Value != "v" || e.Report != nil {
+			t.Errorf("got %+v", e)
+		}
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("after %q the connection gives %v", more, err)
+		}
+		next := r.call("b.0")
+		d := take(t, r.dials)
+		r.frame(d)
+		d.Write(frame.Whole(frame.Answer, "b.0 served 5 -\nv"))
+		r.want(next[0].ID, brain.Answered)
+	}
+}
