--- a/gatherer/conns.go
+++ b/gatherer/conns.go
@@ -35,6 +35,7 @@
 	begun atomic.Bool // a byte has come
 
 	mu       sync.Mutex
+	framing  framing
 	why      string // set by whoever ends it here
 	readErr  error
 	aborted  bool // net/http breaks off its own reading by a limit long past
@@ -48,14 +49,32 @@
 	if n > 0 && !c.begun.Load() {
 		c.begun.Store(true)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.framing.take(b[:n])
 	if err != nil {
-		c.mu.Lock()
 		c.readErr = err
-		c.mu.Unlock()
 	}
 	return n, err
 }
 
+// doubtful tells whether the present request, or one before it, can be read in two ways.
+func (c *clientConn) doubtful() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.framing.doubt > 0 && c.requests >= c.framing.doubt
+}
+
+// readBy is when the present request must have come whole. The first counts from the connection's beginning.
+func (c *clientConn) readBy() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requests <= 1 {
+		return c.began.Add(readLimit)
+	}
+	return time.Now().Add(readLimit)
+}
+
 func (c *clientConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -107,8 +126,8 @@
 	return endBadRequest
 }
 
-// listener keeps the clients' share of the descriptors. At the limit the connection idle longest makes room;
-// where none is idle the newcomer is accepted all the same and its request shed, since one that waits in the
+// listener keeps the clients' share of the descriptors. At the limit one without an open search makes room, see
+// victim; where there is none the newcomer is accepted all the same and its request shed, since one that waits in the
 // backlog counts as taken. A little beyond that it waits for one to end.
 type listener struct {
 	net.Listener
@@ -138,26 +157,61 @@
 		return nil, err
 	}
 	c := &clientConn{Conn: raw, l: l, began: time.Now()}
-	var longest *clientConn
 	l.mu.Lock()
+	var other *clientConn
 	if len(l.conns) >= l.limit {
-		c.over = true
-		for other := range l.conns {
-			if since := other.idleSince(); !since.IsZero() && (longest == nil || since.Before(longest.idleSince())) {
-				longest = other
-			}
-		}
+		other = l.victim()
+		c.over = other == nil
 	}
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
-	if longest != nil {
-		c.over = false
-		longest.because(endMadeRoom)
-		longest.Close()
+	if other != nil {
+		other.because(endMadeRoom)
+		other.Close()
 	}
 	return c, nil
 }
 
+// victim is the connection that can best be spared: of those idle for idleLong, which may have asked for the last
+// time, the one idle longest; else the oldest that has let half the read limit go by without a whole first head; else
+// the one idle longest, as its client can ask again on another; else the oldest stranger, so that strangers by the
+// hundred push out one another and not who asks at once. nil = all have an open request.
+func (l *listener) victim() *clientConn {
+	var found *clientConn
+	var rank int
+	var since time.Time
+	now := time.Now()
+	for c := range l.conns {
+		r, s := 0, c.idleSince()
+		switch {
+		case !s.IsZero() && now.Sub(s) >= idleLong:
+			r = 4
+		case !s.IsZero():
+			r = 2
+		case c.asked():
+		case now.Sub(c.began) >= readLimit/2:
+			r, s = 3, c.began
+		default:
+			r, s = 1, c.began
+		}
+		if r > rank || r == rank && r > 0 && s.Before(since) {
+			found, rank, since = c, r, s
+		}
+	}
+	return found
+}
+
+// asked tells whether a whole head has come on it.
+func (c *clientConn) asked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests > 0
+}
+
+// idleLong is how long a connection may be kept without an open request before it may be closed, says the protocol's
+// later page.
+const idleLong = 2 * time.Second
+
 func (l *listener) Close() error {
 	l.mu.Lock()
 	l.over = true
--- a/gatherer/front.go
+++ b/gatherer/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -14,25 +15,37 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"oxbowspan/brain"
+)
+
+// mostBody is the most that a request's body may have, mostHead its head.
+const (
+	mostBody = 64 << 10
+	mostHead = 16 << 10
 )
 
-// mostBody is the most that a request's body may have.
-const mostBody = 64 << 10
+// readLimit is what a request may take to come whole, the first one from its connection's beginning: whoever has not
+// sent one within 3 s is owed an answer or a close.
+const readLimit = 2 * time.Second
 
 // front is the HTTP side: it reads requests whole, answers what is no search, and hands searches to the reverse
 // proxy, whose transport asks the module.
 type front struct {
 	proxy    *httputil.ReverseProxy
 	known    func(queryType string) bool
-	limit    time.Duration // for a request to come whole
+	longest  time.Duration // client timeout
+	advice   brain.Time    // to clients that are shed here; 0 = none
+	bodies   int64         // bytes of bodies that may be held at once
+	held     atomic.Int64  // bytes of them that are
 	listed   atomic.Bool   // a list with a server is held
 	draining atomic.Bool
 }
 
 type connKey struct{}
 
-func newFront(t *transport, limit time.Duration) *front {
-	f := &front{limit: limit, known: t.known}
+func newFront(t *transport, longest time.Duration, bodies int64) *front {
+	f := &front{longest: longest, bodies: bodies, known: t.known, advice: t.d.Facts.AdviseRetry}
 	f.proxy = &httputil.ReverseProxy{
 		Transport: t,
 		Rewrite:   func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: r.In.Host}) },
@@ -64,6 +77,14 @@
 			c.because(why)
 		}
 	}
+	// The limit stands also where an answer goes out before the body is in, which net/http then reads to its end.
+	by := time.Now().Add(readLimit)
+	if c != nil {
+		by = c.readBy()
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(by); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		panic(http.ErrAbortHandler)
+	}
 	if f.draining.Load() {
 		end(endToldClose)
 	} else if r.Close && c != nil {
@@ -87,22 +108,39 @@
 		http.Error(w, "a search is a POST", http.StatusMethodNotAllowed)
 		return
 	}
-	b, err := f.read(w, r)
+	size := cmp.Or(max(r.ContentLength, 0), mostBody)
+	switch {
+	case c != nil && c.doubtful():
+		end(endBadRequest)
+		http.Error(w, "the request's length can be read in two ways", http.StatusBadRequest)
+		return
+	case size > mostBody:
+		f.tooLong(w, end)
+		return
+	case c != nil && c.over:
+		end(endOverLimit)
+		advise(w.Header(), f.advice)
+		http.Error(w, "too many connections, asking again is harmless", http.StatusServiceUnavailable)
+		return
+	case f.held.Add(size) > f.bodies:
+		f.held.Add(-size)
+		end(endOverLimit)
+		advise(w.Header(), f.advice)
+		http.Error(w, "too much is held, asking again is harmless", http.StatusServiceUnavailable)
+		return
+	}
+	defer f.held.Add(-size)
+	b, err := read(w, r)
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
-		end(endToldClose)
-		http.Error(w, "the body is over 64 KiB", http.StatusRequestEntityTooLarge)
+		f.tooLong(w, end)
 		return
 	case err != nil: // not whole in time, broken off or not HTTP: no request was taken
 		if c != nil && errors.Is(err, io.ErrUnexpectedEOF) {
 			c.because(endLeft)
 		}
 		panic(http.ErrAbortHandler)
-	case c != nil && c.over:
-		end(endOverLimit)
-		http.Error(w, "too many connections, asking again is harmless", http.StatusServiceUnavailable)
-		return
 	}
 	r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(b)), int64(len(b))
 	defer func() {
@@ -113,14 +151,19 @@
 	f.proxy.ServeHTTP(w, r)
 }
 
-// read reads a body to its end within the read limit. From then on net/http watches, without that limit, for the
-// client's leaving.
-func (f *front) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(f.limit))
-	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return nil, err
+func (f *front) tooLong(w http.ResponseWriter, end func(string)) {
+	end(endToldClose)
+	http.Error(w, "the body is over 64 KiB", http.StatusRequestEntityTooLarge)
+}
+
+// read reads a body to its end. From then on net/http watches, without the read limit, for the client's leaving.
+func read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	var b bytes.Buffer
+	if r.ContentLength > 0 {
+		b.Grow(int(r.ContentLength) + bytes.MinRead)
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
+	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, mostBody))
+	return b.Bytes(), err
 }
 
 func (f *front) state(w http.ResponseWriter, r *http.Request, good bool) {
@@ -140,9 +183,9 @@
 // they keep coming, kept ones told to close, and at last all that is open finished, for at most so long.
 func (f *front) serve(ctx context.Context, nl net.Listener, share int, longest time.Duration) error {
 	l := newListener(nl, share)
-	// The write limit covers all three: a request may take the read limit to come, the longest client timeout, which
-	// is as long, to be answered, and its answer as long again to be read.
-	srv := &http.Server{Handler: f, ReadHeaderTimeout: f.limit, WriteTimeout: 3 * f.limit, MaxHeaderBytes: 16 << 10,
+	// The write limit covers all three: a request may take the read limit to come, the longest client timeout to be
+	// answered, and its answer as long again to be read.
+	srv := &http.Server{Handler: f, ReadHeaderTimeout: readLimit, WriteTimeout: readLimit + 2*f.longest, MaxHeaderBytes: mostHead,
 		ConnState: l.state, ErrorLog: log.New(httpLog{}, "", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	failed := make(chan error, 1)
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -113,9 +113,9 @@
 	g.module = &module{mailbox: box, d: d, clock: newClock(), brain: brain.New(d.Facts), budget: newDescriptors(servers),
 		figures: peer.Figures{ConnectTimeout: d.ConnectTimeout, IdleClose: d.IdleClose, Streams: d.Streams,
 			PartsPerCall: d.PartsPerCall, LoadProbes: d.ReportsByProbe, Reports: len(d.Reports) > 0},
-		searches: map[brain.SearchID]*search{}, parts: map[brain.PartID]*part{},
+		searches: map[brain.SearchID]*search{}, parts: map[brain.PartID]*part{}, wires: map[string]int{},
 		servers: map[brain.ServerID]*server{}, ids: map[string]brain.ServerID{}, ended: make(chan struct{})}
-	g.front = newFront(newTransport(d, box), duration(d.LongestTimeout))
+	g.front = newFront(newTransport(d, box), duration(d.LongestTimeout), s.Limits.bodies())
 	g.module.listed = func() { g.front.listed.Store(true) }
 	return g, nil
 }
--- a/gatherer/limits.go
+++ b/gatherer/limits.go
@@ -32,6 +32,15 @@
 	return left - servers, servers
 }
 
+// bodies is how many bytes of request bodies may be held at once: an eighth of the memory, as each is there a second
+// time in parts and text, and heaps grow by more than what is live.
+func (l Limits) bodies() int64 {
+	if l.MemoryMB <= 0 {
+		return math.MaxInt64 / 2
+	}
+	return max(int64(l.MemoryMB*(1<<20))/8, 2*mostBody)
+}
+
 // Apply sets the Go runtime to the limits; it is for a program, not for an embedder's process.
 func (l Limits) Apply() {
 	if l.Cores > 0 {
--- a/gatherer/module.go
+++ b/gatherer/module.go
@@ -61,6 +61,7 @@
 	replyAnswer replyKind = iota
 	replyShed
 	replyFail
+	replyTaken // its id is another's
 )
 
 type value struct {
@@ -82,6 +83,7 @@
 
 	searches map[brain.SearchID]*search // emptied by the final answer or the client's leaving
 	parts    map[brain.PartID]*part     // emptied when the search is over and nothing is out
+	wires    map[string]int             // parts not forgotten, by their search's id on the wire; emptied with them
 	held     int                        // searches and parts that are not over
 	lastID   uint64                     // of searches and parts
 	lastNo   brain.SearchNo
@@ -278,8 +280,11 @@
 
 // forget drops a part that nothing is owed for any more.
 func (m *module) forget(p *part) {
-	if p.s.over && p.out == 0 {
+	if _, held := m.parts[p.id]; held && p.s.over && p.out == 0 {
 		delete(m.parts, p.id)
+		if m.wires[p.s.wire]--; m.wires[p.s.wire] == 0 {
+			delete(m.wires, p.s.wire)
+		}
 	}
 }
 
@@ -297,6 +302,12 @@
 		s.reply <- reply{kind: replyShed, retryAfter: m.d.Facts.AdviseRetry}
 		return
 	}
+	if m.wires[s.wire] > 0 { // answers to its parts could not be told from those to the other's
+		s.over = true
+		s.reply <- reply{kind: replyTaken}
+		return
+	}
+	m.wires[s.wire] = len(s.asked)
 	m.held += 1 + len(s.asked)
 	m.lastID++
 	s.id = brain.SearchID(m.lastID)
--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -344,6 +345,120 @@
 	}
 }
 
+// What other servers might read as a second request is never taken for one, nor is the first.
+func TestRequestsOfTwoLengthsAreRefused(t *testing.T) {
+	a := startShard(t, "s-a", nil)
+	p := start(t, startList(t, a), nil)
+	text := `{"tablets":[{"tablet":0,"fraction":1}],"statement":"c41e77d0"}`
+	search := func(proto, fields, body string) string {
+		_, id := newSearch(context.Background(), p.addr, "lookup", 0)
+		return "POST /lookup " + proto + "\r\nHost: x\r\nReq-Id: " + id + "\r\nReq-Kind: lookup\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 1500\r\n" +
+			fields + "\r\n" + body
+	}
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(text))
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	good := search("HTTP/1.1", length, text) + search("HTTP/1.1", "Transfer-Encoding: chunked\r\n", chunks)
+	for _, bad := range []string{
+		search("HTTP/1.1", length+"Transfer-Encoding: chunked\r\n", chunks),
+		search("HTTP/1.1", "Transfer-Encoding:\tChunked\r\ncontent-length: 5\r\n", chunks),
+		search("HTTP/1.1", length+length, text),
+		search("HTTP/1.1", length+"X: y\r\n z\r\n", text),
+		search("HTTP/1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n", chunks),
+	} {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		io.WriteString(c, good+bad+good)
+		b, err := io.ReadAll(c)
+		if n := strings.Count(string(b), " 200 OK\r\n"); err != nil && !errors.Is(err, syscall.ECONNRESET) || n != 2 ||
+			strings.Count(string(b), "HTTP/1.1 400 ")+strings.Count(string(b), "HTTP/1.0 400 ") != 1 {
+			t.Errorf("%q got %q, %v", bad, b, err)
+		}
+	}
+	if n := len(a.got); n != 10 {
+		t.Errorf("%d parts reached the server, want those of the ten good searches", n)
+	}
+}
+
+// Answers to the parts of two searches with one id could not be told apart.
+func TestAnOpenSearchsIDIsRefused(t *testing.T) {
+	hold := make(chan struct{})
+	a := startShard(t, "s-a", func(c *shardConn, part string) {
+		go func() {
+			<-hold
+			c.answer(part, "served", "value of c41e77d0")
+		}()
+	})
+	p := start(t, startList(t, a), nil)
+	r, id := newSearch(context.Background(), p.addr, "lookup", 0)
+	first := make(chan int, 1)
+	go func() {
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		res.Body.Close()
+		first <- res.StatusCode
+	}()
+	await(t, a.got, func(string) bool { return true })
+	again := func() int {
+		r, _ := newSearch(context.Background(), p.addr, "lookup", 0)
+		r.Header.Set("Req-Id", id)
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		return res.StatusCode
+	}
+	if status := again(); status != http.StatusBadRequest {
+		t.Errorf("a second search under an open one's id got %d", status)
+	}
+	close(hold)
+	if status := <-first; status != http.StatusOK {
+		t.Errorf("the first got %d", status)
+	}
+	if status := again(); status != http.StatusOK {
+		t.Errorf("once that is over, it got %d", status)
+	}
+}
+
+// Strangers that say nothing hold no usual client up, and are closed within what they are owed.
+func TestSilentStrangersMakeRoom(t *testing.T) {
+	a := startShard(t, "s-a", nil)
+	p := start(t, startList(t, a), func(s *Setup) { s.Limits.Sockets = 64 })
+	began := time.Now()
+	var strangers []net.Conn
+	for i := range 100 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if strangers = append(strangers, c); i%2 == 0 {
+			io.WriteString(c, "POST /lookup HTT")
+		}
+	}
+	for range 10 {
+		if status, body, _ := p.ask("lookup", 0); status != 200 || body != wholeAnswer(0) {
+			t.Errorf("a usual client got %d %s", status, body)
+		}
+	}
+	if took := time.Since(began); took > readLimit/2 {
+		t.Errorf("it waited %v", took)
+	}
+	for _, c := range strangers {
+		c.SetReadDeadline(began.Add(3 * time.Second))
+		if _, err := io.ReadAll(c); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("a stranger is still there after 3 s")
+		}
+	}
+}
+
 func TestBadInputIsToldPlainly(t *testing.T) {
 	a := startShard(t, "s-a", nil)
 	p := start(t, startList(t, a), nil)
@@ -366,6 +481,11 @@
 		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":-1}`)},
 		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":1e999}`)},
 		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":1,"guess":-5}`)},
+		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":1.5}`)},
+		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":0.5},{"tablet":1,"fraction":0.4}`)},
+		{400, "POST", "/lookup", "", `{"tablets":[{"tablet":0,"fraction":1}]}`},
+		{400, "POST", "/lookup", "", `{"tablets":[{"tablet":0,"fraction":1}],"statement":7}`},
+		{400, "POST", "/lookup", "", parts(`{"tablet":0,"fraction":1}`)[:40] + "\xff" + `"}`},
 		{400, "POST", "/lookup", "Req-Deadline-Ms: 0", parts(`{"tablet":0,"fraction":1}`)},
 		{400, "POST", "/lookup", "Req-Deadline-Ms: soon", parts(`{"tablet":0,"fraction":1}`)},
 		{400, "POST", "/lookup", "Req-Id: ", parts(`{"tablet":0,"fraction":1}`)},
@@ -425,7 +545,6 @@
 func TestMoreClientsThanFit(t *testing.T) {
 	p := start(t, startList(t, startShard(t, "s-a", nil)), func(s *Setup) {
 		s.Limits.Sockets = 64
-		s.Settings = json.RawMessage(strings.ReplaceAll(testSettings, `"hardLimit":2000.0`, `"hardLimit":60000`)) // and so the read limit
 	})
 	clients, servers := Limits{Sockets: 64}.split()
 	var conns []net.Conn
@@ -444,7 +563,11 @@
 	}()
 	// Requests half sent fill the share; whoever comes then is shed, not kept waiting, and the servers' share stays.
 	for range clients - max(clients/8, 1) {
-		fmt.Fprintf(dial(), "POST /lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{")
+		c := dial()
+		fmt.Fprintf(c, "POST /lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\nExpect: 100-continue\r\n\r\n")
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusContinue {
+			t.Fatalf("got %v, %v", res, err)
+		}
 	}
 	for range 3 {
 		c := dial()
@@ -629,11 +752,11 @@
 		t.Fatal(err)
 	}
 	box := mailbox{make(chan any, 1), make(chan struct{})}
-	srv := httptest.NewServer(newFront(newTransport(d, box), 50*time.Millisecond))
+	srv := httptest.NewServer(newFront(newTransport(d, box), time.Second, mostBody))
 	defer srv.Close()
 	go func() {
 		s := (<-box.c).(searchCame).s
-		time.AfterFunc(200*time.Millisecond, func() { s.reply <- reply{kind: replyShed, retryAfter: 2500} })
+		time.AfterFunc(readLimit+readLimit/8, func() { s.reply <- reply{kind: replyShed, retryAfter: 2500} })
 	}()
 	r, _ := newSearch(context.Background(), srv.Listener.Addr().String(), "lookup", 0)
 	res, err := http.DefaultClient.Do(r)
@@ -680,7 +803,7 @@
 	ours, theirs := net.Pipe() // it holds nothing: a write waits for its reader
 	l := make(pipeListener, 1)
 	l <- theirs
-	f := newFront(newTransport(facts.Deployment{}, mailbox{}), 50*time.Millisecond)
+	f := newFront(newTransport(facts.Deployment{}, mailbox{}), 50*time.Millisecond, mostBody)
 	go f.serve(context.Background(), l, 8, time.Second)
 	if _, err := io.WriteString(ours, "GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
--- a/gatherer/roundtrip.go
+++ b/gatherer/roundtrip.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"oxbowspan/brain"
 	"oxbowspan/internal/facts"
@@ -101,6 +102,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("the body could not be read")
 	}
+	if !utf8.Valid(raw) {
+		return nil, fmt.Errorf("the body is not UTF-8")
+	}
 	var b body
 	if err := json.Unmarshal(raw, &b); err != nil {
 		return nil, fmt.Errorf("the body is not the JSON form: %.100s", err)
@@ -108,31 +112,45 @@
 	if len(b.Parts) == 0 {
 		return nil, fmt.Errorf("tablets names no part")
 	}
-	if len(b.Text) > 0 && b.Text[0] == '"' {
-		if s.text, err = unquote(b.Text); err != nil {
-			return nil, fmt.Errorf("statement is not a JSON string")
-		}
-	} else {
-		s.text = bytes.Clone(b.Text)
+	if len(b.Text) < 2 || b.Text[0] != '"' {
+		return nil, fmt.Errorf("statement is missing or not a JSON string")
+	}
+	if s.text, err = unquote(b.Text); err != nil {
+		return nil, fmt.Errorf("statement is not a JSON string")
 	}
-	seen := map[int64]bool{}
+	sum, seen := 0.0, map[int64]bool{}
 	for _, p := range b.Parts {
 		switch {
 		case p.Shard == nil || *p.Shard < 0 || *p.Shard >= int64(t.d.Facts.Shards):
 			return nil, fmt.Errorf("a tablet is missing or out of range, 0 to %d are known", t.d.Facts.Shards-1)
 		case seen[*p.Shard]:
 			return nil, fmt.Errorf("tablet %d is named twice", *p.Shard)
-		case p.Weight == nil || !(*p.Weight >= 0) || math.IsInf(*p.Weight, 0):
-			return nil, fmt.Errorf("the fraction of tablet %d is missing or below 0", *p.Shard)
+		case p.Weight == nil || !(0 <= *p.Weight && *p.Weight <= 1+sumSlack):
+			return nil, fmt.Errorf("the fraction of tablet %d is missing or not from 0 to 1", *p.Shard)
 		case p.Guess < 0 || math.IsInf(p.Guess, 0):
 			return nil, fmt.Errorf("the guess of tablet %d is below 0", *p.Shard)
 		}
 		seen[*p.Shard] = true
+		sum += *p.Weight
 		s.asked = append(s.asked, asked{brain.ShardNo(*p.Shard), *p.Weight, p.Guess / 1000})
 	}
+	if math.Abs(sum-1) > sumSlack {
+		return nil, fmt.Errorf("the fractions add up to %.6g, not to 1", sum)
+	}
 	return s, nil
 }
 
+// sumSlack is how far from 1 rounding may bring a sum of weights: ten times what the rule on answers lets it fall
+// short.
+const sumSlack = 1e-3
+
+// advise tells a client that was shed when to come back, where that is known.
+func advise(h http.Header, after brain.Time) {
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(facts.ToMillis(after)/1000, 'f', -1, 64))
+	}
+}
+
 func hexID(id string) bool {
 	for _, c := range []byte(id) {
 		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f' || 'A' <= c && c <= 'F') {
@@ -156,10 +174,10 @@
 	switch a.kind {
 	case replyShed:
 		res := plain(r, http.StatusServiceUnavailable, "the search cannot be answered now, asking again is harmless")
-		if a.retryAfter > 0 {
-			res.Header.Set("Retry-After", strconv.FormatFloat(facts.ToMillis(a.retryAfter)/1000, 'f', -1, 64))
-		}
+		advise(res.Header, a.retryAfter)
 		return res
+	case replyTaken:
+		return plain(r, http.StatusBadRequest, "Req-Id is that of another search, which is still open")
 	case replyFail:
 		return plain(r, http.StatusGatewayTimeout, "the search could not be answered in time")
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -45,6 +45,7 @@
 	silent          bool   // a part was given up on it without a word since
 	leaving         string // why it gets no new parts and is closed when done; "" = it stays
 	closed, spoilt  bool
+	halfAt          brain.Time      // since when a frame on it is not whole; 0 = none is
 	frames          int             // frames that came
 	past            [pastIDs]pastID // the last ids answered or given up on it
 	pasts, owed     int             // how many there have been; those given up and not answered since
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -187,6 +187,9 @@
 		if c.parts == 0 {
 			next = min(next, c.usedAt+p.idleFor())
 		}
+		if c.halfAt > 0 && !c.closed {
+			next = min(next, c.halfAt+p.f.ConnectTimeout)
+		}
 	}
 	return max(0, time.Duration(next-p.now())*tick)
 }
@@ -275,10 +278,10 @@
 }
 
 // room finds a connection that can carry so many more parts. One that has gone silent gets none: its server
-// may be cut off, and only a new connection can tell.
+// may be cut off, and only a new connection can tell. Nor does one whose present frame is not whole: it may never be.
 func (p *Peer) room(n int) *conn {
 	for _, c := range p.conns {
-		if !c.closed && c.leaving == "" && !c.silent && c.parts+n <= p.f.Streams {
+		if !c.closed && c.leaving == "" && !c.silent && c.halfAt == 0 && c.parts+n <= p.f.Streams {
 			return c
 		}
 	}
@@ -388,6 +391,9 @@
 		if c.parts == 0 && now >= c.usedAt+p.idleFor() {
 			c.close(endIdle)
 		}
+		if c.halfAt > 0 && !c.closed && now >= c.halfAt+p.f.ConnectTimeout {
+			p.spoilt(c, "", "a frame that does not end", true)
+		}
 	}
 }
 
@@ -455,6 +461,9 @@
 			p.spoilt(c, "", "an answer to a probe that was never sent", false)
 		}
 	}
+	if c.halfAt = 0; n.more {
+		c.halfAt = n.at
+	}
 	if n.more && c.parts+c.owed == 0 && !slices.Contains(p.probes, c) {
 		p.spoilt(c, "", "bytes that answer nothing", false)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -315,3 +315,20 @@
 		r.want(next[0].ID, brain.Answered)
 	}
 }
+
+// A frame that never ends costs its part a connect timeout, and nothing new is sent behind it.
+func TestFrameThatDoesNotEnd(t *testing.T) {
+	r := newRig(t)
+	parts := r.call("a.0", "a.1")
+	c := take(t, r.dials)
+	r.frame(c)
+	c.Write(append(frame.Whole(frame.Answer, "a.0 served 5 -\nv"), "\x00\x00\x10\x00aa.1 served 5 -\nv"...))
+	r.want(parts[0].ID, brain.Answered)
+	next := r.call("b.0")
+	r.frame(take(t, r.dials)) // on another connection
+	r.pass(2500)
+	r.cancel(Part{}) // wakes the actor
+	r.want(parts[1].ID, brain.Errored)
+	r.cancel(next[0])
+	r.want(next[0].ID, brain.Cancelled)
+}
