--- a/brain/brain.go
+++ b/brain/brain.go
@@ -70,6 +70,7 @@
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
 	free, perItem, copies   float64 // budget of further sub-requests, per search or part; copies' part of it
+	callCost                float64 // work in each size: nearly every part is a call of its own
 
 	now     Time
 	acts    []Action
@@ -165,7 +166,8 @@
 		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
 		listPause: max(f.AskWithin/2, firstPause), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
 		onRequest: f.ListOnRequest, coldFor: f.ColdFor, fallWithin: f.FallWithin, coldShare: f.ColdShare,
-		coldMultiple: coldSafety * max(f.FallMultiple, 1), free: f.BudgetFree, perItem: f.BudgetShare, copies: 1,
+		coldMultiple: coldSafety * max(f.FallMultiple, 1), callCost: f.CallCost,
+		free: f.BudgetFree, perItem: f.BudgetShare, copies: 1,
 		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
 		nextAsk: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
@@ -265,7 +267,7 @@
 func (g *Gatherer) fanOut(q *search, parts []Part) {
 	g.taken.add(g.now, float64(len(parts)))
 	for _, p := range parts {
-		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1)}
+		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1) + g.callCost}
 		g.size += (own.size - g.size) * slowWeight
 		q.parts = append(q.parts, own)
 	}
--- a/brain/types.go
+++ b/brain/types.go
@@ -41,12 +41,13 @@
 
 	Cells, Reach, Shards int // shard s is held in cells (s + j) mod Cells, j from 0 to Reach - 1
 
-	MostSubRequests int  // for one part
-	MayCancel       bool // Cancel may be used
-	MayCopy         bool // two sub-requests of a part may be out together
-	AdviseRetry     Time // the longest advice that clients follow; 0 = none is given
-	ListOnRequest   bool // the server list comes only when asked for
-	AskWithin       Time // how long the list may go unasked before its news counts as told
+	CallCost        float64 // work in milliseconds that a call costs its server beside its parts'
+	MostSubRequests int     // for one part
+	MayCancel       bool    // Cancel may be used
+	MayCopy         bool    // two sub-requests of a part may be out together
+	AdviseRetry     Time    // the longest advice that clients follow; 0 = none is given
+	ListOnRequest   bool    // the server list comes only when asked for
+	AskWithin       Time    // how long the list may go unasked before its news counts as told
 	DrainGrace      Time
 	ColdShare       float64 // a server starts with this share of its capacity, or more
 	ColdFor         Time    // and is warm after this
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -161,6 +161,7 @@
 		Cells:           p.count("domain.positions", math.MaxUint16+1),
 		Reach:           max(1, p.count("domain.reach", math.MaxUint16)),
 		Shards:          p.count("domain.slices", math.MaxInt32),
+		CallCost:        max(0, p.number("domain.callCost", 0)),
 		MostSubRequests: max(1, p.count("limits.attemptsCap", math.MaxUint16)),
 		MayCancel:       p.flag("limits.cancel"),
 		MayCopy:         p.flag("limits.secondCopies"),
