--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,12 +27,13 @@
 	queueAge      = 1000 * Millisecond  // and so does its reported queue
 	silenceWeight = 4.0                 // something overdue and no word: so many times slower again
 
-	failLimit   = 0.3                // smoothed share of failures that takes a server out
-	softFailure = 0.2                // weight of an error: two close together are needed
-	hardFailure = 0.4                // weight of a dead connection or of silence: one is enough
-	goodWeight  = 0.1                // weight of an answer
-	firstPause  = 500 * Millisecond  // how long a server is out at first, or the list unasked after a failure
-	longestOut  = 4000 * Millisecond // the pause doubles up to this
+	failLimit   = 0.3               // smoothed share of failures that takes a server out
+	softFailure = 0.2               // weight of an error: two close together are needed
+	hardFailure = 0.4               // weight of a dead connection or of silence: one is enough
+	goodWeight  = 0.1               // weight of an answer
+	firstPause  = 500 * Millisecond // the list is unasked so long after a failure; a server is out, at most, at first:
+	pauseShare  = 2                 // the shortest target / pauseShare, as what must end sooner must be tried sooner
+	longestOut  = 8                 // the pause doubles up to so many times the first
 
 	coldSafety = 0.6 // of the rule's multiple: others may send more, or this gatherer before a restart
 
@@ -50,8 +51,8 @@
 	pressed     = 0.5                // of the limit: past it places are short; customers are held to shares
 	shareSpan   = 2000 * Millisecond // over which a customer's searches are held against its share
 
-	weightSlack = 5e-5             // sums of weights may fall so short by rounding
-	lookPause   = 20 * Millisecond // until a part that waits or is late is looked at again
+	weightSlack = 5e-5 // sums of weights may fall so short by rounding
+	lookShare   = 25   // of the first pause: after pause / lookShare a part that waits or is late is looked at again
 
 	never     = Time(math.MaxInt64 / 4)
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
@@ -63,6 +64,7 @@
 	customers          []customer
 	cells, reach, most int  // most: sub-requests for one part
 	margin             Time // what must be done by a moment is done so much earlier
+	pause              Time // how long a server is out at first
 	advise, listPause  Time // longest advice to a client, 0 = none; longest pause between calls for the list
 
 	mayCancel, mayCopy, onRequest bool // onRequest: the list must be asked for
@@ -170,13 +172,14 @@
 		free: f.BudgetFree, perItem: f.BudgetShare, copies: 1,
 		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
-		nextAsk: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
+		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
 	span := f.BudgetSpan
 	if !f.HasBudget {
 		g.copies, g.free, g.perItem, span = copyPart, float64(g.most), resendShare, 10*shareSpan
 	}
 	g.extra, g.taken = newTally(span), newTally(span)
 	for _, t := range f.QueryTypes {
+		g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, f.Tick))
 		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
 			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0})
 	}
@@ -296,6 +299,7 @@
 	}
 	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
 	slowest = 0
+	idle := false // what is predicted slowest would have its server to itself
 	clear(g.planned)
 	for _, b := range best {
 		g.planned[b.s] += b.p.size
@@ -309,11 +313,14 @@
 			}
 			g.planned[b.s] += b.p.size
 		}
-		slowest = max(slowest, b.finish)
+		if b.finish > slowest {
+			slowest, idle = b.finish, b.s != nil && b.s.backlog+g.queue(b.s)+g.planned[b.s] <= b.p.size
+		}
 	}
-	// What cannot end in time even so is better not begun.
+	// What cannot end in time even so is better not begun, unless it waits for nothing: a server's own slowness, from
+	// a pause or failures a while ago, is only known by asking. Guards against shedding at a fleet that stands idle.
 	clear(g.planned)
-	if !q.second && slowest < never && g.now+slowest > late {
+	if !q.second && slowest < never && (!idle && g.now+slowest > late || g.now >= q.end) {
 		g.giveUp(q)
 		return
 	}
@@ -373,7 +380,7 @@
 	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silence(s.out...) > 1 {
 		return false
 	}
-	fit := p.q.rules.effect == Idempotent || g.now > s.outUntil+longestOut
+	fit := p.q.rules.effect == Idempotent || g.now > s.outUntil+longestOut*g.pause
 	return !s.trial || fit && len(s.out) == 0 && g.planned[s] == 0
 }
 
@@ -492,10 +499,10 @@
 		s.failing -= s.failing * goodWeight
 		s.trial = s.trial && r.sentAt < s.outUntil
 		if s.failing < goodWeight {
-			s.pause = firstPause
+			s.pause = g.pause
 		}
 	case TurnedAway: // full or draining; no fault, but others are asked first
-		s.outUntil = max(s.outUntil, g.now+firstPause)
+		s.outUntil = max(s.outUntil, g.now+g.pause)
 	case Errored: // an error comes fast: its time is no latency and must not make the server look quick
 		g.failed(s, softFailure)
 	case ConnectFailed, Reset, TimedOut, Cancelled:
@@ -581,7 +588,7 @@
 			continue
 		}
 		// Unsent, ended without an answer, or overdue: its server may have failed, be slow, stalled or silent.
-		next = min(next, g.now+lookPause)
+		next = min(next, g.now+g.pause/lookShare)
 		s, usable := g.pick(p)
 		switch {
 		case s == nil || !g.mayRepeat(p) || p.flying == 0 && !usable && g.now < wait:
@@ -677,7 +684,7 @@
 	s.failing += (1 - s.failing) * weight
 	if s.outUntil <= g.now && (s.failing > failLimit || s.trial) {
 		s.outUntil, s.trial = g.now+s.pause, true
-		s.pause = min(2*s.pause, longestOut)
+		s.pause = min(2*s.pause, longestOut*g.pause)
 	}
 }
 
@@ -743,7 +750,7 @@
 		g.seat(s, entry.State)
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
-			s.upSince, s.pause = entry.UpSince, firstPause
+			s.upSince, s.pause = entry.UpSince, g.pause
 			s.rate, s.toldAt, s.failing, s.outUntil, s.trial = 0, 0, 0, 0, false
 		}
 	}
