Idle replicas are asked though predicted late; a server's time out follows the target

At fault: brain.go, fanOut's last check, and firstPause and lookPause in seconds whatever the targets. Ruled out: the in-flight limit (5 of 229) and, on sockets, mailboxes (first part out after 0.15 ms). Predictions for 60 ms and more of backlog are 1.1 to 1.8 times too long, at idle servers 0.8 times.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,8 +31,8 @@
 	softFailure = 0.2               // weight of an error: two close together are needed
 	hardFailure = 0.4               // weight of a dead connection or of silence: one is enough
 	goodWeight  = 0.1               // weight of an answer
-	firstPause  = 500 * Millisecond // the list is unasked so long after a failure; a server is out, at most, at first:
-	pauseShare  = 2                 // the shortest target / pauseShare, as what must end sooner must be tried sooner
+	firstPause  = 500 * Millisecond // the list is unasked so long after a failure; a server is out at first
+	pauseShare  = 2                 // the shortest target / pauseShare, but no longer
 	longestOut  = 8                 // the pause doubles up to so many times the first
 
 	coldSafety = 0.6 // of the rule's multiple: others may send more, or this gatherer before a restart
@@ -52,7 +52,7 @@
 	shareSpan   = 2000 * Millisecond // over which a customer's searches are held against its share
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
-	lookShare   = 25   // of the first pause: after pause / lookShare a part that waits or is late is looked at again
+	lookShare   = 25   // of the first pause, until a part that waits or is late is looked at again
 
 	never     = Time(math.MaxInt64 / 4)
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
@@ -63,8 +63,7 @@
 	types              []typeRules
 	customers          []customer
 	cells, reach, most int  // most: sub-requests for one part
-	margin             Time // what must be done by a moment is done so much earlier
-	pause              Time // how long a server is out at first
+	margin, pause      Time // what must be done by a moment is done so much earlier; a server's first time out
 	advise, listPause  Time // longest advice to a client, 0 = none; longest pause between calls for the list
 
 	mayCancel, mayCopy, onRequest bool // onRequest: the list must be asked for
@@ -72,7 +71,7 @@
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
 	free, perItem, copies   float64 // budget of further sub-requests, per search or part; copies' part of it
-	callCost                float64 // work in each size: nearly every part is a call of its own
+	callCost                float64 // in each size, as nearly every part is a call of its own
 
 	now     Time
 	acts    []Action
@@ -89,14 +88,11 @@
 
 	average                float64 // latency per unit size, over the ready servers heard from; 0 = none
 	borne                  float64 // sizes sent to a warm server within fallWithin, when last there was one
-	size                   float64 // smoothed size of a part
-	queued                 float64 // smoothed queue over all reports
-	success                float64 // smoothed share of further sub-requests that brought the answer
+	size, queued, success  float64 // smoothed: size of a part, reported queues, further ones that answered
 	present, short         float64 // median latency per unit size over all answers: of late, shortest; 0 = none
 	learned, widest, stuck int     // answers that taught these; most parts of a search; parts at silent servers
-	limit                  float64 // parts in flight
-	gatherers              float64
-	extra, taken           tally // further sub-requests; searches and parts
+	limit, gatherers       float64 // limit: of parts in flight
+	extra, taken           tally   // further sub-requests; searches and parts
 }
 
 // typeRules are the figures of one query type that decisions use.
@@ -141,7 +137,7 @@
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
 	target, end   Time    // when it should be answered, and when it is given up
-	lookAt        Time    // the pending timer's; 0 = none
+	lookAt        Time    // of the pending timer; 0 = none
 }
 
 type part struct {
@@ -246,8 +242,7 @@
 	allowed := g.limit
 	last := len(g.customers) - 1
 	c, all := &g.customers[min(int(e.Customer), last)], &g.customers[last]
-	took := c.took.least(g.now)
-	if c.perSpan > 0 && took >= c.perSpan && took*all.perSpan > all.took.least(g.now)*c.perSpan {
+	if t := c.took.least(g.now); c.perSpan > 0 && t >= c.perSpan && t*all.perSpan > all.took.least(g.now)*c.perSpan {
 		allowed *= pressed // over its share of the quota, and of this gatherer's own searches
 	}
 	if len(e.Parts) == 0 || g.busy() >= allowed {
@@ -298,8 +293,7 @@
 		late = q.target
 	}
 	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
-	slowest = 0
-	idle := false // what is predicted slowest would have its server to itself
+	slowest, idle := Time(0), false // idle: the slowest part would have its server to itself
 	clear(g.planned)
 	for _, b := range best {
 		g.planned[b.s] += b.p.size
@@ -317,8 +311,8 @@
 			slowest, idle = b.finish, b.s != nil && b.s.backlog+g.queue(b.s)+g.planned[b.s] <= b.p.size
 		}
 	}
-	// What cannot end in time even so is better not begun, unless it waits for nothing: a server's own slowness, from
-	// a pause or failures a while ago, is only known by asking. Guards against shedding at a fleet that stands idle.
+	// What cannot end in time even so is better not begun, unless it waits for nothing there: only asking tells
+	// whether a server is still slow. Guards against a fleet that stands idle while searches are shed.
 	clear(g.planned)
 	if !q.second && slowest < never && (!idle && g.now+slowest > late || g.now >= q.end) {
 		g.giveUp(q)
@@ -439,8 +433,7 @@
 func (g *Gatherer) send(p *part, s *server) {
 	r := &subRequest{p: p, s: s, sentAt: g.now, ahead: s.backlog + g.queue(s)*g.size,
 		predicted: max(g.predict(s, p), 1), further: len(p.tries) > 0}
-	// Overdue at half the time left to its target, or to its end past that: a copy has as long as it had. How
-	// late answers usually are says nothing where many are late for long, or where few have been seen.
+	// Overdue at half the time left to its target, or to its end past that: a copy has as long as it had.
 	r.due = max(cmp.Or(max(p.q.target-g.now, 0), p.q.end-g.now)/2, r.predicted)
 	g.out[p.id] = p
 	p.tries = append(p.tries, r)
@@ -579,8 +572,7 @@
 			if !r.ended {
 				due = min(due, r.sentAt+r.due)
 			}
-			// Without a sound replica the last tries are spread over the time: they are soon used up on
-			// servers that err or are full at once.
+			// Without a sound replica the last tries are spread over the time: erring servers use them up at once.
 			wait = r.sentAt + (q.end-r.sentAt)/4
 		}
 		if due > g.now && p.flying > 0 {
@@ -707,9 +699,8 @@
 
 // room tells whether a cold server may be sent one more part. Its allowance is its warmth's share of what
 // this gatherer sends warm servers, or sent before all were cold: all gatherers together send it that share.
-// Where that is below a part, a lot drawn once a window lets one through with half that share for its chance:
-// half, as more than usual may turn to it; what is unused is lost, so that many gatherers cannot save up for
-// one moment. Guards against a rush on a server just started, and a fleet that cannot come back.
+// Where that is below a part, a lot drawn once a window lets one through with half that share for its chance;
+// unused it is lost, or many would save up. Guards against a rush on a server just started, and a dead fleet.
 func (g *Gatherer) room(s *server, size float64) bool {
 	warmth := g.warmth(s)
 	if warmth < 1 && g.now >= s.lotUntil {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -144,6 +144,38 @@
 	}
 }
 
+// A record of a pause, or failures, must not shed searches from servers that stand idle; what waits there does.
+func TestIdleServersAreAskedThoughPredictedLate(t *testing.T) {
+	b := newBench(2, func(f *Facts) { f.QueryTypes[0].LateValue = 0 })
+	b.answered(20, 1000)
+	b.servers[1].rate, b.servers[2].rate = 1e6, 1e6
+	first := b.search(1)
+	deny(t, len(first) != 1, "idle servers were not asked: %v", b.last)
+	b.search(1)
+	got := b.search(1)
+	deny(t, len(got) != 0, "a part was sent behind what ends in a hundred seconds: %v", b.last)
+}
+
+func TestCallCostCountsAsWork(t *testing.T) {
+	b := newBench(1, func(f *Facts) { f.CallCost = 44 })
+	for i := range 60 {
+		part := Part{ID: 1, Weight: 1, Size: []float64{2, 28}[i%2]}
+		b.do(SearchArrived{Search: 1, Number: 1, Patience: 60000, Parts: []Part{part}})
+		b.end(Send{Part: 1, Server: 1}, []Time{460, 720}[i%2], Answered)
+	}
+	r := b.servers[1].rate
+	deny(t, r < 9.9 || r > 10.1, "rate %v where 46 and 72 of work take 460 and 720", r)
+}
+
+// A server is out for a time that fits what its searches can wait.
+func TestFirstTimeOutFollowsTheTarget(t *testing.T) {
+	for target, want := range map[Time]Time{2500: 1250, 25000: firstPause} {
+		b := newBench(2, func(f *Facts) { f.QueryTypes[0].LatencyTarget = target })
+		b.failed(b.servers[1], hardFailure)
+		deny(t, b.servers[1].outUntil != b.now+want, "out for %v at a target of %v", b.servers[1].outUntil-b.now, target)
+	}
+}
+
 func TestCustomerOverItsShareIsShedOnlyWhilePressed(t *testing.T) {
 	b := newBench(2, func(f *Facts) { f.OverShareFactor = 0.1; f.Customers = []CustomerFacts{{4}, {40}} })
 	b.answered(20, 1000)
