--- a/brain/brain.go
+++ b/brain/brain.go
@@ -242,7 +242,8 @@
 	allowed := g.limit
 	last := len(g.customers) - 1
 	c, all := &g.customers[min(int(e.Customer), last)], &g.customers[last]
-	if t := c.took.least(g.now); c.perSpan > 0 && t >= c.perSpan && t*all.perSpan > all.took.least(g.now)*c.perSpan {
+	took := c.took.least(g.now)
+	if c.perSpan > 0 && took >= c.perSpan && took*all.perSpan > all.took.least(g.now)*c.perSpan {
 		allowed *= pressed // over its share of the quota, and of this gatherer's own searches
 	}
 	if len(e.Parts) == 0 || g.busy() >= allowed {
@@ -752,8 +753,7 @@
 	}
 }
 
-// seat changes a server's state, and with it its place among the ready ones and the holders of its shards: a
-// change of the list costs as much as its entries, however large the fleet.
+// seat changes a server's state and its place among the ready ones and the holders, at a cost of its entry alone.
 func (g *Gatherer) seat(s *server, state ServerState) {
 	if (s.state == Ready) != (state == Ready) {
 		seats := []*[]*server{&g.ready}
