--- a/brain/brain.go
+++ b/brain/brain.go
@@ -753,7 +753,7 @@
 	}
 }
 
-// seat changes a server's state and its place among the ready ones and the holders, at a cost of its entry alone.
+// seat changes a server's state and its place among the ready ones and the holders, at the cost of its entry.
 func (g *Gatherer) seat(s *server, state ServerState) {
 	if (s.state == Ready) != (state == Ready) {
 		seats := []*[]*server{&g.ready}
