--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -813,3 +813,49 @@
 		t.Errorf("the connection gives %v", err)
 	}
 }
+
+// On a long day servers come and go under new ids without end.
+func TestReplacedServersLeaveNothing(t *testing.T) {
+	g, err := New(Setup{Listen: "127.0.0.1:0", Discovery: "127.0.0.1:1", Settings: json.RawMessage(testSettings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, before := g.module, runtime.NumGoroutine()
+	defer m.end()
+	for i := range 2000 {
+		l := discovery.List{Seq: uint64(i), Hosts: []discovery.Entry{{Host: fmt.Sprint("s-", i), Dial: "127.0.0.1:1", Health: discovery.Up}}}
+		if i >= 4 {
+			l.Hosts = append(l.Hosts, discovery.Entry{Host: fmt.Sprint("s-", i-4), Health: discovery.Removed})
+		}
+		m.takeList(brain.ListChanges, l)
+	}
+	if m.ready != 4 || len(m.servers) > 2*m.ready || len(m.ids) != len(m.servers) {
+		t.Errorf("%d servers are listed, %d held, under %d hosts", m.ready, len(m.servers), len(m.ids))
+	}
+	for end := time.Now().Add(patience); runtime.NumGoroutine() > before+m.ready; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("%d goroutines, %d before four servers were listed", runtime.NumGoroutine(), before)
+		}
+	}
+}
+
+// Bodies fit the memory in sum; what does not is shed at once, with advice.
+func TestBodiesBeyondTheirShareAreShed(t *testing.T) {
+	d, err := facts.FromJSON([]byte(testSettings), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := httptest.NewServer(newFront(newTransport(d, mailbox{}), time.Second, 10))
+	defer srv.Close()
+	for range 3 {
+		r, _ := newSearch(context.Background(), srv.Listener.Addr().String(), "lookup", 0)
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "1" {
+			t.Errorf("got %s, Retry-After %q", res.Status, res.Header.Get("Retry-After"))
+		}
+	}
+}
