Command line moves to cobra, log lines to log/slog in key=value text

Need: the operators want a full command line and structured logging on libraries, and the merging subsystem adds commands and events of its own. Change: serve, check and version are cobra commands with help, examples and completion; exit codes stay. Log lines go through slog's text handler, with time and level before event=; reason codes stay.

--- a/gatherer/conns.go
+++ b/gatherer/conns.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -106,7 +106,7 @@
 	if !c.closed {
 		c.closed = true
 		c.l.gone(c)
-		log.Printf("event=client_conn_end client=%s reason=%s requests=%d age_ms=%d", c.RemoteAddr(), c.reason(), c.requests,
+		slog.Info("client_conn_end", "client", c.RemoteAddr().String(), "reason", c.reason(), "requests", c.requests, "age_ms",
 			time.Since(c.began).Milliseconds())
 	}
 	return err
--- a/gatherer/front.go
+++ b/gatherer/front.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -195,7 +196,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	log.Printf("event=drain_begin")
+	slog.Info("drain_begin")
 	f.draining.Store(true)
 	time.Sleep(stillComing)
 	l.stop()
@@ -209,7 +210,7 @@
 	if err != nil {
 		what = err.Error()
 	}
-	log.Printf("event=drain_end error=%q", what)
+	slog.Info("drain_end", "error", what)
 	return err
 }
 
@@ -230,6 +231,6 @@
 type httpLog struct{}
 
 func (httpLog) Write(b []byte) (int, error) {
-	log.Printf("event=http message=%q", bytes.TrimSpace(b))
+	slog.Info("http", "message", string(bytes.TrimSpace(b)))
 	return len(b), nil
 }
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -10,7 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -105,7 +105,7 @@
 	if len(s.Known) > 0 && string(s.Known) != "null" {
 		var err error
 		if g.known, err = discovery.Parse(s.Known, g.fits); err != nil {
-			log.Printf("event=known_left_out error=%q", err) // the list will come from discovery
+			slog.Warn("known_left_out", "error", err) // the list will come from discovery
 		}
 	}
 	_, servers := s.Limits.split()
@@ -137,7 +137,7 @@
 	if err != nil {
 		return err
 	}
-	log.Printf("event=listening name=%s addr=%s", g.setup.Name, l.Addr())
+	slog.Info("listening", "name", g.setup.Name, "addr", l.Addr().String())
 	m := g.module
 	g.mu.Lock()
 	m.list = discovery.Start(g.setup.Discovery, g.known.Seq, duration(g.d.ConnectTimeout), g.fits, m.mailbox, !g.d.Facts.ListOnRequest)
@@ -180,7 +180,7 @@
 			restart = append(restart, f.name)
 		}
 	}
-	log.Printf("event=reload discovery=%s moved=%t needs_restart=%s", s.Discovery, moved, cmp.Or(strings.Join(restart, ","), "none"))
+	slog.Info("reload", "discovery", s.Discovery, "moved", moved, "needs_restart", cmp.Or(strings.Join(restart, ","), "none"))
 	return nil
 }
 
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -1,34 +1,16 @@
-// Package cli is the command line: its sub-commands and their flags.
+// Package cli is the command line: its sub-commands, their flags and exit codes, and where log lines go. It decides
+// nothing about searches.
 package cli
 
 import (
-	"cmp"
-	"context"
 	"errors"
 	"fmt"
 	"io"
-	"log"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
-	"github.com/spf13/pflag"
-
-	"oxbowspan/gatherer"
+	"github.com/spf13/cobra"
 )
 
-const usage = `oxbowspan reads many shards for one request.
-
-Usage:
-  oxbowspan serve [flags]     run a gatherer in the foreground
-  oxbowspan check [flags]     read the configuration, say what is wrong with it, and exit
-  oxbowspan version           print the version
-  oxbowspan help              print this text
-
-'oxbowspan serve --help' lists the flags.
-`
-
 // Exit codes.
 const (
 	exitGood  = 0
@@ -36,24 +18,69 @@
 	exitUsage = 2 // the command line is wrong
 )
 
+// usageError says that the command line is wrong, which has an exit code of its own.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// noArgs takes flags alone.
+func noArgs(_ *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return usageError{fmt.Errorf("unexpected argument %q", args[0])}
+	}
+	return nil
+}
+
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	if len(args) == 0 {
-		fmt.Fprint(stderr, usage)
+	root := newRoot(stdout, stderr)
+	root.SetArgs(args)
+	err := root.Execute()
+	var wrong usageError
+	switch {
+	case err == nil:
+		return exitGood
+	case errors.As(err, &wrong):
+		fmt.Fprintf(stderr, "oxbowspan: %v; 'oxbowspan help' lists what there is\n", err)
 		return exitUsage
 	}
-	switch args[0] {
-	case "serve", "check":
-		return run(args[0], args[1:], stdout, stderr)
-	case "version", "--version":
-		fmt.Fprintln(stdout, "oxbowspan", version())
-		return exitGood
-	case "help", "--help", "-h":
-		fmt.Fprint(stdout, usage)
-		return exitGood
+	fmt.Fprintf(stderr, "oxbowspan: %v\n", err)
+	return exitBad
+}
+
+func newRoot(stdout, stderr io.Writer) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "oxbowspan",
+		Short: "A gatherer: reads many shards for one request",
+		Long: "oxbowspan takes a search, asks the shard servers that hold its parts, and answers from what comes back.\n" +
+			"It decides well while servers die, hang or slow down, the list is late, or more comes than fits.",
+		Example: "  oxbowspan check --config config.json\n" +
+			"  oxbowspan serve --config config.json",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command %q", args[0])}
+			}
+			return nil
+		},
+		RunE: func(c *cobra.Command, _ []string) error {
+			c.SetOut(stderr)
+			c.Help()
+			return usageError{errors.New("no command was given")}
+		},
+		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: false},
+		Version:           version(),
 	}
-	fmt.Fprintf(stderr, "oxbowspan: unknown command %q; 'oxbowspan help' lists them\n", args[0])
-	return exitUsage
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	root.SetVersionTemplate("oxbowspan {{.Version}}\n")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(newServe(stderr), newCheck(stdout), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: noArgs,
+		Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "oxbowspan", version()) },
+	})
+	return root
 }
 
 func version() string {
@@ -69,95 +96,3 @@
 	}
 	return v + " " + info.GoVersion
 }
-
-// run reads flags, environment and file, the former before the latter, and serves.
-func run(command string, args []string, stdout, stderr io.Writer) int {
-	flags := pflag.NewFlagSet("oxbowspan "+command, pflag.ContinueOnError)
-	flags.SetOutput(stderr)
-	config := flags.String("config", os.Getenv("PROXY_CONFIG"), "configuration file (PROXY_CONFIG)")
-	name := flags.String("name", os.Getenv("PROXY_NAME"), "this gatherer's name (PROXY_NAME)")
-	listen := flags.String("listen", os.Getenv("PROXY_LISTEN"), "address for clients (PROXY_LISTEN)")
-	discovery := flags.String("discovery", os.Getenv("PROXY_DISCOVERY"), "address of discovery (PROXY_DISCOVERY)")
-	flags.Usage = func() {
-		fmt.Fprintf(stderr, "Usage:\n  oxbowspan %s [flags]\n\nFlags:\n%s", command, flags.FlagUsages())
-	}
-	switch err := flags.Parse(args); {
-	case errors.Is(err, pflag.ErrHelp):
-		return exitGood
-	case err != nil || flags.NArg() > 0:
-		if err == nil {
-			err = fmt.Errorf("unexpected argument %q", flags.Arg(0))
-		}
-		fmt.Fprintf(stderr, "oxbowspan: %v\n", err)
-		return exitUsage
-	}
-	fail := func(err error) int {
-		fmt.Fprintf(stderr, "oxbowspan: %v\n", err)
-		return exitBad
-	}
-	if *config == "" {
-		return fail(errors.New("no configuration: give --config or set PROXY_CONFIG"))
-	}
-	// A SIGHUP that comes before all is set up is heard once it is, and never ends the program.
-	reloads := make(chan os.Signal, 1)
-	if command == "serve" {
-		signal.Notify(reloads, syscall.SIGHUP)
-		defer signal.Stop(reloads)
-	}
-	file, err := gatherer.Load(*config)
-	if err != nil {
-		return fail(err)
-	}
-	setup := file
-	setup.Name, setup.Listen = cmp.Or(*name, file.Name), cmp.Or(*listen, file.Listen)
-	setup.Discovery = cmp.Or(*discovery, file.Discovery)
-	g, err := gatherer.New(setup)
-	if err != nil {
-		return fail(err)
-	}
-	if command == "check" {
-		fmt.Fprintln(stdout, "the configuration is good")
-		return exitGood
-	}
-	setup.Limits.Apply()
-	log.SetOutput(stderr)
-	log.SetFlags(log.Ldate | log.Ltime | log.Lmicroseconds | log.LUTC)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		s := <-signals
-		log.Printf("event=signal signal=%s", s)
-		cancel()
-		s = <-signals
-		log.Printf("event=signal signal=%s second=true", s)
-		os.Exit(exitBad)
-	}()
-	log.Printf("event=start name=%s listen=%s discovery=%s version=%q", setup.Name, setup.Listen, setup.Discovery, version())
-	go func() {
-		for range reloads {
-			again, err := gatherer.Load(*config)
-			if err == nil {
-				// What the file newly says of discovery goes before the environment, though not before the flag.
-				next := again
-				next.Name, next.Listen = cmp.Or(*name, again.Name), cmp.Or(*listen, again.Listen)
-				if again.Discovery == "" || again.Discovery == file.Discovery || flags.Changed("discovery") {
-					next.Discovery = setup.Discovery
-				}
-				err = g.Reload(next)
-				if err == nil {
-					file, setup.Discovery = again, next.Discovery
-				}
-			}
-			if err != nil {
-				log.Printf("event=reload_failed error=%q", err)
-			}
-		}
-	}()
-	if err := g.Run(ctx); err != nil {
-		return fail(err)
-	}
-	log.Printf("event=exit")
-	return exitGood
-}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"oxbowspan/gatherer"
+)
+
+// given is what flags and environment say of where the configuration is and what goes before it.
+type given struct {
+	flags                           *pflag.FlagSet
+	config, name, listen, discovery string
+}
+
+func (g *given) register(flags *pflag.FlagSet) {
+	g.flags = flags
+	flags.StringVar(&g.config, "config", os.Getenv("PROXY_CONFIG"), "configuration file (PROXY_CONFIG)")
+	flags.StringVar(&g.name, "name", os.Getenv("PROXY_NAME"), "this gatherer's name (PROXY_NAME)")
+	flags.StringVar(&g.listen, "listen", os.Getenv("PROXY_LISTEN"), "address for clients (PROXY_LISTEN)")
+	flags.StringVar(&g.discovery, "discovery", os.Getenv("PROXY_DISCOVERY"), "address of discovery (PROXY_DISCOVERY)")
+}
+
+// load reads the file, as it stands and with what goes before it.
+func (g *given) load() (file, setup gatherer.Setup, err error) {
+	if g.config == "" {
+		return file, setup, errors.New("no configuration: give --config or set PROXY_CONFIG")
+	}
+	if file, err = gatherer.Load(g.config); err != nil {
+		return file, setup, err
+	}
+	setup = file
+	setup.Name, setup.Listen = cmp.Or(g.name, file.Name), cmp.Or(g.listen, file.Listen)
+	setup.Discovery = cmp.Or(g.discovery, file.Discovery)
+	return file, setup, nil
+}
+
+// again reads the file anew. What it newly says of discovery goes before the environment, though not before the flag.
+func (g *given) again(was, inForce gatherer.Setup) (file, setup gatherer.Setup, err error) {
+	if file, setup, err = g.load(); err != nil {
+		return file, setup, err
+	}
+	setup.Discovery = file.Discovery
+	if file.Discovery == "" || file.Discovery == was.Discovery || g.flags.Changed("discovery") {
+		setup.Discovery = inForce.Discovery
+	}
+	return file, setup, nil
+}
+
+func newCheck(stdout io.Writer) *cobra.Command {
+	var g given
+	c := &cobra.Command{
+		Use: "check", Short: "Read the configuration, say what is wrong with it, and exit", Args: noArgs,
+		Example: "  oxbowspan check --config config.json",
+		RunE: func(*cobra.Command, []string) error {
+			_, setup, err := g.load()
+			if err != nil {
+				return err
+			}
+			if _, err := gatherer.New(setup); err != nil {
+				return err
+			}
+			fmt.Fprintln(stdout, "the configuration is good")
+			return nil
+		},
+	}
+	g.register(c.Flags())
+	return c
+}
+
+func newServe(stderr io.Writer) *cobra.Command {
+	var g given
+	c := &cobra.Command{
+		Use: "serve", Short: "Run a gatherer in the foreground", Args: noArgs,
+		Long: "serve runs a gatherer in the foreground. SIGTERM drains and exits, a second one ends at once;\n" +
+			"SIGHUP reads the configuration again.",
+		Example: "  oxbowspan serve --config config.json\n" +
+			"  PROXY_CONFIG=config.json PROXY_LISTEN=127.0.0.1:8443 oxbowspan serve",
+		RunE: func(*cobra.Command, []string) error { return serve(&g, stderr) },
+	}
+	g.register(c.Flags())
+	return c
+}
+
+func serve(g *given, stderr io.Writer) error {
+	// A SIGHUP that comes before all is set up is heard once it is, and never ends the program.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	logTo(stderr)
+	file, setup, err := g.load()
+	if err != nil {
+		return err
+	}
+	node, err := gatherer.New(setup)
+	if err != nil {
+		return err
+	}
+	setup.Limits.Apply()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s := <-signals
+		slog.Info("signal", "signal", s.String())
+		cancel()
+		s = <-signals
+		slog.Info("signal", "signal", s.String(), "second", true)
+		os.Exit(exitBad)
+	}()
+	slog.Info("start", "name", setup.Name, "listen", setup.Listen, "discovery", setup.Discovery, "version", version())
+	go func() {
+		for range reloads {
+			again, next, err := g.again(file, setup)
+			if err == nil {
+				err = node.Reload(next)
+			}
+			if err != nil {
+				slog.Error("reload_failed", "error", err)
+				continue
+			}
+			file, setup.Discovery = again, next.Discovery
+		}
+	}()
+	if err := node.Run(ctx); err != nil {
+		return err
+	}
+	slog.Info("exit")
+	return nil
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,7 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -66,7 +66,7 @@
 			err = fits(e)
 		}
 		if err != nil {
-			log.Printf("event=list_entry_left_out seq=%d error=%q entry=%.200q", out.Seq, err, rawEntry)
+			slog.Warn("list_entry_left_out", "seq", out.Seq, "error", err, "entry", string(rawEntry[:min(len(rawEntry), 200)]))
 			continue
 		}
 		out.Hosts = append(out.Hosts, e)
@@ -249,8 +249,8 @@
 			open = false
 		}
 	}
-	log.Printf("event=discovery_conn_end addr=%s reason=%s seq=%d told=%d age_ms=%d detail=%q", a.addr, reason, a.seq, told,
-		time.Since(began).Milliseconds(), detail)
+	slog.Info("discovery_conn_end", "addr", a.addr, "reason", reason, "seq", a.seq, "told", told, "age_ms",
+		time.Since(began).Milliseconds(), "detail", detail)
 	if !replaced && reason != endStopped {
 		a.sink.ListFailed()
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,7 +4,7 @@
 
 import (
 	"container/heap"
-	"log"
+	"log/slog"
 	"net"
 	"slices"
 	"strconv"
@@ -416,7 +416,7 @@
 	case dialed:
 		p.dialing--
 		if n.err != nil {
-			log.Printf("event=server_connect_failed server=%s addr=%s reason=%s error=%q", p.host, n.addr, dialReason(n.err), n.err)
+			slog.Info("server_connect_failed", "server", p.host, "addr", n.addr, "reason", dialReason(n.err), "error", n.err)
 			if p.dialing == 0 {
 				p.failWaiting()
 			}
@@ -575,8 +575,8 @@
 		}
 	}
 	p.probes = kept
-	log.Printf("event=server_conn_end server=%s addr=%s reason=%s sent=%d heard=%d age_ms=%d detail=%q", p.host, c.addr, c.why,
-		written, c.frames, (p.now()-c.openedAt)/brain.Millisecond, c.detail)
+	slog.Info("server_conn_end", "server", p.host, "addr", c.addr, "reason", c.why, "sent", written, "heard", c.frames,
+		"age_ms", int64((p.now()-c.openedAt)/brain.Millisecond), "detail", c.detail)
 	p.place()
 }
 
