--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -46,6 +46,43 @@
 	}
 }
 
+func TestCheckNamesAllFaultsOfTheOperatorsFile(t *testing.T) {
+	dir := t.TempDir()
+	config, ini := filepath.Join(dir, "config.json"), filepath.Join(dir, "operator.ini")
+	for path, text := range map[string]string{config: `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"classes":[
+		{"name":"lookup","effect":"free","slo":1000,"hardLimit":2000},{"name":"post","effect":"single_shot","slo":1000,"hardLimit":2000}],
+		"domain":{"positions":1,"slices":4,"wholeAt":[0.8,1.0]},"limits":{"dialTimeout":250}}}`,
+		ini: "[merging]\nrows = few\n[merge post]\nlimit = 0\n"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	check := func() (int, string) {
+		var out, err bytes.Buffer
+		code := Main([]string{"check", "--config", config, "--operator", ini}, &out, &err)
+		return code, err.String()
+	}
+	code, says := check()
+	for _, want := range []string{"operator.ini:2: ", "operator.ini:4: ", "kinds: is missing", "schema: there is no section"} {
+		if code != exitBad || !strings.Contains(says, want) {
+			t.Errorf("it ends with %d and says %s, want %q in it", code, says, want)
+		}
+	}
+	// What only the configuration can tell: types that are not there, not idempotent, or whole short of a part.
+	schema := "[merging]\ncursor_keys = k\n[schema s]\ncolumns = a:text\naccount = a\n"
+	for _, name := range []string{"post", "lookup", "other"} {
+		schema += "[merge " + name + "]\nschema = s\nkinds = paged\norder = a\n"
+	}
+	os.WriteFile(ini, []byte(schema), 0o600)
+	os.WriteFile(filepath.Join(dir, "k"), []byte("k "+strings.Repeat("0f", 32)+"\n"), 0o600)
+	code, says = check()
+	for _, want := range []string{"[merge post]: is not idempotent", "[merge lookup]: counts as whole short of a part", "[merge other]: is no query type"} {
+		if code != exitBad || !strings.Contains(says, want) {
+			t.Errorf("it ends with %d and says %s, want %q in it", code, says, want)
+		}
+	}
+}
+
 func TestLogLinesAreKeyValueWithAnEvent(t *testing.T) {
 	was := slog.Default()
 	defer slog.SetDefault(was)
--- a/internal/lab/cli.go
+++ b/internal/lab/cli.go
@@ -92,6 +92,22 @@
 		return do(a)
 	}
 	root.AddCommand(newRun(stdout, stderr, with))
+	root.AddCommand(&cobra.Command{Use: "holder ADDR SOURCE NUMBER", Hidden: true, Args: arguments(3, "ADDR SOURCE NUMBER"),
+		RunE: func(_ *cobra.Command, args []string) error { return holderMain(args, os.Stdin, stdout) }})
+	root.AddCommand(&cobra.Command{Use: "bench NAME FILE", Short: "Keep what 'go test -bench' printed as a run, with tables and charts",
+		Args: arguments(2, "NAME FILE"), Example: "  go test -run xxx -bench Merge -benchmem ./merge > b.txt && oxbowlab bench merge-ways b.txt",
+		RunE: func(_ *cobra.Command, args []string) error {
+			f, err := os.Open(args[1])
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			r := newRecord(args[0])
+			if err := r.ReadBenchmarks(f); err != nil {
+				return fmt.Errorf("%s: %w", args[1], err)
+			}
+			return with(func(a *Archive) error { return a.Put(r) })
+		}})
 	root.AddCommand(&cobra.Command{Use: "experiments", Short: "List the experiments", Args: arguments(0, "none"),
 		Run: func(*cobra.Command, []string) {
 			for _, name := range Names() {
@@ -157,6 +173,12 @@
 	return root
 }
 
+func newRecord(name string) *Record {
+	began := time.Now()
+	return &Record{ID: began.UTC().Format("20060102T150405.000"), Experiment: name, Began: began,
+		Machine: fmt.Sprintf("%s/%s, %d processors", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()), Figures: map[string]float64{}}
+}
+
 func newRun(stdout, stderr io.Writer, with func(func(*Archive) error) error) *cobra.Command {
 	var quick bool
 	var seed uint64
@@ -189,10 +211,8 @@
 			return err
 		}
 		defer os.RemoveAll(dir)
-		began := time.Now()
-		r := &Record{ID: began.UTC().Format("20060102T150405.000"), Experiment: x.Name, Began: began, Seed: seed, Quick: quick,
-			Program: strings.TrimSpace(string(version)), Machine: fmt.Sprintf("%s/%s, %d processors", runtime.GOOS, runtime.GOARCH, runtime.NumCPU()),
-			Figures: map[string]float64{}}
+		r := newRecord(x.Name)
+		r.Seed, r.Quick, r.Program = seed, quick, strings.TrimSpace(string(version))
 		e := &Env{Seed: seed, Quick: quick, Program: program, Dir: dir, Record: r, Out: stderr}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 		defer stop()
@@ -200,7 +220,7 @@
 		if ctx.Err() != nil {
 			return errors.New("broken off")
 		}
-		if r.Seconds = time.Since(began).Seconds(); found != nil {
+		if r.Seconds = time.Since(r.Began).Seconds(); found != nil {
 			r.Failed = found.Error()
 		}
 		if err := with(func(a *Archive) error { return a.Put(r) }); err != nil {
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -26,6 +26,7 @@
 	Operator string            // the operator's file, as text; "" = none
 	Files    map[string]string // what else lies beside it
 	MemoryMB int
+	Sockets  int // descriptors of the gatherer; 0 = 1,024
 	Do       func(c *standin.ShardConn, p standin.Part)
 	Fault    func(what string)
 	Line     func(line string) // of the gatherer's log
@@ -74,7 +75,7 @@
 		"feedback":   map[string]any{"how": "answers", "names": []string{"queue", "inflight"}},
 		"guarantees": map[string]any{"askWithin": 10000, "stopSendingWithin": 500}}
 	config, err := json.Marshal(map[string]any{"name": s.Name, "listen": "127.0.0.1:0", "discovery": site.List.Addr(),
-		"seed": fmt.Sprintf("%x", e.Seed), "limits": map[string]any{"cores": 4, "memory_mb": max(s.MemoryMB, 64), "sockets": 1024},
+		"seed": fmt.Sprintf("%x", e.Seed), "limits": map[string]any{"cores": 4, "memory_mb": max(s.MemoryMB, 64), "sockets": max(s.Sockets, 1024)},
 		"settings": settings})
 	if err != nil {
 		site.Stop()
--- /dev/null
+++ b/merge/bench_test.go
@@ -0,0 +1,157 @@
+package merge
+
+import (
+	"container/heap"
+	"fmt"
+	"runtime"
+	"sort"
+	"testing"
+)
+
+// The loser tree against a heap of runs and a sort of everything, at the sizes of docs/measured/merging.md:
+//
+//	go test -run xxx -bench Merge -benchmem ./merge
+
+// benchRuns makes sorted runs as segments give them: each as long as the page, with keys of the usual length.
+func benchRuns(segments, page int) [][]Row {
+	x := uint64(42)
+	runs := make([][]Row, segments)
+	for i := range runs {
+		for range page {
+			x = x*6364136223846793005 + 1442695040888963407
+			runs[i] = append(runs[i], Row{key: fmt.Sprintf("\x00%012d\x00\x00a-%06d\x00\x00%04d", x>>40, x>>44%1_000_000, i), segment: Segment(i)})
+		}
+		sort.Slice(runs[i], func(a, b int) bool { return runs[i][a].key < runs[i][b].key })
+	}
+	return runs
+}
+
+func takeTree(runs [][]Row, n int) (out []Row) {
+	t := newLosers(runs)
+	for len(out) < n {
+		r, ok := t.next()
+		if !ok {
+			break
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// runHeap is the plain way: container/heap over the runs' first rows.
+type runHeap [][]Row
+
+func (h runHeap) Len() int           { return len(h) }
+func (h runHeap) Less(a, b int) bool { return h[a][0].key < h[b][0].key }
+func (h runHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *runHeap) Push(x any)        { *h = append(*h, x.([]Row)) }
+func (h *runHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+func takeHeap(runs [][]Row, n int) (out []Row) {
+	h := runHeap{}
+	for _, r := range runs {
+		if len(r) > 0 {
+			h = append(h, r)
+		}
+	}
+	heap.Init(&h)
+	for len(out) < n && len(h) > 0 {
+		out = append(out, h[0][0])
+		if h[0] = h[0][1:]; len(h[0]) == 0 {
+			heap.Pop(&h)
+		} else {
+			heap.Fix(&h, 0)
+		}
+	}
+	return out
+}
+
+func takeSort(runs [][]Row, n int) []Row {
+	var all []Row
+	for _, r := range runs {
+		all = append(all, r...)
+	}
+	sort.Slice(all, func(a, b int) bool { return all[a].key < all[b].key })
+	return all[:min(n, len(all))]
+}
+
+var ways = []struct {
+	name string
+	take func([][]Row, int) []Row
+}{{"tree", takeTree}, {"heap", takeHeap}, {"sort", takeSort}}
+
+func TestAllWaysOfMergingAgree(t *testing.T) {
+	for _, segments := range []int{0, 1, 2, 3, 8, 13, 64} {
+		for _, page := range []int{0, 1, 7} {
+			runs := benchRuns(segments, page)
+			want := fmt.Sprint(takeSort(runs, segments*page))
+			for _, way := range ways {
+				if got := fmt.Sprint(way.take(append([][]Row(nil), runs...), segments*page)); got != want {
+					t.Errorf("%s of %d runs of %d:\n%s\nnot\n%s", way.name, segments, page, got, want)
+				}
+			}
+		}
+	}
+}
+
+func BenchmarkMerge(b *testing.B) {
+	for _, page := range []int{50, 1000} {
+		for _, segments := range []int{8, 64, 512} {
+			runs := benchRuns(segments, page)
+			for _, way := range ways {
+				b.Run(fmt.Sprintf("page=%d/segments=%d/%s", page, segments, way.name), func(b *testing.B) {
+					b.ReportAllocs()
+					for b.Loop() {
+						way.take(append([][]Row(nil), runs...), page)
+					}
+					b.ReportMetric(float64(page)*float64(b.N)/b.Elapsed().Seconds(), "rows/s")
+					b.ReportMetric(float64(peak(func() { way.take(append([][]Row(nil), runs...), page) })), "peak-B")
+				})
+			}
+		}
+	}
+}
+
+// peak is how many bytes a call allocates, all of which live until it ends.
+func peak(do func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	do()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+func BenchmarkRead(b *testing.B) {
+	s := &Schema{Name: "arrears/1", Row: -1, Digits: 18}
+	for _, text := range []string{"account:text", "customer:text", "due:date", "amount:money", "bills:int+"} {
+		c, err := ParseColumn(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		s.Columns = append(s.Columns, c)
+	}
+	a := &Allowance{Schema: s, Kinds: []string{Ranked}, Orders: []string{"due"}, MostRows: 1000, MostParts: 1 << 20, MostAnswer: 1 << 20}
+	q, err := a.Query(Terms{Kind: Ranked, Order: []string{"due"}, Limit: 1000}, []Asked{{0, 1}}, false, Paging{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	const n = 800
+	value := fmt.Sprintf("{\"schema\":\"arrears/1\",\"as_of\":7,\"rows\":%d}\n", n)
+	for i := range n {
+		value += fmt.Sprintf("[\"a-%06d\",\"c-07\",\"2026-%02d-01\",\"120.50\",3]\n", i, 1+i*12/n)
+	}
+	b.ReportAllocs()
+	b.SetBytes(int64(len(value)))
+	for b.Loop() {
+		if _, err := q.Read(0, value); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(n*float64(b.N)/b.Elapsed().Seconds(), "rows/s")
+}
--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -317,6 +317,42 @@
 	}
 }
 
+// A node that gives more than it was asked for: the first rows of its run count, and the list goes on behind them.
+func TestMoreRowsThanAskedAreCutToThose(t *testing.T) {
+	l := standin.NewLedger(8, standin.Shape{Segments: 3, Accounts: 90})
+	order := []string{"due"}
+	ask := func(limit int) *merge.Query {
+		q, err := allowance().Query(merge.Terms{Kind: "ranked", Order: order, Limit: limit}, asked(3), false, merge.Paging{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return q
+	}
+	q, more := ask(10), ask(25)
+	m, err := merge.New(q, wide())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at := range 3 {
+		item, _ := strings.CutPrefix(more.Ask(merge.Segment(at)), "m=")
+		value, err := l.Give(at, item, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := q.Read(merge.Segment(at), value)
+		if err != nil || m.Add(p) != nil {
+			t.Fatalf("segment %d: %v", at, err)
+		}
+	}
+	got, body := answer(t, m, true)
+	if err := (standin.Truth{Ledger: l, Segments: segments(3)}).Ranked(got, order, 0, 10, true); err != nil || !got.Full {
+		t.Errorf("%v, full %t: %s", err, got.Full, body)
+	}
+	if n := got.Merged.Complete.Segments[0].Rows; n != 10 {
+		t.Errorf("%d rows of a segment are held, 10 were asked for", n)
+	}
+}
+
 func TestACopyAndALateSegmentCountOnce(t *testing.T) {
 	l := standin.NewLedger(5, standin.Shape{Segments: 2, Accounts: 30})
 	terms := merge.Terms{Kind: "aggregated", Limit: 1, Figures: []string{"count", "sum(amount)"}}
--- a/merge/scan.go
+++ b/merge/scan.go
@@ -71,9 +71,11 @@
 		n++
 		s = scalar{raw: rest[:n], text: rest[1 : n-1], kind: 's'}
 		if escaped {
-			if err := json.Unmarshal([]byte(s.raw), &s.text); err != nil {
-				return s, 0, fmt.Errorf("a string is not JSON")
+			text, err := unescape(s.raw)
+			if err != nil {
+				return s, 0, err
 			}
+			s.text = text
 		}
 		if !utf8.ValidString(s.text) {
 			return s, 0, fmt.Errorf("a string is not UTF-8")
@@ -90,6 +92,14 @@
 	return scalar{raw: rest[:n], text: rest[:n], kind: 'i'}, n, nil
 }
 
+// unescape is apart, so that the values of all other strings need not be on the heap.
+func unescape(raw string) (text string, err error) {
+	if json.Unmarshal([]byte(raw), &text) != nil {
+		return "", fmt.Errorf("a string is not JSON")
+	}
+	return text, nil
+}
+
 // check says whether a value is one of a column.
 func (c Column) check(s scalar, digits int) error {
 	if s.missing() {
