--- a/admit/admit.go
+++ b/admit/admit.go
@@ -43,6 +43,7 @@
 	IdleLong  Time      // how long an idle connection is owed, where room can be made otherwise
 	HeadLate  Time      // a stranger without a head for so long is late
 	Shares    []float64 // each customer's share of searches; nil = no customers
+	Crowded   int       // idle connections from which on one that asked once is closed behind its answer; 0 = none is
 	MostAwake int       // open requests up to which a parked connection may wake; 0 = no limit
 }
 
@@ -219,6 +220,21 @@
 	return float64(a.held[customer]) < a.f.Shares[customer]/a.total*float64(a.n)/2
 }
 
+// Releases says whether a connection is to be told, with its answer, that it is closed behind it: it has asked once, and as
+// many others lie idle as Figures.Crowded says. Clients hold only so many connections in all; where most of them lie idle at
+// clients that asked once, nothing is left for those that would ask. A connection that has been asked on again keeps its
+// place.
+func (a *Admission) Releases(id ID, requests int) bool {
+	if a.f.Crowded <= 0 || requests > 1 || a.at(id) == nil {
+		return false
+	}
+	n := int32(0)
+	for _, l := range a.lists[firstIdle:] {
+		n += l.n
+	}
+	return int(n) >= a.f.Crowded
+}
+
 // Victim is the connection that can best be spared; None = all have an open request. In this order:
 //
 //  1. visitors idle for IdleLong, the longest idle: who never asks a search loses nothing;
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -184,6 +184,36 @@
 	}
 }
 
+func TestWhoAskedOnceIsReleasedInACrowdOfIdleOnes(t *testing.T) {
+	a := New(Figures{Limit: 100, Crowded: 5})
+	rest := func() ID {
+		id := a.Came(1)
+		a.Asks(id)
+		a.Searches(id, Unknown)
+		a.Rests(id, 1)
+		return id
+	}
+	for range 4 {
+		rest()
+	}
+	id := a.Came(2)
+	a.Asks(id)
+	if a.Releases(id, 1) {
+		t.Error("released while few lie idle")
+	}
+	last := rest()
+	if !a.Releases(id, 1) || a.Releases(id, 2) {
+		t.Error("in a crowd who asked once is to be released, who asks again is not")
+	}
+	a.Gone(last)
+	if a.Releases(id, 1) || a.Releases(last, 1) {
+		t.Error("released once the crowd is over, or after its end")
+	}
+	if none := New(Figures{Limit: 100}); none.Releases(none.Came(1), 1) {
+		t.Error("released without a figure")
+	}
+}
+
 func TestCounts(t *testing.T) {
 	a := New(Figures{Limit: 10})
 	var ids []ID
--- a/gatherer/conns.go
+++ b/gatherer/conns.go
@@ -206,6 +206,10 @@
 	limit    wheel.Handle // parked: its idle limit; 0 = none
 }
 
+// crowdedPart of the clients' descriptors idle is a crowd, see admit.Releases: clients hold a third of all descriptors
+// for requests, says the protocol's later page, and this is under a quarter of that.
+const crowdedPart = 12
+
 // linger is how long an idle connection keeps its goroutine: who asks again within it pays nothing for parking.
 const linger = 250 * time.Millisecond
 
@@ -220,7 +224,7 @@
 func newListener(l net.Listener, share int, customers []float64, mostAwake int) *listener {
 	spare := max(share/8, 1)
 	k := &listener{Listener: l, spare: spare, began: time.Now(), who: admit.New(admit.Figures{Limit: max(share-spare, 1),
-		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: customers, MostAwake: mostAwake})}
+		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: customers, MostAwake: mostAwake, Crowded: max(share/crowdedPart, 1)})}
 	k.room.L, k.linger = &k.mu, linger
 	k.woken = &wokenListener{Listener: l, c: make(chan net.Conn, 64), done: make(chan struct{})}
 	return k
@@ -470,6 +474,16 @@
 	return held
 }
 
+// releases tells whether a connection's answer is to say that it is closed behind it.
+func (l *listener) releases(c *clientConn) bool {
+	c.mu.Lock()
+	requests := c.requests
+	c.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(c.id) < len(l.conns) && l.conns[c.id].c == c && l.who.Releases(c.id, requests)
+}
+
 // searches notes that a connection asks a search, and whose.
 func (l *listener) searches(c *clientConn, of admit.Customer) {
 	l.mu.Lock()
--- a/gatherer/front.go
+++ b/gatherer/front.go
@@ -66,9 +66,10 @@
 		// A drain that begins while a search is open must still tell its client to close, or what the client sends
 		// next on the connection finds nobody.
 		ModifyResponse: func(res *http.Response) error {
-			if f.draining.Load() {
+			c, _ := res.Request.Context().Value(connKey{}).(*clientConn)
+			if f.draining.Load() || c != nil && c.l.releases(c) {
 				res.Header.Set("Connection", "close")
-				if c, ok := res.Request.Context().Value(connKey{}).(*clientConn); ok {
+				if c != nil {
 					c.because(endToldClose)
 				}
 			}
--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -609,6 +609,55 @@
 	p.line("event=client_conn_end", "reason=made_room")
 }
 
+// Clients that ask once and keep their connection fill what clients may hold in all, and nothing is left for those that
+// would ask (incident r776d5d). In such a crowd the first answer on a connection says that it is closed behind it; one that
+// keeps asking keeps its place.
+func TestACrowdOfConnectionsThatAskedOnceIsReleased(t *testing.T) {
+	p := start(t, startList(t, startShard(t, "s-a", nil)), func(s *Setup) { s.Limits.Sockets = 256 })
+	clients, _ := Limits{Sockets: 256}.split()
+	ask := func(c net.Conn) bool {
+		t.Helper()
+		r, _ := newSearch(context.Background(), p.addr, "lookup", 0)
+		if err := r.Write(c); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(bufio.NewReader(c), r)
+		if err != nil || res.StatusCode != 200 {
+			t.Fatalf("got %v, %v", res, err)
+		}
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		return res.Close
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	steady := dial()
+	if ask(steady) || ask(steady) {
+		t.Error("a connection is released where nobody else is there")
+	}
+	released, kept := 0, 0
+	for range clients {
+		if ask(dial()) {
+			released++
+		} else {
+			kept++
+		}
+	}
+	if kept > clients/crowdedPart+1 || released == 0 {
+		t.Errorf("%d connections that asked once are kept, %d released, %d may lie idle", kept, released, clients/crowdedPart)
+	}
+	if ask(steady) {
+		t.Error("a connection that keeps asking is released")
+	}
+	p.line("event=client_conn_end", "reason=told_close", "requests=1")
+}
+
 func TestCommandLine(t *testing.T) {
 	for args, want := range map[string]struct {
 		code int
