--- a/admit/admit.go
+++ b/admit/admit.go
@@ -39,12 +39,12 @@
 
 // Figures are what admission goes by.
 type Figures struct {
-	Limit     int       // connections that may be kept
-	IdleLong  Time      // how long an idle connection is owed, where room can be made otherwise
-	HeadLate  Time      // a stranger without a head for so long is late
-	Shares    []float64 // each customer's share of searches; nil = no customers
-	Crowded   int       // idle connections from which on one that asked once is closed behind its answer; 0 = none is
-	MostAwake int       // open requests up to which a parked connection may wake; 0 = no limit
+	Limit    int       // connections that may be kept
+	IdleLong Time      // how long an idle connection is owed, where room can be made otherwise
+	HeadLate Time      // a stranger without a head for so long is late
+	Shares   []float64 // each customer's share of searches; nil = no customers
+	Crowded  int       // idle connections from which on one that asked once is closed behind its answer; 0 = none is
+	MostOpen int       // open requests up to which a parked connection may wake; 0 = no limit
 }
 
 // conn is what is known of one connection.
@@ -54,7 +54,6 @@
 	list       int16
 	class      class
 	searched   bool
-	parked     bool
 	customer   int16
 }
 
@@ -69,8 +68,6 @@
 	lists   []list // strangers, visitors, then the idle ones of each customer, the unknown one's last
 	held    []int32
 	n       int
-	awake   int
-	open    int     // with an open request
 	total   float64 // of the shares
 	unknown int
 }
@@ -97,9 +94,8 @@
 // Limit is how many connections may be kept.
 func (a *Admission) Limit() int { return a.f.Limit }
 
-// Len is how many connections are held, Awake how many of them are not parked.
-func (a *Admission) Len() int   { return a.n }
-func (a *Admission) Awake() int { return a.awake }
+// Len is how many connections are held.
+func (a *Admission) Len() int { return a.n }
 
 // Full tells whether one that comes now is past the limit. Room is to be made for it, by closing the Victim at once; where
 // there is none, as all have an open request, the newcomer's request is to be shed.
@@ -116,7 +112,6 @@
 	}
 	a.conns[i] = conn{customer: int16(a.unknown), next: -1, prev: -1}
 	a.n++
-	a.awake++
 	a.enter(i, stranger, strangers, now)
 	return ID(i)
 }
@@ -125,14 +120,7 @@
 func (a *Admission) Asks(id ID) {
 	if c := a.at(id); c != nil {
 		a.leave(int32(id))
-		if c.class != active {
-			c.class = active
-			a.open++
-		}
-		if c.parked {
-			c.parked = false
-			a.awake++
-		}
+		c.class = active
 	}
 }
 
@@ -159,9 +147,6 @@
 		return
 	}
 	a.leave(int32(id))
-	if c.class == active {
-		a.open--
-	}
 	if c.searched {
 		a.enter(int32(id), idle, firstIdle+int(c.customer), now)
 	} else {
@@ -169,14 +154,6 @@
 	}
 }
 
-// Parks says that an idle connection holds neither goroutine nor buffers any more.
-func (a *Admission) Parks(id ID) {
-	if c := a.at(id); c != nil && !c.parked {
-		c.parked = true
-		a.awake--
-	}
-}
-
 // Gone forgets a connection. It may be told twice.
 func (a *Admission) Gone(id ID) {
 	c := a.at(id)
@@ -184,12 +161,6 @@
 		return
 	}
 	a.leave(int32(id))
-	if c.class == active {
-		a.open--
-	}
-	if !c.parked {
-		a.awake--
-	}
 	a.held[c.customer]--
 	*c = conn{next: a.free}
 	a.free = int32(id)
@@ -204,7 +175,7 @@
 	if c == nil {
 		return false
 	}
-	if a.f.MostAwake > 0 && a.open >= a.f.MostAwake && !a.below(int(c.customer)) {
+	if _, _, _, open := a.Counts(); a.f.MostOpen > 0 && open >= a.f.MostOpen && !a.below(int(c.customer), open) {
 		return false
 	}
 	a.Asks(id)
@@ -213,8 +184,8 @@
 
 // below tells whether a customer holds so little that it may wake past the limit too: an eighth of the limit is kept for
 // those who hold less than half of their share of the connections.
-func (a *Admission) below(customer int) bool {
-	if customer >= a.unknown || a.total <= 0 || a.open >= a.f.MostAwake+a.f.MostAwake/8 {
+func (a *Admission) below(customer, open int) bool {
+	if customer >= a.unknown || a.total <= 0 || open >= a.f.MostOpen+a.f.MostOpen/8 {
 		return false
 	}
 	return float64(a.held[customer]) < a.f.Shares[customer]/a.total*float64(a.n)/2
@@ -228,11 +199,8 @@
 	if a.f.Crowded <= 0 || requests > 1 || a.at(id) == nil {
 		return false
 	}
-	n := int32(0)
-	for _, l := range a.lists[firstIdle:] {
-		n += l.n
-	}
-	return int(n) >= a.f.Crowded
+	_, _, idle, _ := a.Counts()
+	return idle >= a.f.Crowded
 }
 
 // Victim is the connection that can best be spared; None = all have an open request. In this order:
@@ -341,7 +309,7 @@
 // Size is how many bytes an admission's tables hold.
 func Size(a *Admission) int { return cap(a.conns) * int(unsafe.Sizeof(conn{})) }
 
-// Counts tells how many connections of each class there are.
+// Counts tells how many connections of each class there are, those with an open request last.
 func (a *Admission) Counts() (strange, visiting, idle, active int) {
 	strange, visiting = int(a.lists[strangers].n), int(a.lists[visitors].n)
 	for _, l := range a.lists[firstIdle:] {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -135,15 +135,15 @@
 			if got, want := a.Victim(now), walk(f, all, now); got != want {
 				t.Fatalf("the victim is %d, the walk says %d", got, want)
 			}
-			if a.Len() != len(all) || a.Awake() != len(all) {
-				t.Fatalf("%d held, %d awake, want %d", a.Len(), a.Awake(), len(all))
+			if a.Len() != len(all) {
+				t.Fatalf("%d held, want %d", a.Len(), len(all))
 			}
 		}
 	})
 }
 
 func TestWakingPastTheLimitIsTurnedAwayButForThoseWhoHoldLittle(t *testing.T) {
-	a := New(Figures{Limit: 1000, IdleLong: 2000, HeadLate: 1000, Shares: []float64{1, 1}, MostAwake: 16})
+	a := New(Figures{Limit: 1000, IdleLong: 2000, HeadLate: 1000, Shares: []float64{1, 1}, MostOpen: 16})
 	var parked []ID
 	for i := range 100 {
 		id := a.Came(Time(i))
@@ -154,13 +154,8 @@
 		a.Asks(id)
 		a.Searches(id, of)
 		a.Rests(id, Time(i))
-		a.Parks(id)
-		a.Parks(id)
 		parked = append(parked, id)
 	}
-	if a.Awake() != 0 {
-		t.Fatalf("%d of 100 parked connections are awake", a.Awake())
-	}
 	var woken, turned [2]int
 	for i, id := range parked { // all at once
 		of := 0
@@ -173,14 +168,14 @@
 			turned[of]++
 		}
 	}
-	if a.Awake() > 18 || woken[1] < 4 || woken[0] < 12 || turned[0] < 70 {
-		t.Errorf("woken %v, turned away %v, awake %d", woken, turned, a.Awake())
+	if _, _, _, open := a.Counts(); open > 18 || open != woken[0]+woken[1] || woken[1] < 4 || woken[0] < 12 || turned[0] < 70 {
+		t.Errorf("woken %v, turned away %v", woken, turned)
 	}
 	for _, id := range parked {
 		a.Gone(id)
 	}
-	if a.Len() != 0 || a.Awake() != 0 {
-		t.Errorf("%d held, %d awake once all are gone", a.Len(), a.Awake())
+	if _, _, _, open := a.Counts(); a.Len() != 0 || open != 0 {
+		t.Errorf("%d held, %d open once all are gone", a.Len(), open)
 	}
 }
 
--- a/gatherer/conns.go
+++ b/gatherer/conns.go
@@ -52,7 +52,7 @@
 	closed   bool
 	parked   bool // its socket has been taken over: this connection is over, the client's is not
 	requests int
-	idle     time.Time // since when it waits for a request; zero = it does not
+	resting  bool // it waits for a request
 }
 
 func (c *clientConn) Read(b []byte) (int, error) {
@@ -91,7 +91,7 @@
 func (c *clientConn) restful() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idle.IsZero() && !c.over && c.framing.between()
+	return c.resting && !c.over && c.framing.between()
 }
 
 // doubtful tells whether the present request, or one before it, can be read in two ways.
@@ -186,12 +186,13 @@
 	mu    sync.Mutex
 	room  sync.Cond
 	who   *admit.Admission
-	conns []held    // by admit.ID; a place is empty once its connection has ended
+	conns []held    // by admit.ID, as many as there were at once; a place is empty once its connection has ended
 	set   *park.Set // nil = idle connections keep their goroutines
 	over  bool      // closed
 
 	linger time.Duration
 	gaveUp int           // connections parked since memory was last given back
+	back   *time.Timer   // gives it back
 	idle   time.Duration // that a connection may be parked; 0 = any
 	limits *wheel.Wheel  // their limits, in ticks since began
 	timer  *time.Timer   // for the first of them
@@ -221,10 +222,11 @@
 	headLate = readLimit / 2
 )
 
-func newListener(l net.Listener, share int, customers []float64, mostAwake int) *listener {
+func newListener(l net.Listener, share int, customers []float64, mostOpen int) *listener {
 	spare := max(share/8, 1)
 	k := &listener{Listener: l, spare: spare, began: time.Now(), who: admit.New(admit.Figures{Limit: max(share-spare, 1),
-		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: customers, MostAwake: mostAwake, Crowded: max(share/crowdedPart, 1)})}
+		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: customers, MostOpen: mostOpen,
+		Crowded: max(share/crowdedPart, 1)})}
 	k.room.L, k.linger = &k.mu, linger
 	k.woken = &wokenListener{Listener: l, c: make(chan net.Conn, 64), done: make(chan struct{})}
 	return k
@@ -264,17 +266,27 @@
 func (l *listener) turn() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.limits.Turn(int64(time.Since(l.began)/limitTick), func(value uint32) {
+	l.turnTo(int64(time.Since(l.began) / limitTick))
+}
+
+// turnTo turns the idle limits to a moment. The listener's lock is held.
+func (l *listener) turnTo(tick int64) {
+	l.limits.Turn(tick, func(value uint32) {
 		l.conns[value].limit = 0
-		if waiting, _ := park.Peek(int(l.conns[value].fd)); !waiting || !l.wake(admit.ID(value)) {
-			if l.conns[value].fd != 0 {
-				l.endParked(admit.ID(value), endIdleLimit)
-			}
-		}
+		l.endUnlessAsked(admit.ID(value), endIdleLimit)
 	})
 	l.await()
 }
 
+// endUnlessAsked closes a parked connection, or wakes it if a request waits on it already.
+func (l *listener) endUnlessAsked(id admit.ID, why string) {
+	if waiting, _ := park.Peek(int(l.conns[id].fd)); waiting {
+		l.wake(id)
+		return
+	}
+	l.endParked(id, why)
+}
+
 // await sets the one timer to the first idle limit.
 func (l *listener) await() {
 	if next, any := l.limits.Next(); any && !l.over {
@@ -297,9 +309,7 @@
 	c := &clientConn{Conn: raw, l: l, began: time.Now()}
 	l.mu.Lock()
 	var other *clientConn
-	if l.who.Full() {
-		other, c.over = l.makeRoom()
-	}
+	other, c.over = l.makeRoom()
 	c.id = l.who.Came(l.now())
 	l.hold(c)
 	l.mu.Unlock()
@@ -321,22 +331,17 @@
 // makeRoom ends a connection for one that comes, or names one to be closed; over = none can be spared. A parked one on
 // which a request waits already is not closed but woken.
 func (l *listener) makeRoom() (other *clientConn, over bool) {
-	for {
+	for l.who.Full() {
 		id := l.who.Victim(l.now())
 		if id == admit.None {
 			return nil, true
 		}
-		h := &l.conns[id]
-		if h.c != nil {
-			return h.c, false
-		}
-		if waiting, _ := park.Peek(int(h.fd)); waiting {
-			l.wake(id)
-			continue
+		if c := l.conns[id].c; c != nil {
+			return c, false
 		}
-		l.endParked(id, endMadeRoom)
-		return nil, false
+		l.endUnlessAsked(id, endMadeRoom)
 	}
+	return nil, false
 }
 
 // park takes an idle connection's socket over; false = it keeps its goroutine.
@@ -366,9 +371,8 @@
 		}
 	}
 	l.conns[c.id] = h
-	l.who.Parks(c.id)
 	if l.gaveUp++; l.gaveUp == giveBackAfter {
-		time.AfterFunc(giveBackWait, l.giveBack)
+		l.back = time.AfterFunc(giveBackWait, l.giveBack)
 	}
 	return true
 }
@@ -395,15 +399,14 @@
 	if int(value) >= len(l.conns) || l.conns[value].fd != int32(fd) {
 		return // it has been ended or woken meanwhile
 	}
-	switch waiting, closed := park.Peek(fd); {
-	case closed:
+	switch waiting, over := park.Peek(fd); {
+	case errors.Is(over, io.EOF):
 		l.endParked(id, endClient)
+	case over != nil:
+		l.endParked(id, endReset)
 	case waiting && !l.who.Wake(id):
 		// Turned away here, before it costs a goroutine and buffers: given up, so answered at once.
-		client, h := park.RemoteAddr(fd), l.conns[id]
-		l.set.Refuse(fd, l.refuse)
-		l.forget(id)
-		logClientEnd(client, endOverLimit, int(h.requests), time.UnixMilli(h.began))
+		l.refuses(id)
 	case waiting:
 		l.wake(id)
 	default:
@@ -413,13 +416,15 @@
 	}
 }
 
-// wake hands a parked connection to net/http again; false = its socket is no more.
-func (l *listener) wake(id admit.ID) bool {
+// wake hands a parked connection to net/http again. Where no descriptor is left for the moment that this takes more, its
+// request is shed at once: a request in hand is never closed upon without an answer.
+func (l *listener) wake(id admit.ID) {
 	h := l.conns[id]
 	raw, err := l.set.Unpark(int(h.fd))
 	if err != nil {
-		l.forget(id)
-		return false
+		slog.Warn("client_not_woken", "error", err)
+		l.refuses(id)
+		return
 	}
 	l.unlimit(id)
 	c := &clientConn{Conn: raw, l: l, id: id, began: time.UnixMilli(h.began), requests: int(h.requests)}
@@ -427,14 +432,23 @@
 	l.conns[id] = held{c: c}
 	l.who.Asks(id) // a request is on its way: it is not closed to make room
 	l.woken.put(c)
-	return true
 }
 
 // endParked closes a parked connection.
 func (l *listener) endParked(id admit.ID, why string) {
+	l.lost(id, why, func() { l.set.Close(int(l.conns[id].fd)) })
+}
+
+// refuses answers a parked connection's request 503, and closes it.
+func (l *listener) refuses(id admit.ID) {
+	l.lost(id, endOverLimit, func() { l.set.Refuse(int(l.conns[id].fd), l.refuse) })
+}
+
+// lost forgets a parked connection, which end ends.
+func (l *listener) lost(id admit.ID, why string, end func()) {
 	h := l.conns[id]
 	client := park.RemoteAddr(int(h.fd))
-	l.set.Close(int(h.fd))
+	end()
 	l.forget(id)
 	logClientEnd(client, why, int(h.requests), time.UnixMilli(h.began))
 }
@@ -493,47 +507,51 @@
 	}
 }
 
-func (c *clientConn) idleSince() time.Time {
+func (c *clientConn) rests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle
+	return c.resting
 }
 
 // stop closes what waits for a first request in vain, which net/http's shutdown would wait for, and what is parked with
 // nothing to read; it names the reason for the idle ones that net/http will close.
 func (l *listener) stop() {
 	l.mu.Lock()
+	unused := l.endAll()
+	set := l.set
+	for _, t := range []*time.Timer{l.timer, l.back} {
+		if t != nil {
+			t.Stop()
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range unused {
+		c.Close()
+	}
+	if set != nil {
+		l.woken.settle()
+		set.Stop()
+	}
+}
+
+// endAll ends what is parked with nothing to read, and lists what is to be closed. The listener's lock is held.
+func (l *listener) endAll() []*clientConn {
 	var unused []*clientConn
 	l.over = true // nothing is parked any more
 	for i := range l.conns {
 		switch h := l.conns[i]; {
 		case h.fd != 0:
-			if waiting, _ := park.Peek(int(h.fd)); !waiting || !l.wake(admit.ID(i)) {
-				if l.conns[i].fd != 0 {
-					l.endParked(admit.ID(i), endStopped)
-				}
-			}
+			l.endUnlessAsked(admit.ID(i), endStopped)
 		case h.c != nil:
 			if !h.c.begun.Load() {
 				unused = append(unused, h.c)
 			}
-			if !h.c.begun.Load() || !h.c.idleSince().IsZero() {
+			if !h.c.begun.Load() || h.c.rests() {
 				h.c.because(endStopped)
 			}
 		}
 	}
-	set := l.set
-	if l.timer != nil {
-		l.timer.Stop()
-	}
-	l.mu.Unlock()
-	for _, c := range unused {
-		c.Close()
-	}
-	if set != nil {
-		l.woken.settle()
-		set.Stop()
-	}
+	return unused
 }
 
 // state follows a connection through net/http's states.
@@ -543,12 +561,8 @@
 		return
 	}
 	c.mu.Lock()
-	switch s {
-	case http.StateActive:
-		c.idle = time.Time{}
+	if c.resting = s == http.StateIdle; s == http.StateActive {
 		c.requests++
-	case http.StateIdle:
-		c.idle = time.Now()
 	}
 	c.mu.Unlock()
 	l.mu.Lock()
--- a/gatherer/front.go
+++ b/gatherer/front.go
@@ -210,6 +210,8 @@
 	go func() { failed <- srv.Serve(l.woken) }()
 	select {
 	case err := <-failed:
+		l.stop() // what is parked, and who waits for it, end with this too
+		srv.Close()
 		return err
 	case <-ctx.Done():
 	}
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -121,6 +121,14 @@
 	return s.Operator.Merging
 }
 
+// connections is what the operator's file says of clients' connections.
+func (s Setup) connections() (c operator.Connections) {
+	if s.Operator != nil && s.Operator.Connections != nil {
+		c = *s.Operator.Connections
+	}
+	return c
+}
+
 // operate puts what the operator's file says in force.
 func (g *Gatherer) operate(s Setup) {
 	m := s.merging()
@@ -166,10 +174,8 @@
 	g.operate(s)
 	g.front = newFront(g.proxy, duration(d.LongestTimeout), s.Limits.bodies())
 	g.front.awake = s.Limits.awake()
-	if o := s.Operator; o != nil && o.Connections != nil {
-		g.front.parking, g.front.idle = o.Connections.Park, o.Connections.Idle
-		g.front.awake = cmp.Or(o.Connections.Awake, g.front.awake)
-	}
+	c := s.connections()
+	g.front.parking, g.front.idle, g.front.awake = c.Park, c.Idle, cmp.Or(c.Awake, g.front.awake)
 	g.module.listed = func() { g.front.listed.Store(true) }
 	return g, nil
 }
@@ -220,6 +226,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	connections := s.connections() == g.setup.connections()
 	g.setup.Operator = s.Operator
 	g.operate(s)
 	moved := s.Discovery != g.setup.Discovery
@@ -231,6 +238,7 @@
 		name string
 		same bool
 	}{{"name", s.Name == g.setup.Name}, {"listen", s.Listen == g.setup.Listen}, {"limits", s.Limits == g.setup.Limits},
+		{"connections", connections},
 		{"settings", sameJSON(s.Settings, g.setup.Settings)}} {
 		if !f.same {
 			restart = append(restart, f.name)
--- a/gatherer/merge_test.go
+++ b/gatherer/merge_test.go
@@ -320,6 +320,19 @@
 	}
 }
 
+// A server dies between two pages, and with it one replica of two segments: the walk goes on at the others.
+func TestAServerThatDiesBetweenTwoPages(t *testing.T) {
+	s := startLedger(t, standin.Shape{Segments: 4, Accounts: 90}, nil, nil)
+	w := s.walk("report", []string{"-amount"}, 10, func(page int) {
+		if page == 2 {
+			s.shards[1].Stop()
+		}
+	})
+	if w.Late != 0 || w.Rows != 90 {
+		t.Errorf("%d rows came, %d of them late, the ledger has 90", w.Rows, w.Late)
+	}
+}
+
 func TestDataThatMovesOnBetweenPagesIsSaid(t *testing.T) {
 	s := startLedger(t, standin.Shape{Segments: 4, Accounts: 60}, nil, nil)
 	first := s.merged("report", merge.Terms{Kind: "paged", Order: []string{"due"}, Limit: 10})
--- a/gatherer/park_test.go
+++ b/gatherer/park_test.go
@@ -10,11 +10,15 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 
@@ -150,8 +154,13 @@
 	c.send(post("/1", "a") + post("/2", "b") + third[:3])
 	c.want("/1 a")
 	c.want("/2 b")
-	if r.parked() != 0 { // three bytes of the next request are in net/http's hands
-		t.Error("a connection is parked with part of a request read")
+	// Three bytes of the next request are in net/http's hands, which waits for more: it must not be parked.
+	r.l.mu.Lock()
+	held := r.l.conns[0].c
+	r.l.mu.Unlock()
+	r.until("rest", func() bool { return held != nil && held.rests() })
+	if held.restful() || r.l.who.Len() != 1 {
+		t.Error("a connection may be parked with part of a request read")
 	}
 	c.send(third[3:])
 	c.want("/3 c")
@@ -249,35 +258,147 @@
 	r.until("all gone", func() bool { r.l.mu.Lock(); defer r.l.mu.Unlock(); return r.l.who.Len() == 0 })
 }
 
+// hold keeps the listener from dealing with anything until a request lies unread on a parked connection, and does what is
+// to be done at that very moment, under its lock.
+func (r *parkRig) hold(place int, c *rigClient, request string, done func()) {
+	r.t.Helper()
+	r.l.mu.Lock()
+	fd := int(r.l.conns[place].fd)
+	c.send(request)
+	r.until("bytes waiting", func() bool { waiting, _ := park.Peek(fd); return waiting })
+	done()
+	r.l.mu.Unlock()
+}
+
+// The idle limit comes at the very moment of a wake: who has asked is answered, who has not is closed.
 func TestAWakeAtTheIdleLimitIsAnswered(t *testing.T) {
-	const limit = 300 * time.Millisecond
-	r := startRig(t, 200, 0, limit)
-	silent := r.dial()
-	silent.send(post("/", ""))
-	silent.want("/ ")
-	answered, ended := 0, 0
-	for i := range 24 {
-		c := r.dial()
+	r := startRig(t, 200, 0, time.Hour)
+	silent, asking := r.dial(), r.dial()
+	for _, c := range []*rigClient{silent, asking} {
 		c.send(post("/", ""))
 		c.want("/ ")
-		// It asks again around the moment at which the limit closes it.
-		time.AfterFunc(limit+time.Duration(i-12)*15*time.Millisecond, func() { io.WriteString(c, post("/again", "x")) })
-		defer func() {
-			switch status, body, err := c.answer(); {
-			case err == nil && status == 200 && body == "/again x":
-				answered++
-			case errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, unix.ECONNRESET):
-				ended++ // closed between requests: the client asks again on another
-			default:
-				t.Errorf("got %d %q, %v", status, body, err)
-			}
-		}()
 	}
+	r.awaitParked(2)
+	r.hold(1, asking, post("/again", "x"), func() { r.l.turnTo(2 * int64(time.Hour/limitTick)) })
+	asking.want("/again x")
 	if _, _, err := silent.answer(); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("a silent connection got %v, not its end", err)
 	}
 }
 
+func TestTheIdleLimitComesByItself(t *testing.T) {
+	r := startRig(t, 200, 0, 200*time.Millisecond)
+	c := r.dial()
+	c.send(post("/", ""))
+	c.want("/ ")
+	if _, _, err := c.answer(); !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a silent connection got %v, not its end", err)
+	}
+}
+
+// A byte a second, the first of which wakes it: its head must come whole within the read limit like any other.
+func TestATricklerAcrossAPark(t *testing.T) {
+	r := startRig(t, 100, 0, 0)
+	c := r.dial()
+	c.send(post("/", ""))
+	c.want("/ ")
+	r.awaitParked(1)
+	began := time.Now()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		for _, b := range []byte(post("/slow", "")) {
+			if _, err := c.Write([]byte{b}); err != nil || time.Since(began) > patience {
+				return
+			}
+			select {
+			case <-time.After(time.Second):
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	if _, err := io.Copy(io.Discard, c); err != nil && !errors.Is(err, unix.ECONNRESET) {
+		t.Error(err)
+	}
+	if took := time.Since(began); took > readLimit+time.Second {
+		t.Errorf("it was let trickle for %s", took)
+	}
+	c.Close()
+	<-over
+	r.until("gone", func() bool { r.l.mu.Lock(); defer r.l.mu.Unlock(); return r.l.who.Len() == 0 })
+}
+
+// A parked connection outlives SIGHUP, in the built program, and is closed at its idle limit.
+func TestAParkedConnectionOutlivesSIGHUP(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operator.ini")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[connections]\nidle = 2s\n")
+	p := start(t, startList(t, startShard(t, "s-a", nil)), nil, "--operator", file)
+	nc, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	c := &rigClient{nc, t, bufio.NewReader(nc)}
+	health := "GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n"
+	c.send(health)
+	c.want("ok\n")
+	for answered := time.Now(); time.Since(answered) < 2*linger; { // it is parked within that
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.line("event=reload ", "needs_restart=none")
+	}
+	write("[connections]\npark = no\n")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.line("event=reload ", "needs_restart=connections")
+	c.send(health)
+	c.want("ok\n")
+	p.line("event=client_conn_end", "client="+nc.LocalAddr().String(), "reason=idle_limit", "requests=2")
+}
+
+// Descriptors are used up when a parked connection wakes: its request is shed with advice, not closed upon.
+func TestAWakeWithoutADescriptorIsAnswered(t *testing.T) {
+	r := startRig(t, 200, 0, 0)
+	c, later := r.dial(), r.dial()
+	for _, c := range []*rigClient{c, later} {
+		c.send(post("/", ""))
+		c.want("/ ")
+	}
+	r.awaitParked(2)
+	var was unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+		t.Fatal(err)
+	}
+	give := func() {
+		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+			t.Fatal(err)
+		}
+	}
+	defer give()
+	// No new number may be as high as the lowest that is free: the limit is on numbers, not on how many there are.
+	free, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix.Close(free)
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(free), Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	c.send(post("/now", "x"))
+	c.SetReadDeadline(time.Now().Add(patience))
+	res, err := http.ReadResponse(c.r, nil)
+	give()
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "0.5" {
+		t.Errorf("got %v, %v", res, err)
+	}
+	later.send(post("/later", "x"))
+	later.want("/later x")
+}
+
 func TestADrainClosesWhatIsParkedAndAnswersWhatHasAsked(t *testing.T) {
 	r := startRig(t, 200, 0, 0)
 	quiet, asking := r.dial(), r.dial()
@@ -286,12 +407,7 @@
 		c.want("/ ")
 	}
 	r.awaitParked(2)
-	// The set is held up, so that the request lies unread when the drain comes.
-	r.l.mu.Lock()
-	fd := r.l.conns[1].fd
-	asking.send(post("/late", "x"))
-	r.until("bytes waiting", func() bool { waiting, _ := park.Peek(int(fd)); return waiting })
-	r.l.mu.Unlock()
+	r.hold(1, asking, post("/late", "x"), func() { r.l.endAll() })
 	r.l.stop()
 	asking.want("/late x")
 	if _, _, err := quiet.answer(); err == nil {
@@ -379,7 +495,7 @@
 	// What net/http lent goes back to its pools and from there to the collector.
 	r.until("goroutines gone", func() bool { return runtime.NumGoroutine() <= goroutines+2 })
 	cost := float64(int64(memoryHeld())-int64(before)) / n
-	own := float64(cap(r.l.conns)*40+admit.Size(r.l.who)) / n
+	own := float64(cap(r.l.conns)*int(unsafe.Sizeof(held{}))+admit.Size(r.l.who)) / n
 	t.Logf("%.0f bytes a connection by the runtime's figures, %.0f of them in the tables", cost, own)
 	if own > most {
 		t.Errorf("the tables hold %.0f bytes a connection, %d are allowed", own, most)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,81 +3,36 @@
 package cli
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
-)
 
-// Exit codes.
-const (
-	exitGood  = 0
-	exitBad   = 1 // it could not start, or not finish what was open
-	exitUsage = 2 // the command line is wrong
+	"oxbowspan/internal/command"
 )
 
-// usageError says that the command line is wrong, which has an exit code of its own.
-type usageError struct{ error }
-
-func (e usageError) Unwrap() error { return e.error }
-
-// noArgs takes flags alone.
-func noArgs(_ *cobra.Command, args []string) error {
-	if len(args) > 0 {
-		return usageError{fmt.Errorf("unexpected argument %q", args[0])}
-	}
-	return nil
-}
+// exitBad is the exit code where the program could not start, or not finish what was open.
+const exitBad = 1
 
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRoot(stdout, stderr)
-	root.SetArgs(args)
-	err := root.Execute()
-	var wrong usageError
-	switch {
-	case err == nil:
-		return exitGood
-	case errors.As(err, &wrong):
-		fmt.Fprintf(stderr, "oxbowspan: %v; 'oxbowspan help' lists what there is\n", err)
-		return exitUsage
-	}
-	fmt.Fprintf(stderr, "oxbowspan: %v\n", err)
-	return exitBad
+	return command.Run(newRoot(stdout, stderr), args, stderr, func(error) int { return exitBad })
 }
 
 func newRoot(stdout, stderr io.Writer) *cobra.Command {
-	root := &cobra.Command{
+	root := command.Root(&cobra.Command{
 		Use:   "oxbowspan",
 		Short: "A gatherer: reads many shards for one request",
 		Long: "oxbowspan takes a search, asks the shard servers that hold its parts, and answers from what comes back.\n" +
 			"It decides well while servers die, hang or slow down, the list is late, or more comes than fits.",
 		Example: "  oxbowspan check --config config.json\n" +
 			"  oxbowspan serve --config config.json",
-		SilenceErrors: true,
-		SilenceUsage:  true,
-		Args: func(_ *cobra.Command, args []string) error {
-			if len(args) > 0 {
-				return usageError{fmt.Errorf("unknown command %q", args[0])}
-			}
-			return nil
-		},
-		RunE: func(c *cobra.Command, _ []string) error {
-			c.SetOut(stderr)
-			c.Help()
-			return usageError{errors.New("no command was given")}
-		},
-		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: false},
-		Version:           version(),
-	}
-	root.SetOut(stdout)
-	root.SetErr(stderr)
+		Version: version(),
+	}, stdout, stderr)
 	root.SetVersionTemplate("oxbowspan {{.Version}}\n")
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(newServe(stderr), newCheck(stdout), newKeys(stdout), &cobra.Command{
-		Use: "version", Short: "Print the version", Args: noArgs,
+		Use: "version", Short: "Print the version", Args: command.NoArgs,
 		Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "oxbowspan", version()) },
 	})
 	return root
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"oxbowspan/internal/command"
 )
 
 func TestExitCodesAndWords(t *testing.T) {
@@ -20,18 +22,18 @@
 		code     int
 		out, err string
 	}{
-		{"", exitUsage, "", "no command was given"},
-		{"sreve", exitUsage, "", `unknown command "sreve"`},
-		{"serve --lisen x", exitUsage, "", "unknown flag: --lisen"},
-		{"check more", exitUsage, "", `unexpected argument "more"`},
+		{"", command.ExitUsage, "", "no command was given"},
+		{"sreve", command.ExitUsage, "", `unknown command "sreve"`},
+		{"serve --lisen x", command.ExitUsage, "", "unknown flag: --lisen"},
+		{"check more", command.ExitUsage, "", `unexpected argument "more"`},
 		{"check", exitBad, "", "no configuration: give --config or set PROXY_CONFIG"},
 		{"serve", exitBad, "", "no configuration: give --config or set PROXY_CONFIG"},
 		{"check --config " + broken, exitBad, "", "broken.json"},
-		{"version", exitGood, "oxbowspan ", ""},
-		{"--version", exitGood, "oxbowspan ", ""},
-		{"help", exitGood, "check       Read the configuration", ""},
-		{"serve --help", exitGood, "--discovery", ""},
-		{"completion bash", exitGood, "__start_oxbowspan", ""},
+		{"version", 0, "oxbowspan ", ""},
+		{"--version", 0, "oxbowspan ", ""},
+		{"help", 0, "check       Read the configuration", ""},
+		{"serve --help", 0, "--discovery", ""},
+		{"completion bash", 0, "__start_oxbowspan", ""},
 	} {
 		var out, err bytes.Buffer
 		if code := Main(strings.Fields(c.args), &out, &err); code != c.code {
@@ -40,7 +42,7 @@
 		if !strings.Contains(out.String(), c.out) || !strings.Contains(err.String(), c.err) {
 			t.Errorf("%q says %q and %q, want %q and %q in them", c.args, out.String(), err.String(), c.out, c.err)
 		}
-		if c.code == exitGood && err.Len() > 0 {
+		if c.code == 0 && err.Len() > 0 {
 			t.Errorf("%q complains: %s", c.args, err.String())
 		}
 	}
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -7,14 +7,16 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"oxbowspan/internal/command"
 )
 
 // newKeys makes the keys that sign cursors. They are printed, never written: where secrets lie is the operator's.
 func newKeys(stdout io.Writer) *cobra.Command {
-	keys := &cobra.Command{Use: "keys", Short: "Make keys for the operator's file", Args: noArgs,
+	keys := &cobra.Command{Use: "keys", Short: "Make keys for the operator's file", Args: command.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	var id string
-	fresh := &cobra.Command{Use: "new", Short: "Print a new line for a key file, with a random secret", Args: noArgs,
+	fresh := &cobra.Command{Use: "new", Short: "Print a new line for a key file, with a random secret", Args: command.NoArgs,
 		Long: "new prints a line \"ID SECRET\" for a file of cursor keys. The first line of such a file signs, all lines are\n" +
 			"accepted: to change the key in service, put the new line first, send SIGHUP to every gatherer, and take the old\n" +
 			"line out once its cursors have expired.",
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/pflag"
 
 	"oxbowspan/gatherer"
+	"oxbowspan/internal/command"
 )
 
 // given is what flags and environment say of where the configuration is and what goes before it.
@@ -66,7 +67,7 @@
 func newCheck(stdout io.Writer) *cobra.Command {
 	var g given
 	c := &cobra.Command{
-		Use: "check", Short: "Read the configuration, say all that is wrong with it, and exit", Args: noArgs,
+		Use: "check", Short: "Read the configuration, say all that is wrong with it, and exit", Args: command.NoArgs,
 		Example: "  oxbowspan check --config config.json\n" +
 			"  oxbowspan check --config config.json --operator deploy/operator.ini",
 		RunE: func(*cobra.Command, []string) error {
@@ -88,7 +89,7 @@
 func newServe(stderr io.Writer) *cobra.Command {
 	var g given
 	c := &cobra.Command{
-		Use: "serve", Short: "Run a gatherer in the foreground", Args: noArgs,
+		Use: "serve", Short: "Run a gatherer in the foreground", Args: command.NoArgs,
 		Long: "serve runs a gatherer in the foreground. SIGTERM drains and exits, a second one ends at once;\n" +
 			"SIGHUP reads the configuration again.",
 		Example: "  oxbowspan serve --config config.json\n" +
--- a/internal/lab/cli.go
+++ b/internal/lab/cli.go
@@ -15,73 +15,38 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"oxbowspan/internal/command"
 )
 
-// Exit codes.
+// Exit codes, beside 0 and command.ExitUsage.
 const (
-	exitGood    = 0
 	exitFinding = 1 // an experiment found the program wrong
-	exitUsage   = 2 // the command line is wrong
 	exitBroken  = 3 // the tool could not do its work
 )
 
-type usageError struct{ error }
-
 // finding is an experiment's error: something is wrong with the program, not with the tool.
 type finding struct{ error }
 
+func (f finding) Error() string { return "found: " + f.error.Error() }
+
 // Main runs the tool and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	root := newRoot(stdout, stderr)
-	root.SetArgs(args)
-	err := root.Execute()
-	var wrong usageError
-	var found finding
-	switch {
-	case err == nil:
-		return exitGood
-	case errors.As(err, &wrong):
-		fmt.Fprintf(stderr, "oxbowlab: %v; 'oxbowlab help' lists what there is\n", err)
-		return exitUsage
-	case errors.As(err, &found):
-		fmt.Fprintf(stderr, "oxbowlab: found: %v\n", err)
-		return exitFinding
-	}
-	fmt.Fprintf(stderr, "oxbowlab: %v\n", err)
-	return exitBroken
-}
-
-// arguments takes so many words beside the flags.
-func arguments(n int, what string) cobra.PositionalArgs {
-	return func(_ *cobra.Command, args []string) error {
-		if len(args) != n {
-			return usageError{fmt.Errorf("%d words were given, wanted: %s", len(args), what)}
+	return command.Run(newRoot(stdout, stderr), args, stderr, func(err error) int {
+		if found := (finding{}); errors.As(err, &found) {
+			return exitFinding
 		}
-		return nil
-	}
+		return exitBroken
+	})
 }
 
 func newRoot(stdout, stderr io.Writer) *cobra.Command {
 	var path string
-	root := &cobra.Command{Use: "oxbowlab", Short: "Plays experiments on the built gatherer and keeps their results",
+	root := command.Root(&cobra.Command{Use: "oxbowlab", Short: "Plays experiments on the built gatherer and keeps their results",
 		Long: "oxbowlab starts built gatherers and stand-ins on loopback, plays an experiment on them, checks what comes back\n" +
 			"and keeps the results in an archive.",
-		Example:       "  oxbowlab run merge --quick\n  oxbowlab list\n  oxbowlab table merge --markdown\n  oxbowlab chart merge latency > latency.svg",
-		SilenceErrors: true, SilenceUsage: true,
-		Args: func(_ *cobra.Command, args []string) error {
-			if len(args) > 0 {
-				return usageError{fmt.Errorf("unknown command %q", args[0])}
-			}
-			return nil
-		},
-		RunE: func(c *cobra.Command, _ []string) error {
-			c.SetOut(stderr)
-			c.Help()
-			return usageError{errors.New("no command was given")}
-		}}
-	root.SetOut(stdout)
-	root.SetErr(stderr)
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+		Example: "  oxbowlab run merge --quick\n  oxbowlab list\n  oxbowlab table merge --markdown\n  oxbowlab chart merge latency > latency.svg",
+	}, stdout, stderr)
 	root.PersistentFlags().StringVar(&path, "archive", "found/lab.db", "file that keeps the results")
 	with := func(do func(a *Archive) error) error {
 		a, err := OpenArchive(path)
@@ -92,10 +57,10 @@
 		return do(a)
 	}
 	root.AddCommand(newRun(stdout, stderr, with))
-	root.AddCommand(&cobra.Command{Use: "holder ADDR SOURCE NUMBER", Hidden: true, Args: arguments(3, "ADDR SOURCE NUMBER"),
+	root.AddCommand(&cobra.Command{Use: "holder ADDR SOURCE NUMBER", Hidden: true, Args: command.Words(3, "ADDR SOURCE NUMBER"),
 		RunE: func(_ *cobra.Command, args []string) error { return holderMain(args, os.Stdin, stdout) }})
 	root.AddCommand(&cobra.Command{Use: "bench NAME FILE", Short: "Keep what 'go test -bench' printed as a run, with tables and charts",
-		Args: arguments(2, "NAME FILE"), Example: "  go test -run xxx -bench Merge -benchmem ./merge > b.txt && oxbowlab bench merge-ways b.txt",
+		Args: command.Words(2, "NAME FILE"), Example: "  go test -run xxx -bench Merge -benchmem ./merge > b.txt && oxbowlab bench merge-ways b.txt",
 		RunE: func(_ *cobra.Command, args []string) error {
 			f, err := os.Open(args[1])
 			if err != nil {
@@ -108,13 +73,13 @@
 			}
 			return with(func(a *Archive) error { return a.Put(r) })
 		}})
-	root.AddCommand(&cobra.Command{Use: "experiments", Short: "List the experiments", Args: arguments(0, "none"),
+	root.AddCommand(&cobra.Command{Use: "experiments", Short: "List the experiments", Args: command.Words(0, "none"),
 		Run: func(*cobra.Command, []string) {
 			for _, name := range Names() {
 				fmt.Fprintf(stdout, "%-12s %s\n", name, experiments[name].Short)
 			}
 		}})
-	root.AddCommand(&cobra.Command{Use: "list", Short: "List the runs in the archive", Args: arguments(0, "none"),
+	root.AddCommand(&cobra.Command{Use: "list", Short: "List the runs in the archive", Args: command.Words(0, "none"),
 		RunE: func(*cobra.Command, []string) error {
 			return with(func(a *Archive) error {
 				all, err := a.All()
@@ -128,7 +93,7 @@
 				return err
 			})
 		}})
-	root.AddCommand(&cobra.Command{Use: "show RUN", Short: "Show a run whole, by its id or the newest of an experiment", Args: arguments(1, "RUN"),
+	root.AddCommand(&cobra.Command{Use: "show RUN", Short: "Show a run whole, by its id or the newest of an experiment", Args: command.Words(1, "RUN"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			return with(func(a *Archive) error {
 				r, err := a.Find(args[0])
@@ -148,7 +113,7 @@
 			})
 		}})
 	var markdown bool
-	tables := &cobra.Command{Use: "table RUN", Short: "Print a run's tables", Args: arguments(1, "RUN"),
+	tables := &cobra.Command{Use: "table RUN", Short: "Print a run's tables", Args: command.Words(1, "RUN"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			return with(func(a *Archive) error {
 				r, err := a.Find(args[0])
@@ -160,7 +125,7 @@
 		}}
 	tables.Flags().BoolVar(&markdown, "markdown", false, "as Markdown")
 	root.AddCommand(tables)
-	root.AddCommand(&cobra.Command{Use: "chart RUN CHART", Short: "Print one of a run's charts as SVG", Args: arguments(2, "RUN CHART"),
+	root.AddCommand(&cobra.Command{Use: "chart RUN CHART", Short: "Print one of a run's charts as SVG", Args: command.Words(2, "RUN CHART"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			return with(func(a *Archive) error {
 				r, err := a.Find(args[0])
@@ -183,7 +148,7 @@
 	var quick bool
 	var seed uint64
 	var program string
-	c := &cobra.Command{Use: "run EXPERIMENT", Short: "Play an experiment", Args: arguments(1, "EXPERIMENT"), ValidArgs: Names(),
+	c := &cobra.Command{Use: "run EXPERIMENT", Short: "Play an experiment", Args: command.Words(1, "EXPERIMENT"), ValidArgs: Names(),
 		Long: "run plays an experiment and keeps its results. It ends with 1 at the first thing that the program did wrong,\n" +
 			"with 3 if the experiment itself could not be played.",
 		Example: "  oxbowlab run merge --quick --seed 7"}
@@ -193,7 +158,7 @@
 	c.RunE = func(_ *cobra.Command, args []string) error {
 		x, known := experiments[args[0]]
 		if !known {
-			return usageError{fmt.Errorf("unknown experiment %q", args[0])}
+			return command.Wrong("unknown experiment %q", args[0])
 		}
 		if program == "" {
 			own, err := os.Executable()
--- a/internal/lab/hold.go
+++ b/internal/lab/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"oxbowspan/internal/command"
 	"oxbowspan/internal/standin"
 )
 
@@ -77,12 +77,12 @@
 // holderMain is the holder's side.
 func holderMain(args []string, in io.Reader, out io.Writer) error {
 	if len(args) != 3 {
-		return usageError{errors.New("a holder is started by the tool alone")}
+		return command.Wrong("a holder is started by the tool alone")
 	}
 	addr, source := args[0], args[1]
 	number, err := strconv.Atoi(args[2])
 	if err != nil {
-		return usageError{err}
+		return command.Wrong("a holder's number: %w", err)
 	}
 	var conns []*heldConn
 	var lastID atomic.Uint64
--- a/internal/lab/idle.go
+++ b/internal/lab/idle.go
@@ -69,7 +69,6 @@
 	}
 	defer site.Stop()
 	pid := site.Gatherer.PID()
-	var wrong atomic.Int64
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 8 * time.Second}
 	var next atomic.Uint64
 	one := func(l *Latency) int {
@@ -77,7 +76,6 @@
 			Shards: []int{int(next.Load()) % 4}, Text: "c41e77d0"}
 		r, err := s.Ask(ctx, client, site.Gatherer.Addr)
 		if err != nil {
-			wrong.Add(1)
 			return 0
 		}
 		l.Add(r.Took)
--- a/internal/lab/ordinary.go
+++ b/internal/lab/ordinary.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}, Timeout: 20 * time.Second}
-	var next, wrong atomic.Int64
+	var next atomic.Int64
 	one := func(l *Latency) error {
 		n := next.Add(1)
 		s := standin.Search{ID: fmt.Sprintf("%016x", n), Kind: "lookup", Customer: "acme", Wait: 1900 * time.Millisecond,
@@ -43,7 +43,6 @@
 		}
 		want := fmt.Sprintf(`{"full":true,"pieces":[{"tablet":%d,"cell":"value of c41e77d0"},{"tablet":%d,"cell":"value of c41e77d0"}]}`, s.Shards[0], s.Shards[1])
 		if r.Status != http.StatusOK || string(r.Body) != want {
-			wrong.Add(1)
 			return fmt.Errorf("a search was answered %d %.200s", r.Status, r.Body)
 		}
 		l.Add(r.Took)
--- a/internal/park/park_linux.go
+++ b/internal/park/park_linux.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -90,17 +91,22 @@
 // Watch lets a socket that woke for nothing wait on.
 func (s *Set) Watch(fd int, value uint32) error { return s.watch(unix.EPOLL_CTL_MOD, fd, value) }
 
-// Peek tells whether bytes wait on a socket, or nothing does and it is over.
-func Peek(fd int) (waiting, closed bool) {
+// Peek tells whether bytes wait on a socket, or, where none do, that it is over: io.EOF if the other side has closed it,
+// else what broke it.
+func Peek(fd int) (waiting bool, over error) {
 	var one [1]byte
 	for {
 		n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
-			return false, false
+			return false, nil
+		case err != nil:
+			return false, err
+		case n <= 0:
+			return false, io.EOF
 		default:
-			return n > 0, n <= 0 || err != nil
+			return true, nil
 		}
 	}
 }
@@ -128,13 +134,21 @@
 	return fd, nil
 }
 
-// Unpark makes a connection of a parked socket again. On an error the socket is closed.
+// Unpark makes a connection of a parked socket again. On an error, as where the two descriptors more that it takes for a
+// moment are not to be had, the socket is as before, but not watched.
 func (s *Set) Unpark(fd int) (net.Conn, error) {
-	s.forget(fd)
-	f := os.NewFile(uintptr(fd), "parked")
+	other, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 3)
+	if err != nil {
+		return nil, err
+	}
+	f := os.NewFile(uintptr(other), "parked")
+	defer f.Close()
 	c, err := net.FileConn(f)
-	f.Close()
-	return c, err
+	if err != nil {
+		return nil, err
+	}
+	s.Close(fd)
+	return c, nil
 }
 
 func (s *Set) forget(fd int) {
@@ -149,7 +163,7 @@
 
 // Refuse answers a parked socket with bytes made ready, without waiting, and closes it: whatever has come is read first, as
 // a socket that is closed with bytes unread takes its answer back.
-func (s *Set) Refuse(fd int, answer []byte) {
+func (s *Set) Refuse(fd int, refuse []byte) {
 	b := refuseBuffers.Get().(*[16 << 10]byte)
 	for range mostRefused / len(b) {
 		if n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_DONTWAIT); n <= 0 || err != nil {
@@ -157,7 +171,7 @@
 		}
 	}
 	refuseBuffers.Put(b)
-	unix.SendmsgN(fd, answer, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+	unix.SendmsgN(fd, refuse, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
 	unix.Shutdown(fd, unix.SHUT_WR)
 	s.Close(fd)
 }
--- a/internal/park/park_other.go
+++ b/internal/park/park_other.go
@@ -26,7 +26,7 @@
 func (*Set) Refuse(int, []byte)                     {}
 
 // Peek tells whether bytes wait on a socket, or it is over.
-func Peek(int) (waiting, closed bool) { return false, true }
+func Peek(int) (waiting bool, over error) { return false, errNot }
 
 // RemoteAddr is the other side of a parked socket.
 func RemoteAddr(int) string { return "unknown" }
--- a/internal/standin/shard.go
+++ b/internal/standin/shard.go
@@ -44,8 +44,9 @@
 
 	l      net.Listener
 	mu     sync.Mutex
-	conns  []*ShardConn
-	frames int // calls
+	conns  map[*ShardConn]struct{} // open ones; emptied as they end
+	ever   int                     // connections there have been
+	frames int                     // calls
 }
 
 // ShardConn is one connection to a shard server.
@@ -61,7 +62,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Shard{Host: host, Zone: "a", l: l, Do: do, Fault: fault, Got: make(chan string, 10000)}
+	s := &Shard{Host: host, Zone: "a", l: l, Do: do, Fault: fault, Got: make(chan string, 10000),
+		conns: map[*ShardConn]struct{}{}}
 	go s.accept(l)
 	return s, nil
 }
@@ -74,7 +76,8 @@
 		}
 		sc := &ShardConn{Conn: c, S: s}
 		s.mu.Lock()
-		s.conns = append(s.conns, sc)
+		s.conns[sc] = struct{}{}
+		s.ever++
 		s.mu.Unlock()
 		go sc.run()
 	}
@@ -88,19 +91,16 @@
 	s.l.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.conns {
+	for c := range s.conns {
 		c.Close()
 	}
-	s.conns = nil
 }
 
 // Break resets all open connections, and goes on listening.
 func (s *Shard) Break() {
 	s.mu.Lock()
-	conns := s.conns
-	s.conns = nil
-	s.mu.Unlock()
-	for _, c := range conns {
+	defer s.mu.Unlock()
+	for c := range s.conns {
 		c.Reset()
 	}
 }
@@ -109,7 +109,7 @@
 func (s *Shard) Counts() (conns, calls int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns), s.frames
+	return s.ever, s.frames
 }
 
 func (s *Shard) fault(form string, args ...any) {
@@ -129,7 +129,12 @@
 const mostFrame = 4 << 20
 
 func (c *ShardConn) run() {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		c.S.mu.Lock()
+		delete(c.S.conns, c)
+		c.S.mu.Unlock()
+	}()
 	for {
 		head := make([]byte, 4)
 		if _, err := io.ReadFull(c, head); err != nil {
--- a/internal/standin/truth.go
+++ b/internal/standin/truth.go
@@ -42,21 +42,24 @@
 		} `json:"groups"`
 		Unseen   string `json:"unseen_at_most"`
 		Complete struct {
-			Asked    int     `json:"asked"`
-			In       int     `json:"in"`
-			Share    float64 `json:"share"`
-			Segments []struct {
-				Tablet int    `json:"tablet"`
-				State  string `json:"state"`
-				AsOf   uint64 `json:"as_of"`
-				Rows   int    `json:"rows"`
-				More   bool   `json:"more"`
-				Moved  bool   `json:"moved"`
-			} `json:"segments"`
+			Asked    int           `json:"asked"`
+			In       int           `json:"in"`
+			Share    float64       `json:"share"`
+			Segments []SegmentSaid `json:"segments"`
 		} `json:"complete"`
 	} `json:"merged"`
 }
 
+// SegmentSaid is what an answer says of one segment.
+type SegmentSaid struct {
+	Tablet int    `json:"tablet"`
+	State  string `json:"state"`
+	AsOf   uint64 `json:"as_of"`
+	Rows   int    `json:"rows"`
+	More   bool   `json:"more"`
+	Moved  bool   `json:"moved"`
+}
+
 // ParseMerged reads a body strictly.
 func ParseMerged(body []byte) (m Merged, err error) {
 	d := json.NewDecoder(strings.NewReader(string(body)))
@@ -83,7 +86,6 @@
 type known struct {
 	in      map[int]uint64 // segments, by their data's version
 	missing []int
-	cut     bool // a segment in gave less than was asked for
 	rows    []Account
 	all     []Account // with what the missing segments hold now
 }
@@ -110,7 +112,6 @@
 			}
 			k.in[s.Tablet] = s.AsOf
 			k.rows, k.all = append(k.rows, rows...), append(k.all, rows...)
-			k.cut = k.cut || s.More
 		case "missing", "unusable":
 			k.missing = append(k.missing, s.Tablet)
 			k.all = append(k.all, now...)
@@ -405,10 +406,17 @@
 			whole = whole && (v.Is == "exact" || v.Is == "approximate")
 		}
 	}
+	if !b.More && len(b.Groups) < len(groups) {
+		return fmt.Errorf("%d of %d groups came, and no more are said to be there", len(b.Groups), len(groups))
+	}
+	if uncut && !lacking && b.More != (len(b.Groups) < len(groups)) {
+		return fmt.Errorf("more is %t with %d of %d groups", b.More, len(b.Groups), len(groups))
+	}
 	if lacking && b.Certain > 0 || b.Certain > len(b.Groups) {
 		return fmt.Errorf("%d of %d groups are stated as certain, segments %v are missing", b.Certain, len(b.Groups), k.missing)
 	}
-	if whole = whole && b.Certain == len(b.Groups); m.Full != whole {
+	whole = whole && b.Certain == len(b.Groups)
+	if short := !uncut && !m.Full && len(b.Groups) < terms.Limit && b.More; m.Full != whole && !short {
 		return fmt.Errorf("full is %t where it is %t", m.Full, whole)
 	}
 	if uncut && !lacking {
@@ -416,8 +424,9 @@
 			return fmt.Errorf("%d groups came, %d certain, %d are right", len(b.Groups), b.Certain, want)
 		}
 	}
-	// What no segment gave is bounded.
-	if b.Unseen != "" && !lacking && len(b.Groups) < terms.Limit {
+	// What no segment gave is bounded. Where none cut anything all was given, and a short answer left out what it knew.
+	cut := slices.ContainsFunc(b.Complete.Segments, func(s SegmentSaid) bool { return s.More })
+	if cut && b.Unseen != "" && !lacking && len(b.Groups) < terms.Limit {
 		for key, g := range groups {
 			if !seen[key] && size(g).Cmp(units(column, b.Unseen)) > 0 {
 				return fmt.Errorf("group %s of %s was not seen, and is over the bound of %s", key, size(g), b.Unseen)
--- a/merge/answer.go
+++ b/merge/answer.go
@@ -36,7 +36,7 @@
 	Columns []string
 	Rows    []Row
 	Certain int    // so many rows, from the first, are certainly at their place
-	More    bool   // ranked: there are, or may be, rows after the last one
+	More    bool   // ranked, figures: there are, or may be, rows or groups after the last one
 	Late    int    // paged: so many rows, from the first, belong on pages already given
 	Before  int    // ranked: the offset; paged: rows on the pages before
 	Moved   bool   // paged: data has moved on since the walk began, on this page or before
@@ -139,9 +139,6 @@
 		b = appendInt(b, "before", int64(a.Before))
 	}
 	b = appendInt(b, "certain", int64(a.Certain))
-	if a.Kind == Ranked {
-		b = appendBool(b, "more", a.More)
-	}
 	if a.Kind == Paged {
 		b = appendInt(b, "late", int64(a.Late))
 		b = appendBool(b, "moved", a.Moved)
@@ -153,6 +150,8 @@
 			b = append(b, `,"next":`...)
 			b = strconv.AppendQuote(b, a.Next)
 		}
+	} else {
+		b = appendBool(b, "more", a.More)
 	}
 	in := 0
 	for _, s := range a.Segments {
--- a/merge/group.go
+++ b/merge/group.go
@@ -172,6 +172,15 @@
 	Values []FigureValue
 }
 
+// size is about how many bytes a group takes in a body.
+func (g GroupFigures) size() int {
+	n := len(g.Key) + len(`{"key":[],"values":[]},`)
+	for _, v := range g.Values {
+		n += len(v.Value) + len(v.Quality) + len(v.Low) + len(v.High) + len(v.Error) + len(`{"value":,"is":"","low":,"high":,"error":},`)
+	}
+	return n
+}
+
 // figures merges groups and says of each figure how far it goes.
 func (m *Merge) figures(a *Answer) error {
 	q := m.q
@@ -202,10 +211,11 @@
 	if len(q.group) == 0 && len(all) == 0 {
 		all = append(all, &group{cells: make([]cell, len(q.partials))})
 	}
-	missing := len(in) < len(m.parts)
+	missing, cuts := len(in) < len(m.parts), false
 	slacks := make([]slack, len(all)) // of each group, by what was cut
 	unseen := apd.New(0, 0)           // the largest that a group nobody gave can be
 	for _, p := range in {
+		cuts = cuts || p.cut != nil
 		if p.cut != nil && !p.cut.most.Negative {
 			if _, err := exact.Add(unseen, unseen, &p.cut.most); err != nil {
 				return err
@@ -245,7 +255,8 @@
 		return all[i].key < all[j].key
 	})
 	shown := min(len(order), q.limit)
-	for _, i := range order[:shown] {
+	size := 0
+	for n, i := range order[:shown] {
 		g := GroupFigures{Key: all[i].raw}
 		for _, f := range q.figures {
 			v := q.value(f, all[i], missing, &slacks[i])
@@ -254,10 +265,15 @@
 			}
 			g.Values = append(g.Values, v)
 		}
+		if size += g.size(); size > q.allowed.MostAnswer && n > 0 {
+			shown, a.Whole = n, false // fewer groups than were asked for, though there are more
+			break
+		}
 		a.Groups = append(a.Groups, g)
 	}
+	a.More = shown < len(order) || cuts || missing && len(q.group) > 0
 	if q.by >= 0 {
-		a.Certain = certainGroups(order, shown, sizes, over, slacks, unseen)
+		a.Certain = certainGroups(order, shown, sizes, over, slacks, unseen, cuts)
 		a.Unseen = unseen.Text('f')
 	} else {
 		a.Certain = shown
@@ -293,10 +309,10 @@
 }
 
 // certainGroups counts the first groups that no other, shown or not, given or cut, can really stand before.
-func certainGroups(order []int, shown int, sizes []apd.Decimal, over []bool, slacks []slack, unseen *apd.Decimal) int {
-	// highest[k] is the largest that any group from place k on can be.
+func certainGroups(order []int, shown int, sizes []apd.Decimal, over []bool, slacks []slack, unseen *apd.Decimal, cuts bool) int {
+	// highest[k] is the largest that any group from place k on can be, those that nobody gave among them.
 	highest := make([]*apd.Decimal, len(order)+1)
-	if unseen.Sign() > 0 {
+	if cuts {
 		highest[len(order)] = unseen
 	}
 	for k := len(order) - 1; k >= 0; k-- {
@@ -320,24 +336,14 @@
 		if next == nil {
 			continue
 		}
-		// Equal figures are in their place only where nothing is open: then the group's own order settles them.
-		d := low.Cmp(next)
-		if d < 0 || d == 0 && (unseen.Sign() != 0 || anyLacks(order[k:], slacks)) {
+		// Equal figures are in their place only where nothing was cut: then the group's own order settles them.
+		if d := low.Cmp(next); d < 0 || d == 0 && cuts {
 			return k
 		}
 	}
 	return shown
 }
 
-func anyLacks(order []int, slacks []slack) bool {
-	for _, i := range order {
-		if slacks[i].lacks {
-			return true
-		}
-	}
-	return false
-}
-
 // value makes one figure of a merged group.
 func (q *Query) value(f figure, g *group, missing bool, s *slack) FigureValue {
 	c := &g.cells[f.from[0]]
--- a/merge/merge.go
+++ b/merge/merge.go
@@ -6,8 +6,6 @@
 	budget   *Budget
 	parts    []*Part // by place in Query.asked; nil = not in. Emptied by Close
 	unusable []bool  // something came that could not be used
-	bytes    int64
-	rows     int64
 	open     bool
 }
 
@@ -34,8 +32,6 @@
 		return ErrFull
 	}
 	m.parts[i] = p
-	m.bytes += int64(p.bytes)
-	m.rows += int64(p.count)
 	return nil
 }
 
@@ -50,9 +46,13 @@
 func (m *Merge) Close() {
 	if m.open {
 		m.open = false
-		m.budget.give(m.bytes, m.rows)
+		for i, p := range m.parts {
+			if p != nil {
+				m.budget.give(int64(p.bytes), int64(p.count))
+			}
+			m.parts[i] = nil
+		}
 		m.budget.open.Add(-1)
-		m.parts = make([]*Part, len(m.q.asked))
 	}
 }
 
--- a/merge/merge_test.go
+++ b/merge/merge_test.go
@@ -445,6 +445,49 @@
 	}
 }
 
+// A group that nobody gave may tie with one that all gave, once credits make up for what stood before the cut.
+func TestAGroupIsNotCertainWhereOneUnseenMayTie(t *testing.T) {
+	q, err := allowance().Query(merge.Terms{Kind: "aggregated", Group: []string{"customer"}, Limit: 5, Figures: []string{"sum(amount)"}},
+		asked(2), false, merge.Paging{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := merge.New(q, wide())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for at, value := range []string{
+		`{"schema":"arrears/1","as_of":1,"rows":1,"cut":{"groups":1,"most":"0.00","least":"0.00"}}` + "\n" + `["c-05","5.00"]`,
+		`{"schema":"arrears/1","as_of":1,"rows":1}` + "\n" + `["c-05","-5.00"]`, // the one cut, c-03 say, is at 0 as well, and comes first
+	} {
+		p, err := q.Read(merge.Segment(at), value)
+		if err != nil || m.Add(p) != nil {
+			t.Fatalf("segment %d: %v", at, err)
+		}
+	}
+	if got, body := answer(t, m, true); got.Merged.Certain != 0 || got.Full {
+		t.Errorf("it is certain of %d groups, full %t: %s", got.Merged.Certain, got.Full, body)
+	}
+}
+
+func TestAnAnswersBytesAreBoundedForGroupsToo(t *testing.T) {
+	l := standin.NewLedger(4, standin.Shape{Segments: 2, Accounts: 400})
+	a := allowance()
+	a.MostAnswer = 1200
+	terms := merge.Terms{Kind: "aggregated", Group: []string{"due"}, Limit: 300, Figures: []string{"count", "sum(amount)", "mean(amount)"}}
+	q, err := a.Query(terms, asked(2), false, merge.Paging{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, body := answer(t, give(t, q, l, []int{0, 1}, func(int) int { return 0 }), true)
+	if n := len(got.Merged.Groups); n == 0 || n > 20 || !got.Merged.More || got.Full {
+		t.Errorf("%d groups in %d bytes, more %t, full %t", n, len(body), got.Merged.More, got.Full)
+	}
+	if err := (standin.Truth{Ledger: l, Segments: segments(2)}).Aggregated(got, terms, false); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestAThousandOpenMergesStayWithinTheirBytes(t *testing.T) {
 	l := standin.NewLedger(9, standin.Shape{Segments: 2, Accounts: 200})
 	q, err := allowance().Query(merge.Terms{Kind: "ranked", Order: []string{"due"}, Limit: 100}, asked(2), false, merge.Paging{})
--- a/merge/query.go
+++ b/merge/query.go
@@ -30,7 +30,7 @@
 	MostOffset int
 	MostGroups int // that one segment sends
 	MostParts  int // bytes of one segment's rows
-	MostAnswer int // bytes of an answer's rows; the first row is given whatever its length
+	MostAnswer int // bytes of an answer's rows or groups; the first is given whatever its length
 }
 
 // Terms is what a client asks to be merged: the merge object of a search's body.
@@ -134,6 +134,8 @@
 		return nil, fmt.Errorf("cursor is for merge kind paged")
 	case t.Kind == Ranked:
 		return q, nil
+	case p.Keys == nil:
+		return nil, fmt.Errorf("paged lists need keys for their cursors, and there are none")
 	}
 	q.bind = bindingOf(p, q)
 	q.walk.places = make([]int, len(q.asked))
