--- a/admit/admit.go
+++ b/admit/admit.go
@@ -35,6 +35,7 @@
 	visitor        // idle, and has never asked a search: probes, pollers, the curious
 	idle           // idle between searches
 	active         // it has an open request
+	trickler       // part of a head has come, and it is slow with the rest
 )
 
 // Figures are what admission goes by.
@@ -45,6 +46,8 @@
 	Shares   []float64 // each customer's share of searches; nil = no customers
 	Crowded  int       // idle connections from which on one that asked once is closed behind its answer; 0 = none is
 	MostOpen int       // open requests up to which a parked connection may wake; 0 = no limit
+	Linger   Time      // how long an idle connection keeps its goroutine before it is parked, where few do
+	MostIdle int       // idle connections that may keep their goroutines; near it they are parked sooner. 0 = no limit
 }
 
 // conn is what is known of one connection.
@@ -54,6 +57,7 @@
 	list       int16
 	class      class
 	searched   bool
+	parked     bool
 	customer   int16
 }
 
@@ -65,9 +69,11 @@
 	f       Figures
 	conns   []conn // by ID; emptied by Gone, and used again
 	free    int32
-	lists   []list // strangers, visitors, then the idle ones of each customer, the unknown one's last
+	lists   []list // strangers, visitors, tricklers, then the idle ones of each customer, the unknown one's last
 	held    []int32
 	n       int
+	parked  int     // of them
+	unheard int     // of those parked, the strangers
 	total   float64 // of the shares
 	unknown int
 }
@@ -75,6 +81,7 @@
 const (
 	strangers = iota
 	visitors
+	tricklers
 	firstIdle
 )
 
@@ -119,11 +126,77 @@
 // Asks says that a whole head has come: the connection has an open request and is not to be closed.
 func (a *Admission) Asks(id ID) {
 	if c := a.at(id); c != nil {
+		a.wakes(c)
 		a.leave(int32(id))
 		c.class = active
 	}
 }
 
+// Trickles says that part of a head has come on a connection, and that it is slow with the rest. It is the first to make
+// room until the head is whole.
+func (a *Admission) Trickles(id ID, now Time) {
+	c := a.at(id)
+	if c == nil || c.class == trickler {
+		return
+	}
+	a.wakes(c)
+	a.leave(int32(id))
+	a.enter(int32(id), trickler, tricklers, now)
+}
+
+// Parks says that an idle connection waits without a goroutine from now on, until Wake or Asks.
+func (a *Admission) Parks(id ID) {
+	if c := a.at(id); c != nil && !c.parked {
+		c.parked = true
+		if a.parked++; c.class == stranger {
+			a.unheard++
+		}
+	}
+}
+
+// Waits says whether a connection that comes now is to wait for its first byte without a goroutine: where memory is tight,
+// or more strangers than an eighth of MostIdle have one and say nothing. Thousands that connect and never speak then cost no
+// more than what is parked.
+func (a *Admission) Waits(tight bool) bool {
+	awake := int(a.lists[strangers].n) - a.unheard
+	return tight || a.f.MostIdle > 0 && awake >= max(a.f.MostIdle/8, 4)
+}
+
+// Parked is how many connections wait without a goroutine.
+func (a *Admission) Parked() int { return a.parked }
+
+// SetLinger puts another time to linger in force.
+func (a *Admission) SetLinger(t Time) { a.f.Linger = t }
+
+func (a *Admission) wakes(c *conn) {
+	if c.parked {
+		c.parked = false
+		if a.parked--; c.class == stranger {
+			a.unheard--
+		}
+	}
+}
+
+// Linger says how long a connection that becomes idle now keeps its goroutine, in case its client asks again at once. The
+// more do, the shorter, down to a twentieth, so that a crowd of connections that ask once and then wait never holds its
+// goroutines and buffers all together. tight = memory is short: a twentieth at once.
+func (a *Admission) Linger(tight bool) Time {
+	least := max(a.f.Linger/20, 1)
+	if tight {
+		return least
+	}
+	if a.f.MostIdle <= 0 {
+		return a.f.Linger
+	}
+	_, visiting, idle, _ := a.Counts()
+	waiting := visiting + idle - (a.parked - a.unheard)
+	if waiting*2 <= a.f.MostIdle {
+		return a.f.Linger
+	}
+	left := max(a.f.MostIdle-waiting, 0)
+	return max(a.f.Linger*Time(left)*2/Time(a.f.MostIdle), least)
+}
+
 // Searches says that the open request is a search, and whose.
 func (a *Admission) Searches(id ID, of Customer) {
 	c := a.at(id)
@@ -160,6 +233,7 @@
 	if c == nil {
 		return
 	}
+	a.wakes(c)
 	a.leave(int32(id))
 	a.held[c.customer]--
 	*c = conn{next: a.free}
@@ -195,7 +269,12 @@
 // many others lie idle as Figures.Crowded says. Clients hold only so many connections in all; where most of them lie idle at
 // clients that asked once, nothing is left for those that would ask. A connection that has been asked on again keeps its
 // place.
-func (a *Admission) Releases(id ID, requests int) bool {
+//
+// Where memory is short and idle connections keep their goroutines, all are told so: tight is that.
+func (a *Admission) Releases(id ID, requests int, tight bool) bool {
+	if tight && a.at(id) != nil {
+		return true
+	}
 	if a.f.Crowded <= 0 || requests > 1 || a.at(id) == nil {
 		return false
 	}
@@ -205,14 +284,18 @@
 
 // Victim is the connection that can best be spared; None = all have an open request. In this order:
 //
-//  1. visitors idle for IdleLong, the longest idle: who never asks a search loses nothing;
-//  2. the idle of a customer over its share of connections, then any, if idle for IdleLong: they may have asked for the
+//  1. tricklers, who hold a goroutine and buffers for next to nothing;
+//  2. visitors idle for IdleLong, the longest idle: who never asks a search loses nothing;
+//  3. the idle of a customer over its share of connections, then any, if idle for IdleLong: they may have asked for the
 //     last time;
-//  3. strangers late with their head;
-//  4. visitors idle for less;
-//  5. the idle for less, as their client can ask again on another connection;
-//  6. strangers, the oldest, so that strangers by the hundred push out one another and not who asks at once.
+//  4. strangers late with their head;
+//  5. visitors idle for less;
+//  6. the idle for less, as their client can ask again on another connection;
+//  7. strangers, the oldest, so that strangers by the hundred push out one another and not who asks at once.
 func (a *Admission) Victim(now Time) ID {
+	if id := a.first(tricklers, now); id != None {
+		return id
+	}
 	longVisitor, anyVisitor := a.first(visitors, now-a.f.IdleLong), a.first(visitors, now)
 	if longVisitor != None {
 		return longVisitor
@@ -309,9 +392,9 @@
 // Size is how many bytes an admission's tables hold.
 func Size(a *Admission) int { return cap(a.conns) * int(unsafe.Sizeof(conn{})) }
 
-// Counts tells how many connections of each class there are, those with an open request last.
+// Counts tells how many connections of each class there are, those with an open request last. Tricklers count as strangers.
 func (a *Admission) Counts() (strange, visiting, idle, active int) {
-	strange, visiting = int(a.lists[strangers].n), int(a.lists[visitors].n)
+	strange, visiting = int(a.lists[strangers].n+a.lists[tricklers].n), int(a.lists[visitors].n)
 	for _, l := range a.lists[firstIdle:] {
 		idle += int(l.n)
 	}
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -35,6 +35,8 @@
 	rank := func(k *known) int {
 		age := now - k.since
 		switch {
+		case k.class == trickler:
+			return 7
 		case k.class == visitor && age >= f.IdleLong:
 			return 6
 		case k.class == idle && age >= f.IdleLong:
@@ -81,7 +83,7 @@
 				n := rapid.IntRange(0, len(a.conns)-1).Draw(t, "which")
 				some = all[ID(n)]
 			}
-			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0, 1:
 				want := None
 				if len(all) >= f.Limit {
@@ -125,6 +127,15 @@
 						some.class = idle
 					}
 				}
+			case 6:
+				if some != nil {
+					a.Parks(some.id)
+					if rapid.Bool().Draw(t, "trickles") {
+						if a.Trickles(some.id, now); some.class != trickler {
+							some.class, some.since = trickler, now
+						}
+					}
+				}
 			case 5:
 				if some != nil && rapid.Bool().Draw(t, "goes") {
 					a.Gone(some.id)
@@ -193,18 +204,18 @@
 	}
 	id := a.Came(2)
 	a.Asks(id)
-	if a.Releases(id, 1) {
+	if a.Releases(id, 1, false) {
 		t.Error("released while few lie idle")
 	}
 	last := rest()
-	if !a.Releases(id, 1) || a.Releases(id, 2) {
+	if !a.Releases(id, 1, false) || a.Releases(id, 2, false) {
 		t.Error("in a crowd who asked once is to be released, who asks again is not")
 	}
 	a.Gone(last)
-	if a.Releases(id, 1) || a.Releases(last, 1) {
+	if a.Releases(id, 1, false) || a.Releases(last, 1, false) {
 		t.Error("released once the crowd is over, or after its end")
 	}
-	if none := New(Figures{Limit: 100}); none.Releases(none.Came(1), 1) {
+	if none := New(Figures{Limit: 100}); none.Releases(none.Came(1), 1, false) {
 		t.Error("released without a figure")
 	}
 }
@@ -272,3 +283,67 @@
 		})
 	}
 }
+
+func TestCrowdsOfIdleConnectionsKeepTheirGoroutinesForLess(t *testing.T) {
+	a := New(Figures{Limit: 1000, Linger: 250, MostIdle: 100})
+	var ids []ID
+	last := Time(250)
+	for i := range 120 {
+		got := a.Linger(false)
+		if got > last || got < 250/20 || i < 50 && got != 250 || i >= 100 && got != 250/20 {
+			t.Fatalf("with %d lingering a connection lingers for %d ms, before %d", i, got, last)
+		}
+		last = got
+		id := a.Came(Time(i))
+		a.Asks(id)
+		a.Searches(id, Unknown)
+		a.Rests(id, Time(i))
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		a.Parks(id)
+		a.Parks(id)
+	}
+	if a.Parked() != 120 || a.Linger(false) != 250 {
+		t.Errorf("all parked: %d, linger %d ms", a.Parked(), a.Linger(false))
+	}
+	if a.Linger(true) != 250/20 {
+		t.Errorf("memory short: linger %d ms", a.Linger(true))
+	}
+	a.Asks(ids[0])
+	a.Wake(ids[1])
+	a.Gone(ids[2])
+	if a.Parked() != 117 {
+		t.Errorf("%d parked after three went", a.Parked())
+	}
+}
+
+func TestTheLeastRate(t *testing.T) {
+	p := Pace{Rate: 100, Grace: 500}
+	play := func(step Time, n int, until Time) (slowAt Time) {
+		due := p.Begin(0)
+		for now := Time(0); now < until; now += step {
+			if p.Slow(due, now) {
+				return now
+			}
+			due = p.Moved(due, now, n)
+		}
+		return -1
+	}
+	if at := play(10, 1, 60_000); at >= 0 {
+		t.Errorf("who keeps to the rate exactly is too slow at %d ms", at)
+	}
+	if at := play(1000, 1, 60_000); at < 500 || at > 1000 {
+		t.Errorf("a byte a second is found at %d ms", at)
+	}
+	if at := play(100, 5, 60_000); at < 900 || at > 1300 {
+		t.Errorf("half of the rate is found at %d ms", at)
+	}
+	// A burst buys no more than twice the grace, however long.
+	if due := p.Moved(p.Begin(0), 0, 1<<20); due != 1000 {
+		t.Errorf("after a burst of a megabyte the next byte is due at %d ms", due)
+	}
+	if off := (Pace{}); off.On() || off.Slow(0, 1000) {
+		t.Error("no least rate, and somebody is too slow")
+	}
+}
--- a/gatherer/conns.go
+++ b/gatherer/conns.go
@@ -7,172 +7,21 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
+	"net/netip"
 	"runtime/debug"
 	"strconv"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"oxbowspan/admit"
 	"oxbowspan/brain"
+	"oxbowspan/budget"
+	"oxbowspan/internal/operator"
 	"oxbowspan/internal/park"
 	"oxbowspan/internal/wheel"
 )
 
-// Why a client's connection ended: the reason codes of its log line.
-const (
-	endClient     = "client_closed" // the client closed it between requests, or after its answer
-	endLeft       = "client_left"   // the client closed it while its search was open
-	endReset      = "client_reset"  // it broke
-	endReadLimit  = "read_limit"    // ours: a request did not come whole in time
-	endWriteLimit = "write_limit"   // ours: the client did not read its answer
-	endToldClose  = "told_close"    // ours: the answer said Connection: close
-	endBadRequest = "bad_request"   // ours: what came is not HTTP
-	endMadeRoom   = "made_room"     // ours: idle longest when another client came at the limit
-	endOverLimit  = "over_limit"    // ours: it came past the limit and was shed
-	endIdleLimit  = "idle_limit"    // ours: parked for longer than the operator's file allows
-	endStopped    = "stopped"       // ours: the program ends
-)
-
-// clientConn is a client's connection; it remembers why it ended.
-type clientConn struct {
-	net.Conn
-	l     *listener
-	id    admit.ID
-	over  bool // it came past the limit
-	began time.Time
-	begun atomic.Bool // a byte has come
-
-	mu       sync.Mutex
-	framing  framing
-	why      string // set by whoever ends it here
-	readErr  error
-	aborted  bool // net/http breaks off its own reading by a limit long past
-	closed   bool
-	parked   bool // its socket has been taken over: this connection is over, the client's is not
-	requests int
-	resting  bool // it waits for a request
-}
-
-func (c *clientConn) Read(b []byte) (int, error) {
-	if c.l.set != nil && c.restful() {
-		// Between requests: after a while it waits without this goroutine.
-		c.Conn.SetReadDeadline(time.Now().Add(c.l.linger))
-		n, err := c.Conn.Read(b)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.Conn.SetReadDeadline(time.Time{})
-			return c.came(b, n, err)
-		}
-		if c.l.park(c) {
-			return 0, io.EOF // net/http lets go of it, and Close does nothing
-		}
-		c.Conn.SetReadDeadline(time.Time{})
-	}
-	n, err := c.Conn.Read(b)
-	return c.came(b, n, err)
-}
-
-// came notes what a read brought.
-func (c *clientConn) came(b []byte, n int, err error) (int, error) {
-	if n > 0 && !c.begun.Load() {
-		c.begun.Store(true)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.framing.take(b[:n])
-	if err != nil {
-		c.readErr = err
-	}
-	return n, err
-}
-
-// restful tells whether it is between requests, with no byte of the next one read.
-func (c *clientConn) restful() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.resting && !c.over && c.framing.between()
-}
-
-// doubtful tells whether the present request, or one before it, can be read in two ways.
-func (c *clientConn) doubtful() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.framing.doubt > 0 && c.requests >= c.framing.doubt
-}
-
-// readBy is when the present request must have come whole. The first counts from the connection's beginning.
-func (c *clientConn) readBy() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.requests <= 1 {
-		return c.began.Add(readLimit)
-	}
-	return time.Now().Add(readLimit)
-}
-
-func (c *clientConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.because(endWriteLimit)
-	}
-	return n, err
-}
-
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	c.aborted = !t.IsZero() && time.Until(t) < -time.Hour
-	c.mu.Unlock()
-	return c.Conn.SetReadDeadline(t)
-}
-
-// because notes why the connection is about to end. The first reason stands.
-func (c *clientConn) because(why string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.why == "" {
-		c.why = why
-	}
-}
-
-func (c *clientConn) Close() error {
-	c.mu.Lock()
-	parked := c.parked
-	c.mu.Unlock()
-	if parked {
-		return nil
-	}
-	err := c.Conn.Close()
-	c.mu.Lock()
-	first := !c.closed
-	c.closed = true
-	why, requests := c.reason(), c.requests
-	c.mu.Unlock()
-	// Not under its own lock: the listener's is taken before a connection's everywhere else.
-	if first && c.l.gone(c) {
-		logClientEnd(c.RemoteAddr().String(), why, requests, c.began)
-	}
-	return err
-}
-
-func (c *clientConn) reason() string {
-	switch {
-	case c.why != "":
-		return c.why
-	case errors.Is(c.readErr, io.EOF):
-		return endClient
-	case errors.Is(c.readErr, os.ErrDeadlineExceeded) && !c.aborted:
-		return endReadLimit
-	case c.readErr != nil && !errors.Is(c.readErr, net.ErrClosed) && !errors.Is(c.readErr, os.ErrDeadlineExceeded):
-		return endReset
-	}
-	return endBadRequest
-}
-
-func logClientEnd(client, why string, requests int, began time.Time) {
-	slog.Info("client_conn_end", "client", client, "reason", why, "requests", requests, "age_ms", time.Since(began).Milliseconds())
-}
-
 // listener keeps the clients' share of the descriptors, and what of them is idle without a goroutine. Who makes room, wakes or
 // is turned away is decided by package admit. Where nobody can make room the newcomer is accepted all the same and its
 // request shed, since one that waits in the backlog counts as taken. A little beyond that it waits for one to end.
@@ -186,25 +35,48 @@
 	mu    sync.Mutex
 	room  sync.Cond
 	who   *admit.Admission
+	held  *budget.Ledger
 	conns []held    // by admit.ID, as many as there were at once; a place is empty once its connection has ended
 	set   *park.Set // nil = idle connections keep their goroutines
 	over  bool      // closed
 
-	linger time.Duration
 	gaveUp int           // connections parked since memory was last given back
 	back   *time.Timer   // gives it back
 	idle   time.Duration // that a connection may be parked; 0 = any
-	limits *wheel.Wheel  // their limits, in ticks since began
+	limits *wheel.Wheel  // idle limits of the parked, least rates of the others; in ticks since began. nil = there are none
 	timer  *time.Timer   // for the first of them
+
+	pace       [phases]admit.Pace
+	keepAlive  time.Duration // a silent peer is asked after so long; 0 = the system's way
+	sendBuffer int           // 0 = the system's way
+}
+
+// terms are what a listener is told.
+type terms struct {
+	share     int       // descriptors for clients
+	customers []float64 // shares of the customers
+	awake     int       // open requests up to which a parked connection may wake; 0 = no limit
+	held      *budget.Ledger
+	doors     operator.Connections
 }
 
 // held is one client's connection: served by net/http, or parked. 40 bytes.
 type held struct {
-	c        *clientConn // nil = parked, or nobody
-	began    int64       // parked: Unix milliseconds
-	fd       int32       // parked: its descriptor; 0 = it is not
-	requests int32
-	limit    wheel.Handle // parked: its idle limit; 0 = none
+	c        *clientConn  // nil = parked, or nobody
+	began    int64        // parked: Unix milliseconds
+	fd       int32        // parked: its descriptor; 0 = it is not
+	requests int32        // parked: none so far = it has never spoken
+	limit    wheel.Handle // parked: its idle limit, else its least rate's; 0 = none
+	ip       [4]byte      // parked: its client's, as a socket that broke does not know it any more
+	port     uint16       // 0 = not of IPv4
+}
+
+// client is a parked connection's other side, for the log.
+func (h held) client() string {
+	if h.port == 0 {
+		return park.RemoteAddr(int(h.fd))
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(h.ip), h.port).String()
 }
 
 // crowdedPart of the clients' descriptors idle is a crowd, see admit.Releases: clients hold a third of all descriptors
@@ -222,16 +94,46 @@
 	headLate = readLimit / 2
 )
 
-func newListener(l net.Listener, share int, customers []float64, mostOpen int) *listener {
-	spare := max(share/8, 1)
-	k := &listener{Listener: l, spare: spare, began: time.Now(), who: admit.New(admit.Figures{Limit: max(share-spare, 1),
-		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: customers, MostOpen: mostOpen,
-		Crowded: max(share/crowdedPart, 1)})}
-	k.room.L, k.linger = &k.mu, linger
+func newListener(l net.Listener, t terms) *listener {
+	spare := max(t.share/8, 1)
+	k := &listener{Listener: l, spare: spare, began: time.Now(), held: t.held, who: admit.New(admit.Figures{Limit: max(t.share-spare, 1),
+		IdleLong: admit.Time(idleLong.Milliseconds()), HeadLate: admit.Time(headLate.Milliseconds()), Shares: t.customers, MostOpen: t.awake,
+		Crowded: max(t.share/crowdedPart, 1), Linger: admit.Time(linger.Milliseconds()), MostIdle: max(t.awake, mostIdle)})}
+	k.room.L = &k.mu
+	if k.held == nil {
+		k.held = budget.New(budget.Figures{}, nil)
+	}
+	grace := admit.Time(t.doors.Grace.Milliseconds())
+	k.pace = [phases]admit.Pace{readsHead: {Rate: t.doors.HeadRate, Grace: grace}, readsBody: {Rate: t.doors.BodyRate, Grace: grace},
+		writes: {Rate: t.doors.AnswerRate, Grace: grace}}
+	k.keepAlive, k.sendBuffer = t.doors.KeepAlive, t.doors.SendBuffer
+	if k.paces() {
+		k.limit()
+	}
 	k.woken = &wokenListener{Listener: l, c: make(chan net.Conn, 64), done: make(chan struct{})}
 	return k
 }
 
+// mostIdle is how many idle connections may keep their goroutines at least; see admit.Linger.
+const mostIdle = 128
+
+// limit makes the wheel and its timer.
+func (l *listener) limit() {
+	if l.limits == nil {
+		l.limits = wheel.New(0)
+		l.timer = time.AfterFunc(time.Hour, l.turn)
+	}
+}
+
+// lingers is how long a connection that is idle now keeps its goroutine.
+func (l *listener) lingers() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.who.Linger(l.tight())) * time.Millisecond
+}
+
+func (l *listener) tight() bool { return l.held.Pressure() >= budget.Tight }
+
 // parks lets idle connections wait without a goroutine from now on, where the system can.
 // A parked one is closed after idle, unless that is 0.
 func (l *listener) parks(advice brain.Time, idle time.Duration) {
@@ -249,33 +151,46 @@
 	b.WriteString("\r\n" + body)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refuse, l.set = b.Bytes(), set
-	if l.idle = idle; idle > 0 {
-		l.limits = wheel.New(0)
-		l.timer = time.AfterFunc(time.Hour, l.turn)
-	}
+	l.refuse, l.set, l.idle = b.Bytes(), set, idle
+	l.limit()
 }
 
 // limitTick is how exactly an idle limit is kept.
 const limitTick = 100 * time.Millisecond
 
-// limitAt is the tick at which a connection parked now is idle too long.
-func (l *listener) limitAt() int64 { return int64((time.Since(l.began)+l.idle)/limitTick) + 1 }
+// tick is the first one that begins after so long from now.
+func (l *listener) tick(after time.Duration) int64 {
+	return int64((time.Since(l.began)+after)/limitTick) + 1
+}
 
-// turn closes what has been parked for too long, save what a request waits on already.
+// turn ends what has been parked for too long, save what a request waits on already, and who is too slow.
 func (l *listener) turn() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.turnTo(int64(time.Since(l.began) / limitTick))
+	slow := l.turnTo(int64(time.Since(l.began) / limitTick))
+	l.mu.Unlock()
+	for _, c := range slow {
+		c.Close()
+	}
 }
 
-// turnTo turns the idle limits to a moment. The listener's lock is held.
-func (l *listener) turnTo(tick int64) {
+// turnTo turns the limits to a moment, and lists what is to be closed. The listener's lock is held.
+func (l *listener) turnTo(tick int64) (slow []*clientConn) {
 	l.limits.Turn(tick, func(value uint32) {
-		l.conns[value].limit = 0
-		l.endUnlessAsked(admit.ID(value), endIdleLimit)
+		h := &l.conns[value]
+		h.limit = 0
+		switch {
+		case h.c != nil:
+			if l.late(h.c) {
+				slow = append(slow, h.c)
+			}
+		case h.requests == 0: // it never spoke, and whoever has not within the read limit is owed a close
+			l.endUnlessAsked(admit.ID(value), endReadLimit)
+		default:
+			l.endUnlessAsked(admit.ID(value), endIdleLimit)
+		}
 	})
 	l.await()
+	return slow
 }
 
 // endUnlessAsked closes a parked connection, or wakes it if a request waits on it already.
@@ -302,22 +217,82 @@
 		l.room.Wait()
 	}
 	l.mu.Unlock()
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			if noDescriptor(err) && park.Acceptable(l.Listener) && l.spareOne() {
+				continue
+			}
+			return nil, err
+		}
+		if c := l.take(raw); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// noDescriptor tells whether an accept failed as there is no descriptor left, or no memory of the system's for one.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
+// spareOne closes who can best be spared when no descriptor is left although the limits say that there should be: the machine
+// grants less than it says, or something else in the process holds them. Who waits in the backlog would else wait until
+// somebody leaves by himself. false = nobody can be spared.
+func (l *listener) spareOne() bool {
+	l.mu.Lock()
+	id := l.who.Victim(l.now())
+	if l.over || id == admit.None {
+		l.mu.Unlock()
+		return false
+	}
+	c := l.conns[id].c
+	slog.Warn("accept_no_descriptor", "connections", l.who.Len(), "limit", l.who.Limit())
+	if c == nil {
+		l.endUnlessAsked(id, endMadeRoom)
+	}
+	l.mu.Unlock()
+	if c != nil {
+		c.because(endMadeRoom)
+		c.Close()
+	}
+	return true
+}
+
+// take takes a new connection in; nil = it waits for its first byte without a goroutine.
+func (l *listener) take(raw net.Conn) *clientConn {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		if l.keepAlive > 0 {
+			tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: l.keepAlive, Interval: l.keepAlive, Count: 3})
+		}
+		if l.sendBuffer > 0 {
+			tcp.SetWriteBuffer(l.sendBuffer)
+		}
 	}
 	c := &clientConn{Conn: raw, l: l, began: time.Now()}
 	l.mu.Lock()
 	var other *clientConn
 	other, c.over = l.makeRoom()
+	tight := l.tight()
+	granted := l.held.Take(budget.Awake, awakeHolds)
+	if !granted {
+		l.held.Force(budget.Awake, awakeHolds) // until it is parked or shed
+	}
 	c.id = l.who.Came(l.now())
 	l.hold(c)
+	waits := l.set != nil && !c.over && (!granted || l.who.Waits(tight)) && l.parkLocked(c, readLimit)
+	if !waits && !granted {
+		c.over = true // nobody can make room for it: its request is shed
+	}
 	l.mu.Unlock()
 	if other != nil {
 		other.because(endMadeRoom)
 		other.Close()
 	}
-	return c, nil
+	if waits {
+		return nil
+	}
+	return c
 }
 
 // hold puts a connection into its place.
@@ -346,34 +321,45 @@
 
 // park takes an idle connection's socket over; false = it keeps its goroutine.
 func (l *listener) park(c *clientConn) bool {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.over || l.set == nil || int(c.id) >= len(l.conns) || l.conns[c.id].c != c {
+	if !l.parkLocked(c, l.idle) {
+		return false
+	}
+	if l.gaveUp++; l.gaveUp == giveBackAfter {
+		l.back = time.AfterFunc(giveBackWait, l.giveBack)
+	}
+	return true
+}
+
+// parkLocked takes a connection's socket over, to be closed after so long, or ever if that is 0. The listener's lock is held.
+func (l *listener) parkLocked(c *clientConn, limit time.Duration) bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || l.over || l.set == nil || int(c.id) >= len(l.conns) || l.conns[c.id].c != c {
 		return false
 	}
+	from, _ := tcp.RemoteAddr().(*net.TCPAddr)
 	fd, err := l.set.Park(tcp, uint32(c.id))
 	if err != nil {
 		return false // no descriptor is left for the moment that it takes one more
 	}
+	l.unlimit(c.id)
 	c.mu.Lock()
-	c.parked = true
+	c.parked, c.phase = true, noPhase
 	requests := c.requests
 	c.mu.Unlock()
 	h := held{began: c.began.UnixMilli(), fd: int32(fd), requests: int32(requests)}
-	if l.idle > 0 {
-		h.limit = l.limits.Add(l.limitAt(), uint32(c.id))
-		if l.limits.Len() == 1 {
-			l.await()
-		}
+	if at := from.AddrPort(); at.Addr().Unmap().Is4() {
+		h.ip, h.port = at.Addr().Unmap().As4(), at.Port()
 	}
-	l.conns[c.id] = h
-	if l.gaveUp++; l.gaveUp == giveBackAfter {
-		l.back = time.AfterFunc(giveBackWait, l.giveBack)
+	if limit > 0 {
+		h.limit = l.limits.Add(l.tick(limit), uint32(c.id))
+		l.await()
 	}
+	l.conns[c.id] = h
+	l.who.Parks(c.id)
+	l.held.Give(budget.Awake, awakeHolds)
+	l.held.Force(budget.Parked, parkedHolds)
 	return true
 }
 
@@ -404,11 +390,16 @@
 		l.endParked(id, endClient)
 	case over != nil:
 		l.endParked(id, endReset)
-	case waiting && !l.who.Wake(id):
-		// Turned away here, before it costs a goroutine and buffers: given up, so answered at once.
-		l.refuses(id)
 	case waiting:
-		l.wake(id)
+		// Turned away here, before it costs a goroutine and buffers: given up, so answered at once.
+		if !l.held.Take(budget.Awake, awakeHolds) {
+			l.refuses(id)
+		} else if !l.who.Wake(id) {
+			l.held.Give(budget.Awake, awakeHolds)
+			l.refuses(id)
+		} else {
+			l.wakeHeld(id)
+		}
 	default:
 		if l.set.Watch(fd, value) != nil {
 			l.endParked(id, endReset)
@@ -416,20 +407,29 @@
 	}
 }
 
-// wake hands a parked connection to net/http again. Where no descriptor is left for the moment that this takes more, its
-// request is shed at once: a request in hand is never closed upon without an answer.
+// wake hands a parked connection to net/http again, whatever memory is held: a request waits on it that is not to be closed
+// upon.
 func (l *listener) wake(id admit.ID) {
+	l.held.Force(budget.Awake, awakeHolds)
+	l.wakeHeld(id)
+}
+
+// wakeHeld does so once its memory is accounted for. Where no descriptor is left for the moment that this takes more, its
+// request is shed at once: a request in hand is never closed upon without an answer.
+func (l *listener) wakeHeld(id admit.ID) {
 	h := l.conns[id]
 	raw, err := l.set.Unpark(int(h.fd))
 	if err != nil {
 		slog.Warn("client_not_woken", "error", err)
+		l.held.Give(budget.Awake, awakeHolds)
 		l.refuses(id)
 		return
 	}
 	l.unlimit(id)
-	c := &clientConn{Conn: raw, l: l, id: id, began: time.UnixMilli(h.began), requests: int(h.requests)}
+	c := &clientConn{Conn: raw, l: l, id: id, began: time.UnixMilli(h.began), requests: int(h.requests), woken: true}
 	c.begun.Store(true)
 	l.conns[id] = held{c: c}
+	l.held.Give(budget.Parked, parkedHolds)
 	l.who.Asks(id) // a request is on its way: it is not closed to make room
 	l.woken.put(c)
 }
@@ -447,13 +447,13 @@
 // lost forgets a parked connection, which end ends.
 func (l *listener) lost(id admit.ID, why string, end func()) {
 	h := l.conns[id]
-	client := park.RemoteAddr(int(h.fd))
+	client := h.client()
 	end()
 	l.forget(id)
 	logClientEnd(client, why, int(h.requests), time.UnixMilli(h.began))
 }
 
-// unlimit takes away a parked connection's idle limit.
+// unlimit takes away a connection's limit.
 func (l *listener) unlimit(id admit.ID) {
 	if h := &l.conns[id]; h.limit != 0 {
 		l.limits.Cancel(h.limit)
@@ -465,6 +465,11 @@
 func (l *listener) forget(id admit.ID) {
 	l.unlimit(id)
 	l.who.Gone(id)
+	if l.conns[id].fd != 0 {
+		l.held.Give(budget.Parked, parkedHolds)
+	} else {
+		l.held.Give(budget.Awake, awakeHolds)
+	}
 	l.conns[id] = held{}
 	l.room.Signal()
 }
@@ -495,7 +500,7 @@
 	c.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int(c.id) < len(l.conns) && l.conns[c.id].c == c && l.who.Releases(c.id, requests)
+	return int(c.id) < len(l.conns) && l.conns[c.id].c == c && l.who.Releases(c.id, requests, l.set == nil && l.tight())
 }
 
 // searches notes that a connection asks a search, and whose.
@@ -563,8 +568,13 @@
 	c.mu.Lock()
 	if c.resting = s == http.StateIdle; s == http.StateActive {
 		c.requests++
+		c.left, c.woken = 0, false
 	}
+	head := s == http.StateIdle && c.headOpen() // of the next request, which came with the last one
 	c.mu.Unlock()
+	if head && l.paces() {
+		defer l.enter(c, readsHead)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if int(c.id) >= len(l.conns) || l.conns[c.id].c != c {
@@ -577,71 +587,3 @@
 		l.who.Rests(c.id, l.now())
 	}
 }
-
-// wokenListener is where net/http takes connections that were parked. It never waits for net/http: what does not fit the
-// channel waits in a list.
-type wokenListener struct {
-	net.Listener // for its address
-	c            chan net.Conn
-	done         chan struct{}
-	once         sync.Once
-
-	mu     sync.Mutex
-	queue  []net.Conn // emptied by feed
-	on     bool       // feed runs
-	served sync.WaitGroup
-}
-
-// put hands a connection over without waiting.
-func (w *wokenListener) put(c net.Conn) {
-	w.served.Add(1)
-	select {
-	case w.c <- c:
-		return
-	default:
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.queue = append(w.queue, c); !w.on {
-		w.on = true
-		go w.feed()
-	}
-}
-
-func (w *wokenListener) feed() {
-	for {
-		w.mu.Lock()
-		if len(w.queue) == 0 {
-			w.on, w.queue = false, nil
-			w.mu.Unlock()
-			return
-		}
-		c := w.queue[0]
-		w.queue = w.queue[1:]
-		w.mu.Unlock()
-		select {
-		case w.c <- c:
-		case <-w.done:
-			c.Close()
-			w.served.Done()
-		}
-	}
-}
-
-// settle waits until all that was handed over has been taken.
-func (w *wokenListener) settle() { w.served.Wait() }
-
-func (w *wokenListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-w.c:
-		w.served.Done()
-		return c, nil
-	case <-w.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (w *wokenListener) Close() error {
-	w.once.Do(func() { close(w.done) })
-	return nil
-}
--- a/gatherer/framing.go
+++ b/gatherer/framing.go
@@ -37,6 +37,11 @@
 	return f.state == inRequestLine && len(f.line) == 0 && f.doubt == 0 && f.heads > 0
 }
 
+// inHead tells whether part of a head has come, and not all of it.
+func (f *framing) inHead() bool {
+	return f.doubt == 0 && (f.state == inHead || f.state == inRequestLine && len(f.line) > 0)
+}
+
 // take follows some more bytes.
 func (f *framing) take(b []byte) {
 	for len(b) > 0 && f.doubt == 0 {
--- a/gatherer/front.go
+++ b/gatherer/front.go
@@ -19,6 +19,8 @@
 
 	"oxbowspan/admit"
 	"oxbowspan/brain"
+	"oxbowspan/budget"
+	"oxbowspan/internal/operator"
 )
 
 // mostBody is the most that a request's body may have, mostHead its head.
@@ -38,21 +40,19 @@
 	known    func(queryType string) bool
 	longest  time.Duration // client timeout
 	advice   brain.Time    // to clients that are shed here; 0 = none
-	bodies   int64         // bytes of bodies that may be held at once
-	held     atomic.Int64  // bytes of them that are
+	held     *budget.Ledger
 	customer func(name string) admit.Customer
-	shares   []float64     // the customers' shares of searches
-	awake    int           // connections that memory lets be awake at once; 0 = no limit
-	parking  bool          // idle connections give up their goroutines
-	idle     time.Duration // a parked connection is closed after so long; 0 = never
-	listed   atomic.Bool   // a list with a server is held
+	shares   []float64 // the customers' shares of searches
+	awake    int       // connections that memory lets be awake at once; 0 = no limit
+	doors    operator.Connections
+	listed   atomic.Bool // a list with a server is held
 	draining atomic.Bool
 }
 
 type connKey struct{}
 
-func newFront(t *transport, longest time.Duration, bodies int64) *front {
-	f := &front{longest: longest, bodies: bodies, known: t.known, customer: t.customer, advice: t.d.Facts.AdviseRetry}
+func newFront(t *transport, longest time.Duration, held *budget.Ledger) *front {
+	f := &front{longest: longest, held: held, known: t.known, customer: t.customer, advice: t.d.Facts.AdviseRetry}
 	for _, c := range t.d.Facts.Customers {
 		f.shares = append(f.shares, c.SharePerSecond)
 	}
@@ -133,18 +133,21 @@
 		advise(w.Header(), f.advice)
 		http.Error(w, "too many connections, asking again is harmless", http.StatusServiceUnavailable)
 		return
-	case f.held.Add(size) > f.bodies:
-		f.held.Add(-size)
+	case !f.held.Take(budget.Bodies, budget.Bytes(bodyTimes*size)):
 		end(endOverLimit)
 		advise(w.Header(), f.advice)
 		http.Error(w, "too much is held, asking again is harmless", http.StatusServiceUnavailable)
 		return
 	}
-	defer f.held.Add(-size)
+	defer f.held.Give(budget.Bodies, budget.Bytes(bodyTimes*size))
 	if c != nil {
 		c.l.searches(c, f.customer(r.Header.Get("Req-Owner")))
+		c.l.enter(c, readsBody)
 	}
 	b, err := read(w, r)
+	if c != nil {
+		c.l.enter(c, noPhase)
+	}
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
@@ -196,9 +199,9 @@
 // serve answers clients on l until ctx is done, then drains: not ready, new connections still accepted while
 // they keep coming, kept ones told to close, and at last all that is open finished, for at most so long.
 func (f *front) serve(ctx context.Context, nl net.Listener, share int, longest time.Duration) error {
-	l := newListener(nl, share, f.shares, f.awake)
-	if f.parking {
-		l.parks(f.advice, f.idle)
+	l := newListener(nl, terms{share: share, customers: f.shares, awake: f.awake, held: f.held, doors: f.doors})
+	if f.doors.Park {
+		l.parks(f.advice, f.doors.Idle)
 	}
 	// The write limit covers all three: a request may take the read limit to come, the longest client timeout to be
 	// answered, and its answer as long again to be read.
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -21,6 +21,7 @@
 	"sync"
 
 	"oxbowspan/brain"
+	"oxbowspan/budget"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/operator"
@@ -136,6 +137,15 @@
 		g.module.merges.Limit(m.MostBytes, m.MostRows, m.MostOpen)
 	}
 	g.proxy.merging.Store(m)
+	g.held.Limit(s.Limits.ledger(s.memory()))
+}
+
+// memory is what the operator's file says of memory in sum; nil = nothing.
+func (s Setup) memory() *operator.Memory {
+	if s.Operator == nil {
+		return nil
+	}
+	return s.Operator.Memory
 }
 
 // Gatherer is one gatherer.
@@ -146,6 +156,7 @@
 	front  *front
 	proxy  *transport
 	module *module
+	held   *budget.Ledger
 	d      facts.Deployment
 	known  discovery.List
 }
@@ -156,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gatherer{setup: s, d: d}
+	g := &Gatherer{setup: s, d: d, held: budget.New(budget.Figures{}, memoryTurned)}
 	if len(s.Known) > 0 && string(s.Known) != "null" {
 		var err error
 		if g.known, err = discovery.Parse(s.Known, g.fits); err != nil {
@@ -166,16 +177,17 @@
 	_, servers := s.Limits.split()
 	box := mailbox{make(chan any, mailboxSize), make(chan struct{})}
 	g.module = &module{mailbox: box, d: d, clock: newClock(), brain: brain.New(d.Facts), budget: newDescriptors(servers), merges: &merge.Budget{},
+		memory: g.held, expect: budget.NewExpect(len(d.QueryTypes), firstValue),
 		figures: peer.Figures{ConnectTimeout: d.ConnectTimeout, IdleClose: d.IdleClose, Streams: d.Streams,
-			PartsPerCall: d.PartsPerCall, LoadProbes: d.ReportsByProbe, Reports: len(d.Reports) > 0},
+			PartsPerCall: d.PartsPerCall, LoadProbes: d.ReportsByProbe, Reports: len(d.Reports) > 0, Memory: accountOf{g.held, budget.Servers}},
 		searches: map[brain.SearchID]*search{}, parts: map[brain.PartID]*part{}, wires: map[string]int{},
 		servers: map[brain.ServerID]*server{}, ids: map[string]brain.ServerID{}, ended: make(chan struct{})}
-	g.proxy = newTransport(d, box)
+	g.module.merges.Under(accountOf{g.held, budget.Merges})
+	g.proxy = newTransport(d, box, g.held)
 	g.operate(s)
-	g.front = newFront(g.proxy, duration(d.LongestTimeout), s.Limits.bodies())
-	g.front.awake = s.Limits.awake()
-	c := s.connections()
-	g.front.parking, g.front.idle, g.front.awake = c.Park, c.Idle, cmp.Or(c.Awake, g.front.awake)
+	g.front = newFront(g.proxy, duration(d.LongestTimeout), g.held)
+	g.front.doors = s.connections()
+	g.front.awake = cmp.Or(g.front.doors.Awake, s.Limits.awake())
 	g.module.listed = func() { g.front.listed.Store(true) }
 	return g, nil
 }
@@ -204,6 +216,9 @@
 	g.list = m.list
 	g.mu.Unlock()
 	stop := make(chan struct{})
+	if mem := g.setup.memory(); mem != nil && mem.Report > 0 {
+		go reportMemory(g.held, mem.Report, stop)
+	}
 	m.takeList(brain.ListCached, g.known)
 	go m.run(stop)
 	clients, _ := g.setup.Limits.split()
--- a/gatherer/limits.go
+++ b/gatherer/limits.go
@@ -5,6 +5,9 @@
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
+
+	"oxbowspan/budget"
+	"oxbowspan/internal/operator"
 )
 
 // Limits are what the machine grants, in whatever form a number takes. Zero means not stated.
@@ -41,7 +44,8 @@
 	return max(int64(l.MemoryMB*(1<<20))/8, 2*mostBody)
 }
 
-// awakeBytes is what a connection that is awake is taken to hold: its goroutine's stacks, buffers, and a request in hand.
+// awakeBytes is what a connection that is awake is taken to hold with all that its request may: its goroutine's stacks,
+// buffers, and a request in hand.
 const awakeBytes = 48 << 10
 
 // awake is how many connections may be awake at once: a quarter of the memory, and at least 64.
@@ -52,6 +56,44 @@
 	return max(int(l.MemoryMB*(1<<20))/4/awakeBytes, 64)
 }
 
+// What work holds, in bytes, as docs/measured/idle-connections.md has it. Requests' own bytes come on top.
+const (
+	awakeHolds  = 24 << 10 // a connection with its goroutine, stacks and buffers
+	parkedHolds = 192      // one without
+	searchHolds = 4 << 10  // an open search, beside its parts
+	partHolds   = 1 << 10  // a part of it, beside its value
+	bodyTimes   = 3        // a body lies in the buffer it came in, in what it says, and in the frames made of it
+	firstValue  = 256      // a value, until one of its query type has been seen
+)
+
+// baseBytes is what the program holds that does no work: text, runtime, tables.
+const baseBytes = 16 << 20
+
+// ledger is what all work together may hold. Without a section [memory] each account has its own limit alone, where it has
+// one. With it the sum is half of what the configured memory leaves beside the base: the other half is for garbage that has
+// not been collected yet, which the runtime's own limit (Apply) keeps to that.
+func (l Limits) ledger(m *operator.Memory) budget.Figures {
+	var f budget.Figures
+	f.Shares[budget.Bodies].Most = bodyTimes * budget.Bytes(l.bodies())
+	if m == nil {
+		return f
+	}
+	f.Most = budget.Bytes(m.Limit)
+	if f.Most == 0 && l.MemoryMB > 0 {
+		f.Most = max((budget.Bytes(l.MemoryMB*(1<<20))-baseBytes)/2, 4<<20)
+	}
+	if f.Most == 0 {
+		return f
+	}
+	f.Shares[budget.Bodies] = budget.Share{Least: f.Most / 16, Most: min(f.Shares[budget.Bodies].Most, f.Most/2)}
+	f.Shares[budget.Searches] = budget.Share{Least: f.Most / 8}
+	f.Shares[budget.Answers] = budget.Share{Least: f.Most / 16}
+	f.Shares[budget.Servers] = budget.Share{Least: f.Most / 16}
+	f.Shares[budget.Awake] = budget.Share{Least: f.Most / 16, Most: f.Most / 2}
+	f.Shares[budget.Merges] = budget.Share{Most: f.Most / 2}
+	return f
+}
+
 // Apply sets the Go runtime to the limits; it is for a program, not for an embedder's process.
 func (l Limits) Apply() {
 	if l.Cores > 0 {
--- a/gatherer/module.go
+++ b/gatherer/module.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oxbowspan/brain"
+	"oxbowspan/budget"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/peer"
@@ -31,6 +32,8 @@
 	parts []*part
 	merge *merge.Merge // with query; closed by whoever makes the answer of it, else by this actor
 	over  bool         // its final answer is given, or its client has left
+	holds budget.Bytes // in the account of searches
+	inUse budget.Bytes // of that, by values that are in and the search itself
 }
 
 // asked is a part as the client names it.
@@ -58,6 +61,7 @@
 	retryAfter brain.Time
 	values     []value
 	merge      *merge.Merge // replyMerged; to be closed
+	holds      budget.Bytes // replyAnswer: in the account of answers, until it is written
 }
 
 type replyKind uint8
@@ -99,6 +103,8 @@
 	ready    int           // servers listed
 	timers   timerHeap     // emptied as they fire: a search's are over soon after its time
 	merges   *merge.Budget // what open merges hold together
+	memory   *budget.Ledger
+	expect   *budget.Expect
 	pending  []brain.Event // what became of actions at once
 	ended    chan struct{} // closed when the peers have gone too
 }
@@ -178,6 +184,11 @@
 		if e.s.merge != nil {
 			e.s.merge.Close() // whether or not an answer was on its way to the client that left
 		}
+		select {
+		case r := <-e.s.reply: // nobody will take it
+			m.memory.Give(budget.Answers, r.holds)
+		default:
+		}
 	case ended:
 		m.subRequestEnded(e.e)
 	case probed:
@@ -321,10 +332,19 @@
 		s.reply <- reply{kind: replyTaken}
 		return
 	}
+	// Set aside now, while turning it away is harmless: values that come cannot be refused.
+	s.inUse = searchHolds + budget.Bytes(len(s.asked))*partHolds
+	s.holds = s.inUse + budget.Bytes(len(s.asked))*m.expect.Each(int(s.typ))
+	if !m.memory.Take(budget.Searches, s.holds) {
+		s.over = true
+		s.reply <- reply{kind: replyShed, retryAfter: m.d.Facts.AdviseRetry}
+		return
+	}
 	if s.query != nil {
 		var err error
 		if s.merge, err = merge.New(s.query, m.merges); err != nil {
 			s.over = true
+			m.memory.Give(budget.Searches, s.holds)
 			s.reply <- reply{kind: replyShed, retryAfter: m.d.Facts.AdviseRetry}
 			return
 		}
@@ -358,6 +378,7 @@
 	s.out--
 	if e.Outcome == brain.Answered && !p.s.over && !p.in {
 		p.in, p.value = true, e.Value
+		m.holdValue(p.s, budget.Bytes(len(e.Value)))
 		m.merged(p, e.Result)
 	} else if e.Unfit && !p.s.over && !p.in {
 		p.s.merge.Spoilt(merge.Segment(p.shard))
@@ -367,6 +388,16 @@
 	m.handle(brain.SubRequestEnded{Part: e.ID, Send: e.Send, Server: e.Server, Elapsed: e.Elapsed, Outcome: e.Outcome, Report: e.Report})
 }
 
+// holdValue accounts for a value that is in: out of what was set aside, and beyond that whatever is held, as it is here.
+func (m *module) holdValue(s *search, n budget.Bytes) {
+	m.expect.Saw(int(s.typ), n)
+	s.inUse += n
+	if more := s.inUse - s.holds; more > 0 {
+		m.memory.Force(budget.Searches, more)
+		s.holds += more
+	}
+}
+
 // merged adds a part to its search's merge. Where all merges together would hold too much, the search is shed at once:
 // only idempotent searches are merged, so that asking again is harmless.
 func (m *module) merged(p *part, result any) {
@@ -389,12 +420,17 @@
 		for _, p := range s.parts {
 			if p.in {
 				r.values = append(r.values, value{p.shard, p.value})
+				r.holds += 2*budget.Bytes(len(p.value)) + valueHolds // as it came, and in the answer's text
 			}
 		}
+		m.memory.Force(budget.Answers, r.holds)
 	}
 	m.finish(a.Search, r)
 }
 
+// valueHolds is what an answer's text has around a value.
+const valueHolds = 64
+
 // finish gives a search its one final answer.
 func (m *module) finish(id brain.SearchID, r reply) {
 	if s := m.searches[id]; s != nil {
@@ -408,6 +444,8 @@
 
 func (m *module) close(s *search) {
 	s.over = true
+	m.memory.Give(budget.Searches, s.holds)
+	s.holds = 0
 	m.held -= 1 + len(s.parts)
 	delete(m.searches, s.id)
 	for _, p := range s.parts {
--- a/gatherer/park_test.go
+++ b/gatherer/park_test.go
@@ -24,6 +24,7 @@
 
 	"oxbowspan/admit"
 	"oxbowspan/internal/park"
+	"oxbowspan/internal/standin"
 )
 
 // parkRig is the listener with net/http over it, as front.serve has them, and a handler that says what it was asked.
@@ -40,9 +41,32 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &parkRig{t: t, l: newListener(nl, share, nil, awake), addr: nl.Addr().String(), gate: make(chan struct{})}
-	r.l.linger = time.Millisecond
+	return startRigOn(t, nl, terms{share: share, awake: awake}, idle)
+}
+
+func startRigOn(t testing.TB, nl net.Listener, by terms, idle time.Duration) *parkRig {
+	r := &parkRig{t: t, l: newListener(nl, by), addr: nl.Addr().String(), gate: make(chan struct{})}
+	r.l.who.SetLinger(1)
 	r.l.parks(5000, idle)
+	r.serve()
+	return r
+}
+
+// startKeptRig starts one that parks nothing.
+func startKeptRig(t testing.TB, nl net.Listener, by terms) *parkRig {
+	r := &parkRig{t: t, l: newListener(nl, by), addr: nl.Addr().String(), gate: make(chan struct{})}
+	r.serve()
+	return r
+}
+
+// last is the connection that came last, if it has a goroutine.
+func (r *parkRig) last() *clientConn {
+	r.l.mu.Lock()
+	defer r.l.mu.Unlock()
+	return r.l.conns[len(r.l.conns)-1].c
+}
+
+func (r *parkRig) serve() {
 	r.srv = &http.Server{ReadHeaderTimeout: readLimit, ConnState: r.l.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		b, _ := io.ReadAll(q.Body)
 		if q.URL.Path == "/wait" {
@@ -52,11 +76,10 @@
 	})}
 	go r.srv.Serve(r.l)
 	go r.srv.Serve(r.l.woken)
-	t.Cleanup(func() {
+	r.t.Cleanup(func() {
 		r.l.stop()
 		r.srv.Close()
 	})
-	return r
 }
 
 func (r *parkRig) parked() (n int) {
@@ -360,25 +383,13 @@
 	p.line("event=client_conn_end", "client="+nc.LocalAddr().String(), "reason=idle_limit", "requests=2")
 }
 
-// Descriptors are used up when a parked connection wakes: its request is shed with advice, not closed upon.
-func TestAWakeWithoutADescriptorIsAnswered(t *testing.T) {
-	r := startRig(t, 200, 0, 0)
-	c, later := r.dial(), r.dial()
-	for _, c := range []*rigClient{c, later} {
-		c.send(post("/", ""))
-		c.want("/ ")
-	}
-	r.awaitParked(2)
+// noDescriptors lets this process open no descriptor more, until it is told to give them back.
+func noDescriptors(t *testing.T) (give func()) {
+	t.Helper()
 	var was unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
 		t.Fatal(err)
 	}
-	give := func() {
-		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
-			t.Fatal(err)
-		}
-	}
-	defer give()
 	// No new number may be as high as the lowest that is free: the limit is on numbers, not on how many there are.
 	free, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 3)
 	if err != nil {
@@ -388,6 +399,24 @@
 	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(free), Max: was.Max}); err != nil {
 		t.Fatal(err)
 	}
+	return func() {
+		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Descriptors are used up when a parked connection wakes: its request is shed with advice, not closed upon.
+func TestAWakeWithoutADescriptorIsAnswered(t *testing.T) {
+	r := startRig(t, 200, 0, 0)
+	c, later := r.dial(), r.dial()
+	for _, c := range []*rigClient{c, later} {
+		c.send(post("/", ""))
+		c.want("/ ")
+	}
+	r.awaitParked(2)
+	give := noDescriptors(t)
+	defer give()
 	c.send(post("/now", "x"))
 	c.SetReadDeadline(time.Now().Add(patience))
 	res, err := http.ReadResponse(c.r, nil)
@@ -399,6 +428,127 @@
 	later.want("/later x")
 }
 
+// Descriptors are used up in accept: the connection idle longest makes room, parked or not, so that who waits in the backlog
+// is served and not left there.
+func TestAnAcceptWithoutADescriptorMakesRoom(t *testing.T) {
+	for _, parks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("parked=%t", parks), func(t *testing.T) {
+			r := startRig(t, 200, 0, 0)
+			if !parks {
+				r.l.who.SetLinger(3600_000)
+			}
+			oldest, other := r.dial(), r.dial()
+			for i, c := range []*rigClient{oldest, other} {
+				c.send(post("/", ""))
+				c.want("/ ")
+				r.until("at rest", func() bool {
+					r.l.mu.Lock()
+					defer r.l.mu.Unlock()
+					_, visiting, _, _ := r.l.who.Counts()
+					return visiting == i+1
+				})
+			}
+			if parks {
+				r.awaitParked(2)
+			}
+			raw, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer unix.Close(raw)
+			give := noDescriptors(t)
+			defer give()
+			addr, _ := net.ResolveTCPAddr("tcp", r.addr)
+			if err := unix.Connect(raw, &unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+				t.Fatal(err)
+			}
+			unix.Write(raw, []byte(post("/new", "x")))
+			answer := make([]byte, 1024)
+			unix.SetsockoptTimeval(raw, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Sec: int64(patience / time.Second)})
+			k, err := unix.Read(raw, answer)
+			give()
+			if err != nil || !strings.HasSuffix(string(answer[:max(k, 0)]), "/new x") {
+				t.Errorf("the new client got %q, %v", answer[:max(k, 0)], err)
+			}
+			if _, _, err := oldest.answer(); err == nil {
+				t.Error("the one idle longest did not make room")
+			}
+			other.send(post("/still", "x"))
+			other.want("/still x")
+		})
+	}
+}
+
+// The machine grants fewer descriptors than the configuration says, and clients hold all of them: connects to servers fail.
+// Every search gets its one final answer, a shed or errored one at the latest by its timeout; once descriptors are there
+// again, so are answers.
+func TestDescriptorsUsedUpInDiallingServersAndInAccept(t *testing.T) {
+	a := startShard(t, "s-a", nil)
+	p := start(t, startList(t, a), nil)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: patience}
+	ask := func(id string) (int, time.Duration) {
+		t.Helper()
+		s := standin.Search{ID: id, Kind: "lookup", Customer: "acme", Wait: 1500 * time.Millisecond, Shards: []int{1}, Text: "c41e77d0"}
+		r, err := s.Ask(t.Context(), client, p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r.Status, r.Took
+	}
+	if status, _ := ask("a1"); status != http.StatusOK {
+		t.Fatalf("at the start: %d", status)
+	}
+	pid := p.cmd.Process.Pid
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	if err != nil {
+		t.Skip(err)
+	}
+	var was unix.Rlimit
+	few := unix.Rlimit{Cur: uint64(len(entries) + 4), Max: 4096}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was); err != nil {
+		t.Fatal(err)
+	}
+	few.Max = was.Max
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &few, nil); err != nil {
+		t.Fatal(err)
+	}
+	var crowd []net.Conn // strangers that ask nothing: they take what there is
+	for range 12 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		crowd = append(crowd, c)
+	}
+	p.line("event=accept_no_descriptor")
+	a.Break() // now the server has to be dialled anew
+	for i := range 4 {
+		status, took := ask(fmt.Sprintf("b%d", i))
+		if status != http.StatusOK && status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout {
+			t.Errorf("with no descriptor left: %d", status)
+		}
+		if took > 1600*time.Millisecond {
+			t.Errorf("its final answer took %s, past the client's timeout", took)
+		}
+	}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range crowd {
+		c.Close()
+	}
+	n := 0
+	for end := time.Now().Add(patience); ; n++ {
+		if status, _ := ask(fmt.Sprintf("c%d", n)); status == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("descriptors are there again, and nothing is answered")
+		}
+	}
+}
+
 func TestADrainClosesWhatIsParkedAndAnswersWhatHasAsked(t *testing.T) {
 	r := startRig(t, 200, 0, 0)
 	quiet, asking := r.dial(), r.dial()
@@ -513,7 +663,7 @@
 		b.Run(way, func(b *testing.B) {
 			r := startRig(b, 100, 0, 0)
 			if way == "kept" {
-				r.l.linger = time.Hour
+				r.l.who.SetLinger(3600_000)
 			}
 			c := r.dial()
 			b.ReportAllocs()
--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"oxbowspan/brain"
+	"oxbowspan/budget"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/frame"
@@ -782,14 +783,21 @@
 	if len(m.searches) > 0 || m.held != 0 || m.budget.left.Load() != int64(serversOf(Limits{})) {
 		t.Errorf("%d searches, %d held, %d descriptors free of %d", len(m.searches), m.held, m.budget.left.Load(), serversOf(Limits{}))
 	}
-	for end := time.Now().Add(patience); runtime.NumGoroutine() > before+4; { // the stand-ins have some
+	for end := time.Now().Add(patience); runtime.NumGoroutine() > before+4 || g.held.State().Sum != 0; { // the stand-ins have some
 		if time.Now().After(end) {
-			t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+			t.Fatalf("%d goroutines, %d before; held is %+v", runtime.NumGoroutine(), before, g.held.State())
 		}
 		runtime.Gosched()
 	}
 }
 
+// ledgerOf is a ledger that lets bodies hold so much; 0 = any.
+func ledgerOf(bodies budget.Bytes) *budget.Ledger {
+	var f budget.Figures
+	f.Shares[budget.Bodies].Most = bodies
+	return budget.New(f, nil)
+}
+
 func serversOf(l Limits) int {
 	_, servers := l.split()
 	return servers
@@ -802,7 +810,7 @@
 		t.Fatal(err)
 	}
 	box := mailbox{make(chan any, 1), make(chan struct{})}
-	srv := httptest.NewServer(newFront(newTransport(d, box), time.Second, mostBody))
+	srv := httptest.NewServer(newFront(newTransport(d, box, ledgerOf(0)), time.Second, ledgerOf(0)))
 	defer srv.Close()
 	go func() {
 		s := (<-box.c).(searchCame).s
@@ -853,7 +861,7 @@
 	ours, theirs := net.Pipe() // it holds nothing: a write waits for its reader
 	l := make(pipeListener, 1)
 	l <- theirs
-	f := newFront(newTransport(facts.Deployment{}, mailbox{}), 50*time.Millisecond, mostBody)
+	f := newFront(newTransport(facts.Deployment{}, mailbox{}, ledgerOf(0)), 50*time.Millisecond, ledgerOf(0))
 	go f.serve(context.Background(), l, 8, time.Second)
 	if _, err := io.WriteString(ours, "GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -895,7 +903,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := httptest.NewServer(newFront(newTransport(d, mailbox{}), time.Second, 10))
+	srv := httptest.NewServer(newFront(newTransport(d, mailbox{}, ledgerOf(10)), time.Second, ledgerOf(10)))
 	defer srv.Close()
 	for range 3 {
 		r, _ := newSearch(context.Background(), srv.Listener.Addr().String(), "lookup", 0)
--- a/gatherer/roundtrip.go
+++ b/gatherer/roundtrip.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
 	"oxbowspan/admit"
 	"oxbowspan/brain"
+	"oxbowspan/budget"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/operator"
 	"oxbowspan/merge"
@@ -27,11 +29,12 @@
 	types     map[string]brain.QueryType
 	customers map[string]brain.CustomerNo
 	module    mailbox
+	held      *budget.Ledger
 	merging   atomic.Pointer[operator.Merging] // nil = nothing is merged
 }
 
-func newTransport(d facts.Deployment, m mailbox) *transport {
-	t := &transport{d: d, types: map[string]brain.QueryType{}, customers: map[string]brain.CustomerNo{}, module: m}
+func newTransport(d facts.Deployment, m mailbox, held *budget.Ledger) *transport {
+	t := &transport{d: d, types: map[string]brain.QueryType{}, customers: map[string]brain.CustomerNo{}, module: m, held: held}
 	for i, name := range d.QueryTypes {
 		t.types[name] = brain.QueryType(i)
 	}
@@ -225,7 +228,11 @@
 		if err != nil { // never short of a part where that is forbidden, nor a number that is not known to be right
 			return plain(r, http.StatusGatewayTimeout, "the search could not be answered: "+err.Error())
 		}
-		return response(r, http.StatusOK, "application/json", answer.JSON(nil))
+		b := answer.JSON(nil)
+		t.held.Force(budget.Answers, budget.Bytes(len(b)))
+		res := response(r, http.StatusOK, "application/json", b)
+		res.Body = t.holding(res.Body, budget.Bytes(len(b)))
+		return res
 	}
 	b := append([]byte(`{"full":`), strconv.FormatBool(a.whole)...)
 	b = append(b, `,"pieces":[`...)
@@ -238,7 +245,24 @@
 		b = append(b, `,"cell":`...)
 		b = append(quote(b, v.value), '}')
 	}
-	return response(r, http.StatusOK, "application/json", append(b, `]}`...))
+	res := response(r, http.StatusOK, "application/json", append(b, `]}`...))
+	res.Body = t.holding(res.Body, a.holds)
+	return res
+}
+
+// holding gives back what an answer holds once it is written, or its client is gone.
+func (t *transport) holding(b io.ReadCloser, n budget.Bytes) io.ReadCloser {
+	return &heldBody{ReadCloser: b, done: sync.OnceFunc(func() { t.held.Give(budget.Answers, n) })}
+}
+
+type heldBody struct {
+	io.ReadCloser
+	done func()
+}
+
+func (b *heldBody) Close() error {
+	b.done()
+	return b.ReadCloser.Close()
 }
 
 // quote writes a value, which is valid UTF-8, as a JSON string: its own bytes wherever JSON allows them.
--- /dev/null
+++ b/gatherer/slow_test.go
@@ -0,0 +1,447 @@
+package gatherer
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"oxbowspan/budget"
+	"oxbowspan/internal/operator"
+	"oxbowspan/internal/standin"
+)
+
+// logLines is what the program logs, one line at a time.
+type logLines chan string
+
+func (l logLines) Write(b []byte) (int, error) {
+	select {
+	case l <- string(bytes.TrimSpace(b)):
+	default:
+	}
+	return len(b), nil
+}
+
+// logged takes what the program logs from now on, until the test ends.
+func logged(t *testing.T) logLines {
+	lines, was := make(logLines, 10_000), slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(lines, nil)))
+	t.Cleanup(func() { slog.SetDefault(was) })
+	return lines
+}
+
+// await waits for a line that has all the words.
+func (l logLines) await(t *testing.T, words ...string) string {
+	t.Helper()
+	end := time.After(patience)
+	for {
+		select {
+		case line := <-l:
+			if has := func() bool {
+				for _, w := range words {
+					if !strings.Contains(line, w) {
+						return false
+					}
+				}
+				return true
+			}(); has {
+				return line
+			}
+		case <-end:
+			t.Fatalf("never logged: %v", words)
+		}
+	}
+}
+
+func slowRig(t *testing.T, doors operator.Connections) *parkRig {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doors.Grace = 300 * time.Millisecond
+	return startRigOn(t, nl, terms{share: 200, doors: doors}, 0)
+}
+
+// trickle sends a text byte by byte, until it is all sent or the connection ends; it tells how long that took.
+func trickle(t *testing.T, c *rigClient, text string, pause time.Duration) time.Duration {
+	began := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		io.Copy(io.Discard, c)
+	}()
+	tick := time.NewTicker(pause)
+	defer tick.Stop()
+	for _, b := range []byte(text) {
+		if _, err := c.Write([]byte{b}); err != nil {
+			break
+		}
+		select {
+		case <-ended:
+			return time.Since(began)
+		case <-tick.C:
+		}
+	}
+	c.Conn.(*net.TCPConn).CloseWrite()
+	<-ended
+	return time.Since(began)
+}
+
+// A head that trickles in ends with a reason of its own, well before the read limit, on a new connection and on one that it
+// woke; others are served meanwhile.
+func TestTricklersAreClosedByTheirLeastRate(t *testing.T) {
+	lines := logged(t)
+	r := slowRig(t, operator.Connections{HeadRate: 200})
+	usual := r.dial()
+	fresh, kept := r.dial(), r.dial()
+	kept.send(post("/kept", ""))
+	kept.want("/kept ")
+	r.awaitParked(1)
+	long := "POST /slow HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", 300) + "\r\n"
+	var both sync.WaitGroup
+	for _, c := range []*rigClient{fresh, kept} {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			if took := trickle(t, c, long, 20*time.Millisecond); took > readLimit-200*time.Millisecond {
+				t.Errorf("it was let trickle for %s", took)
+			}
+		}()
+		usual.send(post("/usual", "x"))
+		usual.want("/usual x")
+	}
+	both.Wait()
+	for _, c := range []*rigClient{fresh, kept} {
+		lines.awaitAny(t, c.LocalAddr().String(), "reason="+endSlowHead)
+	}
+	usual.send(post("/usual", "y"))
+	usual.want("/usual y")
+}
+
+// In the built program: a body that trickles is closed with a reason of its own, and who keeps to the rate is answered.
+func TestABodyThatTricklesIsClosed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operator.ini")
+	if err := os.WriteFile(file, []byte("[connections]\nbody_rate = 500\ngrace = 300ms\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := start(t, startList(t, startShard(t, "s-a", nil)), nil, "--operator", file)
+	client := func(pause time.Duration) *rigClient {
+		nc, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		c := &rigClient{nc, t, bufio.NewReader(nc)}
+		body := standin.Search{Shards: []int{0}, Text: strings.Repeat("t", 100)}.Body()
+		c.send(fmt.Sprintf("POST /lookup HTTP/1.1\r\nHost: x\r\nReq-Id: %x\r\nReq-Kind: lookup\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 1900\r\nContent-Length: %d\r\n\r\n",
+			nc.LocalAddr().(*net.TCPAddr).Port, len(body)))
+		tick := time.NewTicker(pause)
+		defer tick.Stop()
+		for _, b := range body {
+			if _, err := c.Write([]byte{b}); err != nil {
+				break
+			}
+			<-tick.C
+		}
+		return c
+	}
+	steady := client(time.Millisecond)
+	if status, _, err := steady.answer(); status != http.StatusOK {
+		t.Errorf("a body that keeps to the rate: %d, %v", status, err)
+	}
+	slow := client(10 * time.Millisecond)
+	p.line("event=client_conn_end", "client="+slow.LocalAddr().String(), "reason="+endSlowBody)
+}
+
+// awaitAny waits for a line about one client, whatever comes between.
+func (l logLines) awaitAny(t *testing.T, client, words string) string {
+	t.Helper()
+	var seen []string
+	end := time.After(patience)
+	for {
+		select {
+		case line := <-l:
+			if strings.Contains(line, client) && strings.Contains(line, words) {
+				for _, s := range seen {
+					l <- s // others are awaited later
+				}
+				return line
+			}
+			seen = append(seen, line)
+		case <-end:
+			t.Fatalf("%s: never logged %s in %v", client, words, seen)
+		}
+	}
+}
+
+// Who keeps to the rate is served, however small its pieces: the rate is of bytes, not of packets.
+func TestWhoKeepsToTheRateIsServed(t *testing.T) {
+	r := slowRig(t, operator.Connections{HeadRate: 200, AnswerRate: 200})
+	c := r.dial()
+	text := post("/steady", strings.Repeat("b", 200))
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for rest := text; rest != ""; { // 400 a second
+		n := min(8, len(rest))
+		c.send(rest[:n])
+		rest = rest[n:]
+		<-tick.C
+	}
+	c.want("/steady " + strings.Repeat("b", 200))
+	c.send(post("/at-once", "x"))
+	c.want("/at-once x")
+}
+
+// A client that does not read its answer is closed by the least rate, not by the write limit, which is much later.
+func TestASlowReaderIsClosedByItsLeastRate(t *testing.T) {
+	lines := logged(t)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newListener(nl, terms{share: 200, doors: operator.Connections{AnswerRate: 50_000, Grace: 300 * time.Millisecond, SendBuffer: 8 << 10}})
+	answer := bytes.Repeat([]byte("x"), 1<<20)
+	srv := &http.Server{WriteTimeout: patience, ConnState: l.state, Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.Write(answer)
+	})}
+	go srv.Serve(l)
+	t.Cleanup(func() { l.stop(); srv.Close() })
+	ask := func() net.Conn {
+		d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 8<<10) })
+		}}
+		c, err := d.Dial("tcp", nl.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, post("/", ""))
+		return c
+	}
+	began := time.Now()
+	stuck, steady := ask(), ask()
+	b := make([]byte, 16<<10)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	got := 0
+	for { // 1.6 MB a second at most
+		n, err := steady.Read(b)
+		got += n
+		if err != nil || got >= len(answer) {
+			break
+		}
+		<-tick.C
+	}
+	if got < len(answer) {
+		t.Errorf("a client that reads got %d bytes", got)
+	}
+	lines.awaitAny(t, stuck.LocalAddr().String(), "reason="+endSlowAnswer)
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("the slow one was closed after %s", took)
+	}
+}
+
+// Thousands that connect and never speak hold no goroutine, and are closed at the read limit, while usual clients are
+// served on theirs. Scaled down.
+func TestSilentStrangersCostNoGoroutine(t *testing.T) {
+	lines := logged(t)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const n = 600
+	r := startRigOn(t, nl, terms{share: 2 * n}, 0)
+	usual := r.dial()
+	usual.send(post("/0", ""))
+	usual.want("/0 ")
+	began := time.Now()
+	var fds []int
+	defer func() {
+		for _, fd := range fds {
+			unix.Close(fd)
+		}
+	}()
+	to := &unix.SockaddrInet4{Port: nl.Addr().(*net.TCPAddr).Port, Addr: [4]byte{127, 0, 0, 1}}
+	for i := range n {
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+		if err == nil {
+			err = unix.Connect(fd, to)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		fds = append(fds, fd)
+		if i%100 == 0 {
+			usual.send(post("/still", fmt.Sprint(i)))
+			usual.want(fmt.Sprintf("/still %d", i))
+		}
+	}
+	r.until("strangers parked", func() bool { return r.parked() >= n-mostIdle || time.Since(began) > readLimit })
+	r.l.mu.Lock()
+	awake := r.l.who.Len() - r.l.who.Parked()
+	r.l.mu.Unlock()
+	if awake > mostIdle/8+4 {
+		t.Errorf("%d connections hold a goroutine, %d strangers are there", awake, n)
+	}
+	// One of them speaks after all, and is served.
+	if _, err := unix.Write(fds[n-1], []byte(post("/late", "x"))); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, 1024)
+	if k, err := unix.Read(fds[n-1], answer); err != nil || !strings.HasSuffix(string(answer[:max(k, 0)]), "/late x") {
+		t.Errorf("a stranger that speaks got %q, %v", answer[:max(k, 0)], err)
+	}
+	lines.await(t, "reason="+endReadLimit, "requests=0")
+	r.until("strangers gone", func() bool { r.l.mu.Lock(); defer r.l.mu.Unlock(); return r.l.who.Len() <= 2 })
+	if took := time.Since(began); took < readLimit-limitTick || took > readLimit+3*time.Second {
+		t.Errorf("they were closed after %s, not at the read limit", took)
+	}
+	usual.send(post("/end", ""))
+	usual.want("/end ")
+}
+
+// vanish makes a peer deaf and dumb without a word: every packet to it is dropped before its socket sees it, so that nothing
+// is acknowledged any more.
+func vanish(t *testing.T, c net.Conn) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop[0]})
+	})
+	if err := errors.Join(err, set); err != nil {
+		t.Skipf("this system lets no socket drop what comes: %v", err)
+	}
+}
+
+// A peer that vanishes in silence while it is parked is found by keep-alive, long before an idle limit of hours.
+func TestAPeerThatVanishesInSilenceIsFound(t *testing.T) {
+	lines := logged(t)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := startRigOn(t, nl, terms{share: 100, doors: operator.Connections{KeepAlive: time.Second}}, time.Hour)
+	gone, there := r.dial(), r.dial()
+	for _, c := range []*rigClient{gone, there} {
+		c.send(post("/", ""))
+		c.want("/ ")
+	}
+	r.awaitParked(2)
+	vanish(t, gone.Conn)
+	lines.awaitAny(t, gone.LocalAddr().String(), "reason="+endReset)
+	there.send(post("/still", "x"))
+	there.want("/still x")
+}
+
+// memoryRig has a ledger of its own.
+func memoryRig(t *testing.T, f budget.Figures, park bool) (*parkRig, *budget.Ledger) {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := budget.New(f, nil)
+	by := terms{share: 400, held: held}
+	if park {
+		return startRigOn(t, nl, by, 0), held
+	}
+	return startKeptRig(t, nl, by), held
+}
+
+// All wake where memory allows a few: those beyond are answered 503 at once, and the sum is never passed.
+func TestWakingKeepsWithinTheMemory(t *testing.T) {
+	const n, room = 60, 10
+	f := budget.Figures{Most: room*awakeHolds + n*parkedHolds}
+	r, held := memoryRig(t, f, true)
+	var all []*rigClient
+	for range n {
+		c := r.dial()
+		c.send(post("/", ""))
+		c.want("/ ")
+		all = append(all, c)
+	}
+	r.awaitParked(n)
+	if s := held.State(); s.Held[budget.Awake] != 0 || s.Held[budget.Parked] != n*parkedHolds {
+		t.Errorf("with all parked: %+v", s)
+	}
+	var mu sync.Mutex
+	got := map[int]int{}
+	var both sync.WaitGroup
+	for _, c := range all {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			io.WriteString(c, post("/wait", "x"))
+			status, _, err := c.answer()
+			if err != nil {
+				t.Errorf("a request got no answer: %v", err)
+			}
+			mu.Lock()
+			got[status]++
+			mu.Unlock()
+		}()
+	}
+	r.until("turned away", func() bool { mu.Lock(); defer mu.Unlock(); return got[503] >= n-room-1 })
+	if s := held.State(); s.Peak > f.Most || s.Forced > 0 || s.Refused[budget.Awake] == 0 {
+		t.Errorf("while all wake: %+v", s)
+	}
+	close(r.gate)
+	both.Wait()
+	if got[200]+got[503] != n || got[200] < room-1 {
+		t.Errorf("answers by status: %v", got)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	r.until("nothing held", func() bool { return held.State().Sum == 0 })
+}
+
+// Without parking, connections beyond the memory are shed, and idle ones are told to close once it is tight.
+func TestKeptConnectionsKeepWithinTheMemory(t *testing.T) {
+	const room = 10
+	r, held := memoryRig(t, budget.Figures{Most: room * awakeHolds}, false)
+	var told, over int
+	for i := range room + 3 {
+		c := r.dial()
+		c.send(post("/", ""))
+		c.SetReadDeadline(time.Now().Add(patience))
+		res, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, res.Body)
+		r.l.mu.Lock()
+		for _, h := range r.l.conns {
+			if h.c != nil && h.c.over {
+				over++
+			}
+		}
+		r.l.mu.Unlock()
+		if c := r.last(); c != nil && r.l.releases(c) {
+			told++
+		}
+		_ = i
+	}
+	if told == 0 || over == 0 {
+		t.Errorf("%d would be told to close, %d are past the memory; %+v", told, over, held.State())
+	}
+}
--- a/internal/lab/hold.go
+++ b/internal/lab/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,9 @@
 //
 //	hold N       opens N connections, asks one search on each       held N failed M
 //	wake K MS    asks one search on each of K of them, within MS     asked K and by status STATUS=COUNT ... p50=MS p99=MS max=MS
+//	silent N MS  opens N more that never speak, for MS              opened N and closed C by the other side meanwhile
+//	trickle K B MS  sends a search on K of them at B bytes a second, for MS at most   asked K and by status, 0 = closed
+//	churn MS N   opens one, asks once and closes it, N times a second for MS          asked K and by status
 //	quit         closes all
 type holder struct {
 	cmd *exec.Cmd
@@ -96,15 +100,20 @@
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}, Timeout: 5 * time.Second, KeepAlive: -1}
 	for lines := bufio.NewScanner(in); lines.Scan(); {
-		order, rest, _ := strings.Cut(lines.Text(), " ")
-		number, over, _ := strings.Cut(rest, " ")
-		n, _ := strconv.Atoi(number)
-		within, _ := strconv.Atoi(over)
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 {
+			continue
+		}
+		order, args := words[0], [3]int{}
+		for i, w := range words[1:min(len(words), 4)] {
+			args[i], _ = strconv.Atoi(w)
+		}
+		n, within := args[0], args[1]
+		dial := func() (net.Conn, error) { return dialer.Dial("tcp4", addr) }
 		switch order {
 		case "hold":
 			failed := 0
 			for range n {
-				dial := func() (net.Conn, error) { return dialer.Dial("tcp4", addr) }
 				c, err := dial()
 				if err != nil {
 					failed++
@@ -120,29 +129,27 @@
 			}
 			fmt.Fprintf(out, "held=%d failed=%d\n", len(conns), failed)
 		case "wake":
-			l := NewLatency()
-			var mu sync.Mutex
-			var all sync.WaitGroup
-			by := map[int]int{}
-			for i, h := range conns[:min(n, len(conns))] {
-				all.Add(1)
-				time.AfterFunc(time.Duration(i)*time.Duration(within)*time.Millisecond/time.Duration(n), func() {
-					defer all.Done()
-					began := time.Now()
-					status := h.ask(search())
-					l.Add(time.Since(began))
-					mu.Lock()
-					by[status]++
-					mu.Unlock()
-				})
-			}
-			all.Wait()
-			fmt.Fprintf(out, "asked=%d", min(n, len(conns)))
-			for status, k := range by {
-				fmt.Fprintf(out, " %d=%d", status, k)
-			}
+			by, l := each(conns[:min(n, len(conns))], time.Duration(within)*time.Millisecond, func(h *heldConn) int { return h.ask(search()) })
 			ms := func(q float64) float64 { return float64(l.h.ValueAtQuantile(q)) / 1000 }
-			fmt.Fprintf(out, " p50=%g p99=%g max=%g\n", ms(50), ms(99), ms(100))
+			fmt.Fprintf(out, "%s p50=%g p99=%g max=%g\n", byStatus(by), ms(50), ms(99), ms(100))
+		case "silent":
+			opened, closed := strangers(dial, n, time.Duration(within)*time.Millisecond)
+			fmt.Fprintf(out, "opened=%d closed=%d\n", opened, closed)
+		case "trickle":
+			limit := time.Duration(args[2]) * time.Millisecond
+			by, _ := each(conns[:min(n, len(conns))], 0, func(h *heldConn) int { return h.trickle(search(), within, limit) })
+			fmt.Fprintln(out, byStatus(by))
+		case "churn":
+			var fresh []*heldConn
+			for range within * n / 1000 {
+				fresh = append(fresh, &heldConn{over: true, dial: dial})
+			}
+			by, _ := each(fresh, time.Duration(n)*time.Millisecond, func(h *heldConn) int {
+				status := h.ask(search())
+				h.drop()
+				return status
+			})
+			fmt.Fprintln(out, byStatus(by))
 		case "quit":
 			return nil
 		}
@@ -150,6 +157,66 @@
 	return nil
 }
 
+// each does something with each of some connections, spread evenly over a time, and waits until all is done.
+func each(conns []*heldConn, within time.Duration, do func(*heldConn) int) (map[int]int, *Latency) {
+	l := NewLatency()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	by := map[int]int{}
+	for i, h := range conns {
+		all.Add(1)
+		time.AfterFunc(time.Duration(i)*within/time.Duration(len(conns)), func() {
+			defer all.Done()
+			began := time.Now()
+			status := do(h)
+			l.Add(time.Since(began))
+			mu.Lock()
+			by[status]++
+			mu.Unlock()
+		})
+	}
+	all.Wait()
+	return by, l
+}
+
+func byStatus(by map[int]int) string {
+	var b strings.Builder
+	n := 0
+	for status, k := range by {
+		n += k
+		fmt.Fprintf(&b, " %d=%d", status, k)
+	}
+	return fmt.Sprintf("asked=%d%s", n, b.String())
+}
+
+// strangers opens connections that never speak, holds them for a time and tells how many the other side closed.
+func strangers(dial func() (net.Conn, error), n int, hold time.Duration) (opened int, closed int64) {
+	var gone atomic.Int64
+	var all []net.Conn
+	var readers sync.WaitGroup
+	until := time.Now().Add(hold)
+	for range n {
+		c, err := dial()
+		if err != nil {
+			break
+		}
+		all = append(all, c)
+		readers.Add(1)
+		go func() {
+			defer readers.Done()
+			c.SetReadDeadline(until)
+			if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+				gone.Add(1)
+			}
+		}()
+	}
+	readers.Wait()
+	for _, c := range all {
+		c.Close()
+	}
+	return len(all), gone.Load()
+}
+
 // heldConn is one connection of a holder, which is made anew where an answer said that it would be closed.
 type heldConn struct {
 	c    net.Conn
@@ -160,31 +227,66 @@
 // answerLimit is how long a holder waits for an answer: longer than any client timeout of the experiment.
 const answerLimit = 6 * time.Second
 
-// ask sends a search and gives the answer's status; 0 = none came.
-func (h *heldConn) ask(request []byte) int {
+// open makes sure that there is a connection.
+func (h *heldConn) open() bool {
 	if h.over {
 		c, err := h.dial()
 		if err != nil {
-			return 0
+			return false
 		}
 		h.c, h.over = c, false
 	}
+	return true
+}
+
+func (h *heldConn) drop() {
+	if !h.over {
+		h.c.Close()
+		h.over = true
+	}
+}
+
+// trickle sends a search at so many bytes a second, and gives the answer's status; 0 = the connection was closed.
+func (h *heldConn) trickle(request []byte, rate int, limit time.Duration) int {
+	if !h.open() {
+		return 0
+	}
+	h.c.SetDeadline(time.Now().Add(limit))
+	tick := time.NewTicker(time.Second / time.Duration(max(rate, 1)))
+	defer tick.Stop()
+	for _, b := range request[:len(request)-1] {
+		if _, err := h.c.Write([]byte{b}); err != nil {
+			h.drop()
+			return 0
+		}
+		<-tick.C
+	}
+	return h.ask(request[len(request)-1:])
+}
+
+// ask sends a search and gives the answer's status; 0 = none came.
+func (h *heldConn) ask(request []byte) int {
+	if !h.open() {
+		return 0
+	}
 	h.c.SetDeadline(time.Now().Add(answerLimit))
-	defer h.c.SetDeadline(time.Time{})
+	defer func() { h.c.SetDeadline(time.Time{}) }()
 	if _, err := h.c.Write(request); err != nil {
+		h.drop()
 		return 0
 	}
 	res, err := http.ReadResponse(bufio.NewReaderSize(h.c, 512), nil)
 	if err != nil {
+		h.drop()
 		return 0
 	}
 	defer res.Body.Close()
 	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		h.drop()
 		return 0
 	}
 	if res.Close {
-		h.c.Close()
-		h.over = true
+		h.drop()
 	}
 	return res.StatusCode
 }
--- a/internal/lab/idle.go
+++ b/internal/lab/idle.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,26 +17,29 @@
 	Register(Experiment{Name: "idle", Short: "Many idle connections: what each costs, and look-ups while they wake",
 		Long: `idle holds N connections that have asked once, from several processes and loopback addresses, on a gatherer that keeps a
 goroutine for each (park = no) and on one that parks them (park = yes), and records memory a connection, processor time of
-holding, latency of usual look-ups before, while a tenth wakes and while all wake at once, and answers by status. It ends with a
-finding when parking does not keep its promises: memory, processor time, a final answer for every request, and usual
-clients' answers.`, Run: runIdle})
+holding, latency of usual look-ups before, while a tenth wakes and while all wake at once, while others come and go, trickle
+and never speak, and answers by status. In full it also holds 100,000 over eight gatherers. It ends with a finding when
+parking does not keep its promises: memory, processor time, a final answer for every request, and usual clients' answers.`,
+		Run: runIdle})
 }
 
-// idlePromises are what parking is held to. The bytes are of resident memory, with the runtime's own slack.
+// idlePromises are what parking is held to.
 type idlePromises struct {
-	ratio      float64 // times less memory a connection than kept goroutines
+	ratio      float64 // times less resident memory a connection than kept goroutines
+	own        float64 // bytes a connection by the runtime's figures
 	holdingCPU float64 // share of a core
-	usual      float64 // share of usual look-ups answered while all wake
+	usual      float64 // share of usual look-ups answered while all wake, trickle or say nothing
+	slower     float64 // times the empty gatherer's p99 while a tenth wakes
 }
 
 type idleResult struct {
-	perConn, cpu float64
-	rest, held   Usage
+	perConn, own, cpu float64
+	rest, held        Usage
 }
 
 func runIdle(ctx context.Context, e *Env) error {
 	sizes := []int{1000, 5000, 10_000, 12_800}
-	promise := idlePromises{ratio: 8, holdingCPU: 0.01, usual: 0.95}
+	promise := idlePromises{ratio: 8, own: 512, holdingCPU: 0.01, usual: 0.95, slower: 2}
 	if e.Quick {
 		sizes = []int{3000}
 	}
@@ -47,6 +52,7 @@
 			}
 			results[way] = r
 			e.Record.Point("bytes a connection", "connections", "bytes of resident memory", way, float64(n), r.perConn)
+			e.Record.Point("bytes a connection", "connections", "bytes of resident memory", way+", the runtime's figure", float64(n), r.own)
 			e.Record.Point("processor time of holding", "connections", "share of a core", way, float64(n), max(r.cpu, 1e-5))
 		}
 		kept, parked := results["kept"], results["parked"]
@@ -54,198 +60,411 @@
 			return fmt.Errorf("%d connections: %.0f bytes each parked, %.0f kept: less than %.0f times less", n, parked.perConn, kept.perConn, promise.ratio)
 		}
 	}
+	if !e.Quick {
+		return e.idleMany(ctx, 8, 12_500)
+	}
 	return nil
 }
 
-// idle plays one way and size.
-func (e *Env) idle(ctx context.Context, way string, n int, promise idlePromises) (res idleResult, err error) {
-	park := map[string]string{"kept": "no", "parked": "yes"}[way]
-	name := fmt.Sprintf("%s %d", way, n)
-	site, err := e.StartSite(SiteShape{Name: fmt.Sprintf("%s-%d", way, n), Cells: 4, Segments: 4, MemoryMB: 1024, Sockets: 20_000,
-		Types:    []SiteType{{"lookup", "free", time.Second, 2 * time.Second, 1, 1}},
-		Operator: "[connections]\npark = " + park + "\nawake = 16\n"})
-	if err != nil {
-		return res, err
+// runtimeFigures are the last that a gatherer logged of itself.
+type runtimeFigures struct {
+	mu   sync.Mutex
+	last map[string]int64
+	n    int // how often it did
+}
+
+// take reads a line of its log.
+func (r *runtimeFigures) take(line string) {
+	if !strings.Contains(line, "event=memory ") {
+		return
 	}
-	defer site.Stop()
-	pid := site.Gatherer.PID()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 8 * time.Second}
-	var next atomic.Uint64
-	one := func(l *Latency) int {
-		s := standin.Search{ID: fmt.Sprintf("%016x", 1<<60+next.Add(1)), Kind: "lookup", Customer: "acme", Wait: 1900 * time.Millisecond,
-			Shards: []int{int(next.Load()) % 4}, Text: "c41e77d0"}
-		r, err := s.Ask(ctx, client, site.Gatherer.Addr)
-		if err != nil {
-			return 0
-		}
-		l.Add(r.Took)
-		return r.Status
-	}
-	// usual plays look-ups by a few clients until it is told to stop.
-	usual := func(label string) (stop func() (good, all int)) {
-		l := NewLatency()
-		done := make(chan struct{})
-		var workers sync.WaitGroup
-		var good, all atomic.Int64
-		for range 4 {
-			workers.Add(1)
-			go func() {
-				defer workers.Done()
-				pace := time.NewTicker(4 * time.Millisecond) // a load, not a race: some 1,000 a second in all
-				defer pace.Stop()
-				for {
-					select {
-					case <-done:
-						return
-					case <-pace.C:
-					}
-					all.Add(1)
-					if status := one(l); status == http.StatusOK {
-						good.Add(1)
-					} else {
-						e.Record.Add(fmt.Sprintf("%s, %s: usual look-ups answered %d", name, label, status), 1)
-					}
-				}
-			}()
+	got := map[string]int64{}
+	for _, w := range strings.Fields(line) {
+		name, value, _ := strings.Cut(w, "=")
+		if v, err := strconv.ParseInt(value, 10, 64); err == nil {
+			got[name] = v
 		}
-		return func() (int, int) {
-			close(done)
-			workers.Wait()
-			e.Record.Latency(name+", "+label, l)
-			return int(good.Load()), int(all.Load())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = got
+	r.n++
+}
+
+// next waits for the next two, the second of which was taken wholly after now.
+func (r *runtimeFigures) next(ctx context.Context) map[string]int64 {
+	r.mu.Lock()
+	from := r.n
+	r.mu.Unlock()
+	for tick := time.NewTicker(20 * time.Millisecond); ; {
+		r.mu.Lock()
+		last, n := r.last, r.n
+		r.mu.Unlock()
+		if n >= from+2 || ctx.Err() != nil {
+			tick.Stop()
+			return last
 		}
+		<-tick.C
+	}
+}
+
+// idlePlay is one gatherer under an idle experiment, with its usual clients.
+type idlePlay struct {
+	e       *Env
+	ctx     context.Context
+	name    string
+	site    *Site
+	figures runtimeFigures
+	client  *http.Client
+	next    atomic.Uint64
+	holders []*holder
+}
+
+func (e *Env) idleSite(ctx context.Context, name, doors string) (*idlePlay, error) {
+	p := &idlePlay{e: e, ctx: ctx, name: name}
+	var err error
+	p.site, err = e.StartSite(SiteShape{Name: strings.ReplaceAll(name, " ", "-"), Cells: 4, Segments: 4, MemoryMB: 1024, Sockets: 20_000,
+		Types: []SiteType{{"lookup", "free", time.Second, 2 * time.Second, 1, 1}}, Operator: doors + "[memory]\nreport = 250ms\n", Line: p.figures.take})
+	p.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}, Timeout: 8 * time.Second}
+	return p, err
+}
+
+func (p *idlePlay) stop() {
+	for _, h := range p.holders {
+		h.stop()
+	}
+	p.site.Stop()
+}
+
+func (p *idlePlay) one(l *Latency) int {
+	n := p.next.Add(1)
+	s := standin.Search{ID: fmt.Sprintf("%016x", 1<<60+n), Kind: "lookup", Customer: "acme", Wait: 1900 * time.Millisecond,
+		Shards: []int{int(n) % 4}, Text: "c41e77d0"}
+	r, err := s.Ask(p.ctx, p.client, p.site.Gatherer.Addr)
+	if err != nil {
+		return 0
+	}
+	l.Add(r.Took)
+	return r.Status
+}
+
+// usual plays look-ups by a few clients until it is told to stop.
+func (p *idlePlay) usual(label string) (stop func() (good, all int, l *Latency)) {
+	l := NewLatency()
+	done := make(chan struct{})
+	var workers sync.WaitGroup
+	var good, all atomic.Int64
+	for range 4 {
+		workers.Add(1)
+		go func() {
+			defer workers.Done()
+			pace := time.NewTicker(4 * time.Millisecond) // a load, not a race: some 1,000 a second in all
+			defer pace.Stop()
+			for {
+				select {
+				case <-done:
+					return
+				case <-pace.C:
+				}
+				all.Add(1)
+				if status := p.one(l); status == http.StatusOK {
+					good.Add(1)
+				} else {
+					p.e.Record.Add(fmt.Sprintf("%s, %s: usual look-ups answered %d", p.name, label, status), 1)
+				}
+			}
+		}()
+	}
+	return func() (int, int, *Latency) {
+		close(done)
+		workers.Wait()
+		p.e.Record.Latency(p.name+", "+label, l)
+		return int(good.Load()), int(all.Load()), l
+	}
+}
+
+func (p *idlePlay) wait(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-p.ctx.Done():
 	}
-	run := func(label string, d time.Duration) (good, all int) {
-		stop := usual(label)
-		select {
-		case <-time.After(d):
-		case <-ctx.Done():
+}
+
+func (p *idlePlay) run(label string, d time.Duration) (good, all int, l *Latency) {
+	stop := p.usual(label)
+	p.wait(d)
+	return stop()
+}
+
+// holding opens connections that ask once and stay, from holders at addresses of their own, all at the same time.
+func (p *idlePlay) holding(n, each, firstSource int) error {
+	var opened sync.WaitGroup
+	errs := make(chan error, n/each+1)
+	for left, i := n, 0; left > 0; left, i = left-each, i+1 {
+		h, err := p.e.startHolder(p.site.Gatherer.Addr, fmt.Sprintf("127.0.%d.%d", (firstSource+i)/200, 10+(firstSource+i)%200), firstSource+i)
+		if err != nil {
+			return err
 		}
-		return stop()
+		p.holders = append(p.holders, h)
+		opened.Add(1)
+		go func() {
+			defer opened.Done()
+			if got, err := h.do("hold %d", min(left, each)); err != nil {
+				errs <- err
+			} else if got["failed"] > 0 {
+				errs <- fmt.Errorf("%v of %d connections could not be held", got["failed"], n)
+			}
+		}()
 	}
-	e.Progress(name, 6)
-	run("warming up", time.Second)
-	if good, all := run("empty", 2*time.Second); good < all {
+	opened.Wait()
+	close(errs)
+	return <-errs
+}
+
+// crowd gives all holders an order, plays usual clients meanwhile and for a moment longer, and sums up what came of it.
+func (p *idlePlay) crowd(label string, order func(*holder) (map[string]float64, error)) (by map[string]float64, good, all int, l *Latency, err error) {
+	stop := p.usual(label)
+	by = map[string]float64{}
+	var mu sync.Mutex
+	var both sync.WaitGroup
+	for _, h := range p.holders {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			got, doErr := order(h)
+			mu.Lock()
+			defer mu.Unlock()
+			if doErr != nil {
+				err = doErr
+			}
+			for k, v := range got {
+				if k == "max" || k == "p99" || k == "p50" {
+					by[k] = max(by[k], v)
+				} else {
+					by[k] += v
+				}
+			}
+		}()
+	}
+	both.Wait()
+	p.wait(time.Second) // what the wave leaves behind is part of it
+	good, all, l = stop()
+	return by, good, all, l, err
+}
+
+// idle plays one way and size.
+func (e *Env) idle(ctx context.Context, way string, n int, promise idlePromises) (res idleResult, err error) {
+	park := map[string]string{"kept": "no", "parked": "yes"}[way]
+	p, err := e.idleSite(ctx, fmt.Sprintf("%s %d", way, n), "[connections]\npark = "+park+"\nawake = 16\nhead_rate = 200\nbody_rate = 200\nanswer_rate = 200\n")
+	if err != nil {
+		return res, err
+	}
+	defer p.stop()
+	pid := p.site.Gatherer.PID()
+	e.Progress(p.name, 9)
+	p.run("warming up", time.Second)
+	good, all, empty := p.run("empty", 2*time.Second)
+	if good < all {
 		return res, fmt.Errorf("%d of %d look-ups are answered by a gatherer that holds nothing else", good, all)
 	}
 	e.Step()
+	ownRest := p.figures.next(ctx)
 	if res.rest, err = ReadUsage(pid); err != nil {
 		return res, err
 	}
 	const each = 3200
-	var holders []*holder
-	defer func() {
-		for _, h := range holders {
-			h.stop()
-		}
-	}()
-	for left, i := n, 0; left > 0; i++ {
-		h, err := e.startHolder(site.Gatherer.Addr, fmt.Sprintf("127.0.0.%d", 10+i), i)
-		if err != nil {
-			return res, err
-		}
-		holders = append(holders, h)
-		got, err := h.do("hold %d", min(left, each))
-		if err != nil {
-			return res, err
-		}
-		if got["failed"] > 0 {
-			return res, fmt.Errorf("%v of %d connections could not be held", got["failed"], n)
-		}
-		left -= each
+	if err := p.holding(n, each, 0); err != nil {
+		return res, err
 	}
 	e.Step()
 	// Memory and processor time of holding, once what was lent has gone back.
-	settle := 4 * time.Second
-	select {
-	case <-time.After(settle):
-	case <-ctx.Done():
-		return res, ctx.Err()
-	}
+	p.wait(4 * time.Second)
+	ownHeld := p.figures.next(ctx)
 	before, err := ReadUsage(pid)
 	if err != nil {
 		return res, err
 	}
-	holding := time.Duration(e.Scale(2, 5)) * time.Second
-	select {
-	case <-time.After(holding):
-	case <-ctx.Done():
-		return res, ctx.Err()
-	}
+	holding := time.Duration(e.Scale(2, 10)) * time.Second
+	p.wait(holding)
 	if res.held, err = ReadUsage(pid); err != nil {
 		return res, err
 	}
 	res.perConn = float64(res.held.RSS-res.rest.RSS) / float64(n)
+	res.own = float64(ownHeld["heap"]+ownHeld["stacks"]-ownRest["heap"]-ownRest["stacks"]) / float64(n)
 	res.cpu = (res.held.CPU - before.CPU).Seconds() / holding.Seconds()
 	e.Step()
-	run("holding", 2*time.Second)
+	p.run("holding", 2*time.Second)
 	e.Step()
-	wake := func(label string, share, within int) (by map[string]float64, good, all int, err error) {
-		stop := usual(label)
-		by = map[string]float64{}
-		var mu sync.Mutex
-		var both sync.WaitGroup
-		for _, h := range holders {
-			both.Add(1)
-			go func() {
-				defer both.Done()
-				got, doErr := h.do("wake %d %d", each/share, within)
-				mu.Lock()
-				defer mu.Unlock()
-				if doErr != nil {
-					err = doErr
-				}
-				for k, v := range got {
-					if k == "max" || k == "p99" || k == "p50" {
-						by[k] = max(by[k], v)
-					} else {
-						by[k] += v
-					}
-				}
-			}()
+	table := func(what string, by map[string]float64, good, all int) {
+		e.Record.Row("Waves", []string{"way", "connections", "wave", "asked", "200", "503", "closed or other", "p99 ms", "most ms", "usual kept"},
+			way, fmt.Sprint(n), what, fmt.Sprintf("%.0f", by["asked"]), fmt.Sprintf("%.0f", by["200"]), fmt.Sprintf("%.0f", by["503"]),
+			fmt.Sprintf("%.0f", by["asked"]-by["200"]-by["503"]), fmt.Sprintf("%.1f", by["p99"]), fmt.Sprintf("%.1f", by["max"]), fmt.Sprintf("%d of %d", good, all))
+	}
+	parked := way == "parked"
+	keeps := func(what string, good, all int) error {
+		if parked && float64(good) < promise.usual*float64(all) {
+			return fmt.Errorf("%s: %d of %d usual look-ups are answered", what, good, all)
 		}
-		both.Wait()
-		select { // usual clients are looked at a second longer: what the wave leaves behind is part of it
-		case <-time.After(time.Second):
-		case <-ctx.Done():
+		return nil
+	}
+	wave := func(what string, mayClose bool, order string, args ...any) (*Latency, error) {
+		by, good, all, l, err := p.crowd(what, func(h *holder) (map[string]float64, error) { return h.do(order, args...) })
+		if err != nil {
+			return nil, err
 		}
-		good, all = stop()
-		if err == nil && by["0"] > 0 {
-			err = fmt.Errorf("%s: %v of %v requests got no final answer", label, by["0"], by["asked"])
+		e.Step()
+		table(what, by, good, all)
+		if !mayClose && by["0"] > 0 {
+			return nil, fmt.Errorf("%s: %v of %v requests got no final answer", what, by["0"], by["asked"])
 		}
-		return by, good, all, err
+		return l, keeps(what, good, all)
 	}
-	tenth, tenthGood, tenthAsked, err := wake("a tenth wakes", 10, 2000)
+	tenth, err := wave("a tenth wakes in 2 s", false, "wake %d 2000", each/10)
 	if err != nil {
 		return res, err
 	}
-	e.Step()
-	all, good, asked, err := wake("all wake", 1, 50)
+	if _, err := wave("all wake in 50 ms", false, "wake %d 50", each); err != nil {
+		return res, err
+	}
+	if _, err := wave("others come, ask once and go", false, "churn 2000 %d", 100); err != nil {
+		return res, err
+	}
+	if _, err := wave("100 each trickle 50 bytes/s", true, "trickle 100 50 4000"); err != nil {
+		return res, err
+	}
+	stop := p.usual("strangers say nothing")
+	h := p.holders[0]
+	got, err := h.do("silent %d 3000", min(n/2, 2000))
 	if err != nil {
 		return res, err
 	}
-	e.Step()
+	good, all, _ = stop()
+	e.Record.Row("Strangers that never speak", []string{"way", "connections", "came", "closed within 3 s", "usual kept"},
+		way, fmt.Sprint(n), fmt.Sprintf("%.0f", got["opened"]), fmt.Sprintf("%.0f", got["closed"]), fmt.Sprintf("%d of %d", good, all))
+	if err := keeps("strangers", good, all); err != nil {
+		return res, err
+	}
 	peak, err := ReadUsage(pid)
 	if err != nil {
 		return res, err
 	}
-	e.Record.Row("Holding", []string{"way", "connections", "empty MiB", "holding MiB", "bytes each", "core share", "threads", "peak MiB"},
+	end := p.figures.next(ctx)
+	e.Record.Row("Holding", []string{"way", "connections", "empty MiB", "holding MiB", "bytes each, resident", "bytes each, heap and stacks", "goroutines more",
+		"descriptors", "core share", "threads", "peak MiB", "accounted peak MiB"},
 		way, fmt.Sprint(n), fmt.Sprintf("%.1f", mib(res.rest.RSS)), fmt.Sprintf("%.1f", mib(res.held.RSS)), fmt.Sprintf("%.0f", res.perConn),
-		fmt.Sprintf("%.4f", res.cpu), fmt.Sprint(res.held.Threads), fmt.Sprintf("%.1f", mib(peak.Peak)))
-	e.Record.Row("Waking", []string{"way", "connections", "woken", "200", "503", "other", "p99 ms", "most ms", "usual kept"},
-		way, fmt.Sprint(n), fmt.Sprintf("a tenth: %.0f", tenth["asked"]), fmt.Sprintf("%.0f", tenth["200"]), fmt.Sprintf("%.0f", tenth["503"]),
-		fmt.Sprintf("%.0f", tenth["asked"]-tenth["200"]-tenth["503"]), fmt.Sprintf("%.1f", tenth["p99"]), fmt.Sprintf("%.1f", tenth["max"]), fmt.Sprintf("%d of %d", tenthGood, tenthAsked))
-	e.Record.Row("Waking", nil, way, fmt.Sprint(n), fmt.Sprintf("all: %.0f", all["asked"]), fmt.Sprintf("%.0f", all["200"]), fmt.Sprintf("%.0f", all["503"]),
-		fmt.Sprintf("%.0f", all["asked"]-all["200"]-all["503"]), fmt.Sprintf("%.1f", all["p99"]), fmt.Sprintf("%.1f", all["max"]), fmt.Sprintf("%d of %d", good, asked))
-	if way == "parked" {
-		if res.cpu > promise.holdingCPU {
+		fmt.Sprintf("%.0f", res.own), fmt.Sprint(ownHeld["goroutines"]-ownRest["goroutines"]), fmt.Sprint(res.held.Descriptors),
+		fmt.Sprintf("%.4f", res.cpu), fmt.Sprint(res.held.Threads), fmt.Sprintf("%.1f", mib(peak.Peak)), fmt.Sprintf("%.1f", mib(end["peak"])))
+	p99 := func(l *Latency) float64 { return float64(l.h.ValueAtQuantile(99)) / 1000 }
+	e.Record.Figure(p.name+": p99 while a tenth wakes over the empty gatherer's", p99(tenth)/p99(empty))
+	if parked {
+		switch slower := p99(tenth) / p99(empty); {
+		case res.cpu > promise.holdingCPU:
 			return res, fmt.Errorf("holding costs %.3f of a core, promised is %.3f", res.cpu, promise.holdingCPU)
-		}
-		if float64(good) < promise.usual*float64(asked) {
-			return res, fmt.Errorf("while all wake, %d of %d usual look-ups are answered", good, asked)
+		case res.own > promise.own:
+			return res, fmt.Errorf("a connection costs %.0f bytes of heap and stacks, promised are %.0f", res.own, promise.own)
+		case slower > promise.slower:
+			return res, fmt.Errorf("look-ups' p99 is %.2f times the empty gatherer's while a tenth wakes", slower)
 		}
 	}
 	return res, nil
 }
 
+// idleMany holds many connections over several gatherers, which all park.
+func (e *Env) idleMany(ctx context.Context, gatherers, each int) error {
+	var plays []*idlePlay
+	defer func() {
+		for _, p := range plays {
+			p.stop()
+		}
+	}()
+	total, own := int64(0), int64(0)
+	e.Progress(fmt.Sprintf("%d on %d", gatherers*each, gatherers), gatherers+2)
+	for i := range gatherers {
+		p, err := e.idleSite(ctx, fmt.Sprintf("gatherer %d of %d", i+1, gatherers), "[connections]\nawake = 16\n")
+		if err != nil {
+			return err
+		}
+		plays = append(plays, p)
+		p.run("warming up", time.Second)
+		_, _, _ = p.run("empty", time.Second)
+		rest, err := ReadUsage(p.site.Gatherer.PID())
+		if err != nil {
+			return err
+		}
+		ownRest := p.figures.next(ctx)
+		if err := p.holding(each, 3200, 100+10*i); err != nil {
+			return err
+		}
+		p.wait(3 * time.Second)
+		held, err := ReadUsage(p.site.Gatherer.PID())
+		if err != nil {
+			return err
+		}
+		ownHeld := p.figures.next(ctx)
+		total += held.RSS - rest.RSS
+		own += ownHeld["heap"] + ownHeld["stacks"] - ownRest["heap"] - ownRest["stacks"]
+		e.Step()
+	}
+	n := float64(gatherers * each)
+	before := make([]time.Duration, gatherers)
+	for i, p := range plays {
+		u, err := ReadUsage(p.site.Gatherer.PID())
+		if err != nil {
+			return err
+		}
+		before[i] = u.CPU
+	}
+	plays[0].wait(10 * time.Second)
+	cpu := time.Duration(0)
+	for i, p := range plays {
+		u, err := ReadUsage(p.site.Gatherer.PID())
+		if err != nil {
+			return err
+		}
+		cpu += u.CPU - before[i]
+	}
+	e.Step()
+	// A tenth of all wakes, on all gatherers at once; the first one's usual clients are looked at.
+	first := plays[0]
+	good, all, held := first.run("holding", 2*time.Second)
+	var others sync.WaitGroup
+	by := map[string]float64{}
+	var mu sync.Mutex
+	var failed error
+	stop := first.usual("a tenth of all wakes")
+	for _, p := range plays {
+		for _, h := range p.holders {
+			others.Add(1)
+			go func() {
+				defer others.Done()
+				got, err := h.do("wake %d 2000", 320)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed = err
+				}
+				for k, v := range got {
+					by[k] += v
+				}
+			}()
+		}
+	}
+	others.Wait()
+	wokenGood, wokenAll, woken := stop()
+	e.Step()
+	if failed != nil {
+		return failed
+	}
+	p99 := func(l *Latency) float64 { return float64(l.h.ValueAtQuantile(99)) / 1000 }
+	e.Record.Row("Many, over several gatherers", []string{"gatherers", "connections", "bytes each, resident", "bytes each, heap and stacks", "cores of holding, in all",
+		"woken", "200", "503", "other", "usual p99 ms holding", "while a tenth wakes", "usual kept"},
+		fmt.Sprint(gatherers), fmt.Sprint(gatherers*each), fmt.Sprintf("%.0f", float64(total)/n), fmt.Sprintf("%.0f", float64(own)/n), fmt.Sprintf("%.4f", cpu.Seconds()/10),
+		fmt.Sprintf("%.0f", by["asked"]), fmt.Sprintf("%.0f", by["200"]), fmt.Sprintf("%.0f", by["503"]), fmt.Sprintf("%.0f", by["asked"]-by["200"]-by["503"]),
+		fmt.Sprintf("%.2f", p99(held)), fmt.Sprintf("%.2f", p99(woken)), fmt.Sprintf("%d of %d, %d of %d", good, all, wokenGood, wokenAll))
+	if by["0"] > 0 {
+		return fmt.Errorf("%v of %v requests got no final answer", by["0"], by["asked"])
+	}
+	return nil
+}
+
 func mib(bytes int64) float64 { return float64(bytes) / (1 << 20) }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 	Path        string
 	Merging     *Merging     // nil = no section allows a merge
 	Connections *Connections // nil = no such section
+	Memory      *Memory      // nil = no such section
 }
 
 // Connections is what the section on clients' connections says.
@@ -31,6 +32,17 @@
 	Park  bool          // idle connections give up their goroutines and buffers
 	Idle  time.Duration // a parked connection is closed after so long; 0 = never
 	Awake int           // connections awake at once; 0 = as memory allows
+
+	HeadRate, BodyRate, AnswerRate int64         // least rates of clients in bytes a second; 0 = none
+	Grace                          time.Duration // what a client is granted at the beginning of each
+	KeepAlive                      time.Duration // a silent peer is asked after so long whether it is there, three times; 0 = the system's way
+	SendBuffer                     int           // bytes of an answer that the system holds for a connection; 0 = the system's way
+}
+
+// Memory is what the section on memory in sum says.
+type Memory struct {
+	Limit  int64         // bytes that all work may hold; 0 = as the configured memory allows
+	Report time.Duration // how often what is held is logged; 0 = only where pressure changes
 }
 
 // Merging is what the sections on merging say.
@@ -109,15 +121,22 @@
 			for _, k := range s.Keys() {
 				r.fault(r.lines["[] "+k.Name()], "%q stands before any section", k.Name())
 			}
-		case (kind == "merging" || kind == "connections") && name == "", kind == "schema" && name != "", kind == "merge" && name != "":
+		case (kind == "merging" || kind == "connections" || kind == "memory") && name == "", kind == "schema" && name != "", kind == "merge" && name != "":
 		default:
-			r.fault(r.lines["["+s.Name()+"]"], "section [%s] is not known: [connections], [merging], [schema NAME] and [merge QUERY-TYPE] are", s.Name())
+			r.fault(r.lines["["+s.Name()+"]"], "section [%s] is not known: [connections], [memory], [merging], [schema NAME] and [merge QUERY-TYPE] are", s.Name())
 		}
 	}
 	f.Merging = r.merging()
 	if s := r.section("connections"); s != nil {
 		f.Connections = &Connections{Park: s.flag("park", true), Idle: s.span("idle", 0, time.Second, 7*24*time.Hour),
-			Awake: int(s.count("awake", 0, 1, 1<<30))}
+			Awake:    int(s.count("awake", 0, 1, 1<<30)),
+			HeadRate: s.count("head_rate", 0, 1, 1<<30), BodyRate: s.count("body_rate", 0, 1, 1<<30), AnswerRate: s.count("answer_rate", 0, 1, 1<<30),
+			Grace: s.span("grace", time.Second, 100*time.Millisecond, 30*time.Second), KeepAlive: s.span("keep_alive", 0, time.Second, time.Hour),
+			SendBuffer: int(s.count("send_buffer", 0, 4<<10, 16<<20))}
+		s.done()
+	}
+	if s := r.section("memory"); s != nil {
+		f.Memory = &Memory{Limit: s.count("limit", 0, 1<<20, 1<<50), Report: s.span("report", 0, 100*time.Millisecond, 24*time.Hour)}
 		s.done()
 	}
 	if len(r.faults.All) > 0 {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -144,3 +144,20 @@
 		}
 	}
 }
+
+func TestDoorsAndMemory(t *testing.T) {
+	f, err := load(t, "[connections]\nhead_rate = 200\nbody_rate = 2000\nanswer_rate = 4KiB\ngrace = 2s\nkeep_alive = 30s\nsend_buffer = 64KiB\n[memory]\nlimit = 32MiB\nreport = 10s\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Connections{Park: true, HeadRate: 200, BodyRate: 2000, AnswerRate: 4096, Grace: 2 * time.Second, KeepAlive: 30 * time.Second, SendBuffer: 64 << 10}
+	if *f.Connections != want || *f.Memory != (Memory{32 << 20, 10 * time.Second}) {
+		t.Errorf("got %+v, %+v", *f.Connections, *f.Memory)
+	}
+	_, err = load(t, "[memory]\nlimit = 1KiB\nreport = never\nmost = 3\n[connections]\ngrace = 1h\nhead_rate = 0\n")
+	for _, at := range []string{":2: [memory] limit", ":3: [memory] report", ":4: [memory] most", ":6: [connections] grace", ":7: [connections] head_rate"} {
+		if err == nil || !strings.Contains(err.Error(), at) {
+			t.Errorf("%s is not named in %v", at, err)
+		}
+	}
+}
--- a/internal/park/park_linux.go
+++ b/internal/park/park_linux.go
@@ -195,3 +195,21 @@
 	}
 	return "unknown"
 }
+
+// Acceptable tells whether somebody waits to be accepted. Accept itself does not tell where no descriptor is left: it fails
+// then whether or not somebody does.
+func Acceptable(l net.Listener) bool {
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return n > 0
+}
--- a/internal/park/park_other.go
+++ b/internal/park/park_other.go
@@ -30,3 +30,6 @@
 
 // RemoteAddr is the other side of a parked socket.
 func RemoteAddr(int) string { return "unknown" }
+
+// Acceptable tells whether somebody waits to be accepted; here it is not known.
+func Acceptable(net.Listener) bool { return false }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -129,6 +129,7 @@
 	now := p.now()
 	c := &conn{p: p, c: d.c, addr: d.addr, openedAt: now, usedAt: now}
 	c.ready.L = &c.mu
+	p.f.Memory.Force(connHolds)
 	var both sync.WaitGroup
 	both.Add(2)
 	go func() { defer both.Done(); c.read() }()
@@ -179,11 +180,24 @@
 	}
 }
 
+// keptFrame is how large a connection's buffer for frames may stay between them.
+const keptFrame = 8 << 10
+
 // read passes on what comes. All that came at once is told at once, so that nothing new is sent on a connection
 // whose last answer brought noise with it.
 func (c *conn) read() {
 	r := bufio.NewReaderSize(c.c, 4<<10)
 	var buf []byte
+	held := 0 // bytes of buf accounted for
+	account := func() {
+		if grown := cap(buf) - held; grown > 0 {
+			c.p.f.Memory.Force(int64(grown))
+		} else if grown < 0 {
+			c.p.f.Memory.Give(int64(-grown))
+		}
+		held = cap(buf)
+	}
+	defer func() { buf = nil; account() }()
 	n := came{c: c}
 	for {
 		if !frame.Buffered(r) {
@@ -193,6 +207,11 @@
 				n = came{c: c}
 			}
 			if r.Buffered() == 0 {
+				// One long value must not stay on each connection for as long as that lasts.
+				if cap(buf) > keptFrame {
+					buf = nil
+					account()
+				}
 				if _, err := r.Peek(1); err != nil {
 					c.stop(brokenBy(err), err.Error())
 					return
@@ -202,6 +221,7 @@
 		}
 		letter, rest, grown, err := frame.Read(r, buf)
 		buf = grown
+		account()
 		f, badForm := inFrame{letter: letter}, frame.BadForm(err)
 		if err == nil {
 			f, err = parse(letter, rest)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -77,8 +77,24 @@
 	Streams, PartsPerCall     int
 	LoadProbes                bool // load is told by probes alone
 	Reports                   bool // servers tell their load
+	// Memory is told what connections and the frames on them hold; nil = nobody is. It may be called from any goroutine.
+	Memory Memory
 }
 
+// Memory accounts for bytes that cannot be refused any more.
+type Memory interface {
+	Force(bytes int64)
+	Give(bytes int64)
+}
+
+type noMemory struct{}
+
+func (noMemory) Force(int64) {}
+func (noMemory) Give(int64)  {}
+
+// connHolds is what a connection holds: the stacks of its goroutines, its read buffer, the ids that ended on it.
+const connHolds = 24 << 10
+
 // mailboxSize is how many orders may wait; past it an order is refused.
 const mailboxSize = 256
 
@@ -133,6 +149,9 @@
 	p := &Peer{id: id, host: host, f: f, now: now, sink: sink, budget: budget, addr: addr, connect: connect,
 		mailbox: make(chan any, mailboxSize), news: make(chan any, mailboxSize), done: make(chan struct{}), out: map[subKey]*sub{}}
 	p.f.Streams, p.f.PartsPerCall = max(f.Streams, 1), max(f.PartsPerCall, 1)
+	if p.f.Memory == nil {
+		p.f.Memory = noMemory{}
+	}
 	go p.run()
 	return p
 }
@@ -572,6 +591,7 @@
 // connEnded settles what was out on a connection: a frame written whole may have run, another never did.
 func (p *Peer) connEnded(c *conn) {
 	p.running--
+	p.f.Memory.Give(connHolds)
 	p.budget.Give()
 	written := c.written
 	for _, s := range append([]*sub(nil), p.limits...) {
--- a/merge/budget.go
+++ b/merge/budget.go
@@ -11,8 +11,18 @@
 type Budget struct {
 	mostBytes, mostRows, mostOpen atomic.Int64
 	bytes, rows, open             atomic.Int64
+	sum                           Sum
 }
 
+// Sum is a wider budget, of which merges are a part. It may be used from several goroutines.
+type Sum interface {
+	Take(bytes int64) bool
+	Give(bytes int64)
+}
+
+// Under puts a budget under a wider one. It is called before the first merge.
+func (b *Budget) Under(s Sum) { b.sum = s }
+
 // ErrFull says that a merge would hold more than all open ones may.
 var ErrFull = errors.New("merges hold as much as they may")
 
@@ -40,8 +50,9 @@
 // take takes so much, or nothing.
 func (b *Budget) take(bytes, rows int64) bool {
 	held, count := b.bytes.Add(bytes), b.rows.Add(rows)
-	if held > b.mostBytes.Load() || count > b.mostRows.Load() {
-		b.give(bytes, rows)
+	if held > b.mostBytes.Load() || count > b.mostRows.Load() || b.sum != nil && !b.sum.Take(bytes) {
+		b.bytes.Add(-bytes)
+		b.rows.Add(-rows)
 		return false
 	}
 	return true
@@ -50,4 +61,7 @@
 func (b *Budget) give(bytes, rows int64) {
 	b.bytes.Add(-bytes)
 	b.rows.Add(-rows)
+	if b.sum != nil {
+		b.sum.Give(bytes)
+	}
 }
