Reduced service: named levels in front of the decisions, a screen for operators, a memory experiment

Need: with a quarter of the servers dead look-ups were shed beside reports that could have waited, and nobody was told what state the service was in. Memory in sum was not measured.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -759,6 +759,9 @@
 	}
 }
 
+// Load is the parts in flight over their limit.
+func (g *Gatherer) Load() float64 { return g.busy() / max(g.limit, 1) }
+
 // Learned tells what a later run may recall.
 func (g *Gatherer) Learned() (out []Learned) {
 	for _, s := range g.ready {
--- a/gatherer/gatherer.go
+++ b/gatherer/gatherer.go
@@ -22,6 +22,7 @@
 
 	"oxbowspan/brain"
 	"oxbowspan/budget"
+	"oxbowspan/internal/admin"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/operator"
@@ -92,6 +93,11 @@
 	if d.ConnectTimeout <= 0 {
 		return d, errors.New("setting limits.dialTimeout is missing")
 	}
+	if o := s.reducing(); o != nil {
+		if _, err := o.For(d.QueryTypes); err != nil {
+			return d, err
+		}
+	}
 	return d, s.merges(d)
 }
 
@@ -141,13 +147,27 @@
 // operate puts what the operator's file says in force.
 func (g *Gatherer) operate(s Setup) {
 	m := s.merging()
-	if m != nil {
-		g.module.merges.Limit(m.MostBytes, m.MostRows, m.MostOpen)
-	}
 	g.proxy.merging.Store(m)
+	g.limitMerges(1)
 	g.held.Limit(s.Limits.ledger(s.memory()))
 }
 
+// limitMerges puts a share of the limits on merges in force.
+func (g *Gatherer) limitMerges(share float64) {
+	if m := g.proxy.merging.Load(); m != nil {
+		part := func(n int64) int64 { return int64(float64(n) * share) }
+		g.module.merges.Limit(part(m.MostBytes), part(m.MostRows), part(m.MostOpen))
+	}
+}
+
+// reducing is what the operator's file says of reduced service; nil = it is never reduced.
+func (s Setup) reducing() *operator.Levels {
+	if s.Operator == nil {
+		return nil
+	}
+	return s.Operator.Levels
+}
+
 // memory is what the operator's file says of memory in sum; nil = nothing.
 func (s Setup) memory() *operator.Memory {
 	if s.Operator == nil {
@@ -195,6 +215,12 @@
 	if o := s.storing(); o != nil {
 		g.proxy.keyHeader = o.KeyHeader
 	}
+	if o := s.reducing(); o != nil {
+		if g.module.levels, err = newLevels(g.module, o); err != nil {
+			return nil, err
+		}
+		g.module.limitMerges = g.limitMerges
+	}
 	g.operate(s)
 	g.front = newFront(g.proxy, duration(d.LongestTimeout), g.held)
 	g.front.doors = s.connections()
@@ -234,6 +260,14 @@
 	m.list = discovery.Start(g.setup.Discovery, g.known.Seq, duration(g.d.ConnectTimeout), g.fits, m.mailbox, !g.d.Facts.ListOnRequest)
 	g.list = m.list
 	g.mu.Unlock()
+	if o := g.setup.reducing(); o != nil && o.Socket != "" {
+		socket, err := admin.Listen(o.Socket, func(q admin.Question) bool { return m.put(q) })
+		if err != nil {
+			l.Close()
+			return err
+		}
+		defer socket.Close()
+	}
 	stop := make(chan struct{})
 	if mem := g.setup.memory(); mem != nil && mem.Report > 0 {
 		go reportMemory(g.held, mem.Report, stop)
@@ -266,8 +300,14 @@
 	connections := s.connections() == g.setup.connections()
 	was, now := g.setup.storing(), s.storing()
 	stored := was == now || was != nil && now != nil && *was == *now
+	reduced := s.reducing() != nil == (g.module.levels != nil) && (s.reducing() == nil || g.setup.reducing() == nil || s.reducing().Socket == g.setup.reducing().Socket)
 	g.setup.Operator = s.Operator
 	g.operate(s)
+	if o := s.reducing(); o != nil && g.module.levels != nil {
+		if f, err := o.For(g.d.QueryTypes); err == nil { // deployment has checked it
+			g.module.put(levelsReplaced{f})
+		}
+	}
 	moved := s.Discovery != g.setup.Discovery
 	if g.setup.Discovery = s.Discovery; moved && g.list != nil {
 		g.list.Move(s.Discovery)
@@ -277,7 +317,7 @@
 		name string
 		same bool
 	}{{"name", s.Name == g.setup.Name}, {"listen", s.Listen == g.setup.Listen}, {"limits", s.Limits == g.setup.Limits},
-		{"connections", connections}, {"store", stored},
+		{"connections", connections}, {"store", stored}, {"levels", reduced},
 		{"settings", sameJSON(s.Settings, g.setup.Settings)}} {
 		if !f.same {
 			restart = append(restart, f.name)
--- a/gatherer/limits.go
+++ b/gatherer/limits.go
@@ -62,7 +62,7 @@
 	parkedHolds = 192      // one without
 	searchHolds = 4 << 10  // an open search, beside its parts
 	partHolds   = 1 << 10  // a part of it, beside its value
-	bodyTimes   = 3        // a body lies in the buffer it came in, in what it says, and in the frames made of it
+	bodyTimes   = 3        // a body lies in the buffer it came in, there once more to be taken apart, and in what it says
 	firstValue  = 256      // a value, until one of its query type has been seen
 )
 
--- a/gatherer/mailbox.go
+++ b/gatherer/mailbox.go
@@ -4,6 +4,7 @@
 	"oxbowspan/brain"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/peer"
+	"oxbowspan/level"
 )
 
 // mailboxSize is how many messages may wait for the module. Whoever sends one more waits: a client's request,
@@ -18,6 +19,8 @@
 	listFailed struct{}
 	ended      struct{ e peer.Ended }
 	probed     struct{ p brain.Probed }
+	// levelsReplaced puts other figures of reduced service in force.
+	levelsReplaced struct{ f level.Figures }
 )
 
 // mailbox is the module's, seen from outside. It is what peers and the list tell their news to.
--- a/gatherer/module.go
+++ b/gatherer/module.go
@@ -8,6 +8,7 @@
 
 	"oxbowspan/brain"
 	"oxbowspan/budget"
+	"oxbowspan/internal/admin"
 	"oxbowspan/internal/discovery"
 	"oxbowspan/internal/facts"
 	"oxbowspan/internal/peer"
@@ -45,6 +46,8 @@
 	sentBefore bool // an earlier search of its key may have run
 	cameAt     brain.Time
 	late       *time.Timer
+
+	cameFor brain.Time // when it came; 0 = levels do not count it
 }
 
 // asked is a part as the client names it.
@@ -121,10 +124,12 @@
 	memory   *budget.Ledger
 	expect   *budget.Expect
 
-	keptAt    brain.Time    // when what was learned was last written
-	remembers *remembered   // nil = nothing is kept across restarts
-	pending   []brain.Event // what became of actions at once
-	ended     chan struct{} // closed when the peers have gone too
+	keptAt      brain.Time          // when what was learned was last written
+	levels      *levels             // nil = service is never reduced
+	limitMerges func(share float64) // puts a share of the limits on merges in force
+	remembers   *remembered         // nil = nothing is kept across restarts
+	pending     []brain.Event       // what became of actions at once
+	ended       chan struct{}       // closed when the peers have gone too
 }
 
 // server is what the actor keeps of a shard server.
@@ -136,6 +141,10 @@
 	since  brain.Time
 	out    int // sub-requests that have not ended
 	listed bool
+
+	draining bool
+	cell     int
+	zone     string
 }
 
 type wake struct {
@@ -152,6 +161,9 @@
 		if len(m.timers) > 0 {
 			wait = max(0, duration(m.timers[0].at-m.clock.now()))
 		}
+		if m.levels != nil {
+			wait = min(wait, duration(turnEvery))
+		}
 		timer.Reset(wait)
 		select {
 		case msg := <-m.c:
@@ -190,6 +202,9 @@
 	if m.remembers != nil && now-m.keptAt >= keepEvery {
 		m.keepLearned(now)
 	}
+	if m.levels != nil && now-m.levels.turnAt >= turnEvery {
+		m.levels.turn()
+	}
 	for len(m.timers) > 0 && m.timers[0].at <= now {
 		w := heap.Pop(&m.timers).(wake)
 		m.handle(brain.TimerFired{Timer: w.timer})
@@ -231,7 +246,19 @@
 		if m.remembers != nil {
 			m.remembers.keepList(e.l)
 		}
+		if m.levels != nil {
+			m.levels.heard(true)
+		}
+	case levelsReplaced:
+		m.levels.use(e.f)
+	case admin.Question:
+		if m.levels != nil {
+			m.levels.asked(e)
+		}
 	case listFailed:
+		if m.levels != nil {
+			m.levels.heard(false)
+		}
 		m.handle(brain.ServerList{Kind: brain.ListFailed})
 	}
 }
@@ -354,6 +381,9 @@
 }
 
 func (m *module) arrived(s *search) {
+	if m.levels != nil && !s.cleared && !m.levels.admits(s) {
+		return
+	}
 	if !m.remember(s) {
 		return
 	}
@@ -370,7 +400,8 @@
 		return
 	}
 	// Set aside now, while turning it away is harmless: values that come cannot be refused.
-	s.inUse = searchHolds + budget.Bytes(len(s.asked))*partHolds
+	// Each part's frame holds the text again.
+	s.inUse = searchHolds + budget.Bytes(len(s.asked))*(partHolds+budget.Bytes(len(s.text)))
 	s.holds = s.inUse + budget.Bytes(len(s.asked))*m.expect.Each(int(s.typ))
 	if !m.memory.Take(budget.Searches, s.holds) {
 		s.over = true
@@ -474,6 +505,9 @@
 	if s := m.searches[id]; s != nil {
 		m.close(s)
 		m.outcome(s, &r)
+		if m.levels != nil {
+			m.levels.ended(s, r.kind)
+		}
 		if s.merge != nil && r.merge == nil {
 			s.merge.Close()
 		}
@@ -524,6 +558,7 @@
 			s.peer = peer.Start(id, e.Host, e.Dial, m.figures, m.clock.now, m.mailbox, m.budget)
 		}
 		s.addr, s.since = e.Dial, since
+		s.draining, s.cell, s.zone = entry.State == brain.Draining, e.Cell, e.Zone
 		ev.Servers = append(ev.Servers, entry)
 	}
 	m.ready = 0
--- a/gatherer/remember_test.go
+++ b/gatherer/remember_test.go
@@ -286,3 +286,27 @@
 		t.Errorf("with the list service away: %d", status)
 	}
 }
+
+// A kill while a post is at its second server, the first having turned it away: it may have run there, so it is neither sent a
+// third time nor called harmless.
+func TestAKillDuringAResend(t *testing.T) {
+	runs := &ran{by: map[string]int{}}
+	a := startShard(t, "s-a", func(c *standin.ShardConn, p standin.Part) { c.Answer(p.ID, "skipped", "") })
+	b := startShard(t, "s-b", func(c *standin.ShardConn, p standin.Part) { runs.add(string(p.Text)) })
+	l := startList(t, a, b)
+	file, _ := storeFile(t, "")
+	p := start(t, l, nil, "--operator", file)
+	go post2(t.Context(), p.addr, "a1", "key-1", "c0ffee01")
+	await(t, b.Got, func(id string) bool { return strings.HasPrefix(id, "a1") })
+	p.run.Kill()
+	<-p.run.Gone
+	p = start(t, l, nil, "--operator", file)
+	for i := range 3 {
+		if status, _, after := keyed(t, p, fmt.Sprint("b", i), "key-1", "c0ffee01"); status != http.StatusGatewayTimeout || after != "" {
+			t.Errorf("its repeat: %d, Retry-After %q", status, after)
+		}
+	}
+	if n := runs.of("c0ffee01"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
--- a/internal/lab/hold.go
+++ b/internal/lab/hold.go
@@ -275,6 +275,11 @@
 		h.drop()
 		return 0
 	}
+	return h.answer()
+}
+
+// answer reads an answer and gives its status; 0 = none came.
+func (h *heldConn) answer() int {
 	res, err := http.ReadResponse(bufio.NewReaderSize(h.c, 512), nil)
 	if err != nil {
 		h.drop()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -186,6 +186,13 @@
 	r.Figures[name] += v
 }
 
+// Get is a figure of the run; 0 where there is none.
+func (r *Record) Get(name string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Figures[name]
+}
+
 // Latency keeps a latency record under a name.
 func (r *Record) Latency(name string, l *Latency) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/lab/memory.go
@@ -0,0 +1,293 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"oxbowspan/internal/standin"
+)
+
+func init() {
+	Register(Experiment{Name: "memory", Short: "One memory budget: waves that each want more than the machine has",
+		Long: `memory plays waves on a gatherer of 48 MiB, each of which wants several times that: long bodies sent slowly, long values from
+many servers at once, clients that do not read long answers, and parked connections that all wake; then all together. Usual
+look-ups are asked throughout. It ends with a finding if the process ever holds more than its memory, if what is accounted for
+passes its limit by more than what cannot be refused, if a request gets no final answer, or if too few usual look-ups are
+answered. The same waves without a section [memory] are played beside it, for comparison, and are only recorded.`, Run: runMemory})
+}
+
+const memoryMB = 48
+
+// longValue is a part's value in the waves of long answers; with four parts an answer stays under what a body may have.
+var longValue = strings.Repeat("v", 15<<10)
+
+// memoryPlay is one gatherer under the waves.
+type memoryPlay struct {
+	e     *Env
+	ctx   context.Context
+	addr  string
+	next  atomic.Uint64
+	mu    sync.Mutex
+	by    map[string]map[int]int // answers by wave and status; 0 = none
+	conns map[net.Conn]bool      // that are held
+}
+
+func (p *memoryPlay) count(wave string, status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.by[wave] == nil {
+		p.by[wave] = map[int]int{}
+	}
+	p.by[wave][status]++
+}
+
+// head and body of a search of four parts.
+func (p *memoryPlay) request(text string) (head, body string) {
+	s := standin.Search{ID: fmt.Sprintf("%016x", p.next.Add(1)), Kind: "lookup", Customer: "acme", Shards: []int{0, 1, 2, 3}, Text: text}
+	b := string(s.Body())
+	return fmt.Sprintf("POST /lookup HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: lookup\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 1900\r\nContent-Length: %d\r\n\r\n", s.ID, len(b)), b
+}
+
+func (p *memoryPlay) dial(received int) (net.Conn, error) {
+	d := net.Dialer{Timeout: 5 * time.Second, Control: func(_, _ string, c syscall.RawConn) error {
+		if received == 0 {
+			return nil
+		}
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, received) })
+	}}
+	return d.Dial("tcp4", p.addr)
+}
+
+// ask sends a search on a connection, its body in so many pieces, and gives the answer's status. It reads while it sends, as
+// clients do: who is turned away is told so before its body is whole.
+func (p *memoryPlay) ask(c net.Conn, text string, pieces int, pause time.Duration) int {
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	head, body := p.request(text)
+	answer := make(chan int, 1)
+	go func() { answer <- p.read(c) }()
+	if _, err := io.WriteString(c, head); err != nil {
+		return <-answer
+	}
+	tick := time.NewTicker(pause + time.Nanosecond)
+	defer tick.Stop()
+	for size := max(len(body)/pieces, 1); body != ""; {
+		n := min(size, len(body))
+		if _, err := io.WriteString(c, body[:n]); err != nil {
+			break
+		}
+		if body = body[n:]; body != "" && pieces > 1 {
+			select {
+			case status := <-answer:
+				return status
+			case <-tick.C:
+			}
+		}
+	}
+	return <-answer
+}
+
+func (p *memoryPlay) read(c net.Conn) int {
+	h := heldConn{c: c}
+	return h.answer()
+}
+
+// wave plays one client many times at once.
+func (p *memoryPlay) wave(n int, play func(i int)) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			play(i)
+		}()
+	}
+	all.Wait()
+}
+
+func (p *memoryPlay) bodies(n int) {
+	p.wave(n, func(int) {
+		c, err := p.dial(0)
+		if err != nil {
+			p.count("long bodies", 0)
+			return
+		}
+		defer c.Close()
+		p.count("long bodies", p.ask(c, strings.Repeat("b", 60<<10), 10, 100*time.Millisecond))
+	})
+}
+
+func (p *memoryPlay) answers(n int) {
+	p.wave(n, func(int) {
+		c, err := p.dial(0)
+		if err != nil {
+			p.count("long answers", 0)
+			return
+		}
+		defer c.Close()
+		p.count("long answers", p.ask(c, "long", 1, 0))
+	})
+}
+
+func (p *memoryPlay) deaf(n int) {
+	p.wave(n, func(int) {
+		c, err := p.dial(4 << 10)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(4 * time.Second))
+		head, body := p.request("long")
+		io.WriteString(c, head+body)
+		time.Sleep(2500 * time.Millisecond)
+	})
+}
+
+func (p *memoryPlay) hold(n int) (conns []net.Conn) {
+	for try := 0; len(conns) < n && try < 3*n; try++ {
+		c, err := p.dial(0)
+		if err != nil {
+			continue
+		}
+		if p.ask(c, "short", 1, 0) == http.StatusOK {
+			conns = append(conns, c)
+			continue
+		}
+		c.Close() // turned away as too many are awake: a moment later there is room
+		time.Sleep(5 * time.Millisecond)
+	}
+	return conns
+}
+
+func (p *memoryPlay) wakes(conns []net.Conn) {
+	p.wave(len(conns), func(i int) { p.count("all wake", p.ask(conns[i], "long", 1, 0)) })
+}
+
+func runMemory(ctx context.Context, e *Env) error {
+	for _, way := range []string{"counted only", "in sum"} {
+		if err := e.memory(ctx, way); err != nil {
+			return fmt.Errorf("%s: %w", way, err)
+		}
+	}
+	return nil
+}
+
+func (e *Env) memory(ctx context.Context, way string) error {
+	operator := "[connections]\ncrowd = off\nawake = 400\nhead_rate = 200\nbody_rate = 500\nanswer_rate = 4000\nsend_buffer = 16KiB\n"
+	if way == "in sum" {
+		operator += "[memory]\nreport = 250ms\n"
+	}
+	var figures runtimeFigures
+	site, err := e.StartSite(SiteShape{Name: "memory " + way, Cells: 4, Segments: 4, MemoryMB: memoryMB, Sockets: 4000, Operator: operator, Line: figures.take,
+		Types: []SiteType{{"lookup", "free", time.Second, 2 * time.Second, 1, 1}},
+		Do: func(c *standin.ShardConn, part standin.Part) {
+			switch {
+			case string(part.Text) == "long":
+				time.AfterFunc(50*time.Millisecond, func() { c.Answer(part.ID, "served", longValue) })
+			default:
+				c.Answer(part.ID, "served", "x")
+			}
+		}})
+	if err != nil {
+		return err
+	}
+	defer site.Stop()
+	p := &memoryPlay{e: e, ctx: ctx, addr: site.Gatherer.Addr, by: map[string]map[int]int{}}
+	rest, err := ReadUsage(site.Gatherer.PID())
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var good, all atomic.Int64
+	var usual sync.WaitGroup
+	usual.Add(1)
+	go func() { // one usual client, on a connection that it keeps
+		defer usual.Done()
+		h := &heldConn{over: true, dial: func() (net.Conn, error) { return p.dial(0) }}
+		pace := time.NewTicker(10 * time.Millisecond)
+		defer pace.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-pace.C:
+			}
+			head, body := p.request("usual")
+			if all.Add(1); h.ask([]byte(head+body)) == http.StatusOK {
+				good.Add(1)
+			}
+		}
+	}()
+	n := e.Scale(1, 2)
+	e.Progress("memory "+way, 5)
+	conns := p.hold(700)
+	e.Step()
+	peak := func(wave string) {
+		if u, err := ReadUsage(site.Gatherer.PID()); err == nil {
+			e.Record.Row("Resident memory by wave", []string{"way", "wave", "now MiB", "most so far MiB"}, way, wave, fmt.Sprintf("%.1f", mib(u.RSS)), fmt.Sprintf("%.1f", mib(u.Peak)))
+		}
+		e.Step()
+	}
+	p.bodies(300 * n)
+	peak("long bodies")
+	p.answers(300 * n)
+	peak("long answers")
+	p.deaf(150 * n)
+	peak("clients that do not read")
+	p.wakes(conns)
+	peak("all wake")
+	var both sync.WaitGroup
+	for _, wave := range []func(){func() { p.bodies(200 * n) }, func() { p.answers(200 * n) }, func() { p.deaf(100 * n) }, func() { p.wakes(p.hold(100)) }} {
+		both.Add(1)
+		go func() { defer both.Done(); wave() }()
+	}
+	both.Wait()
+	peak("all together")
+	close(stop)
+	usual.Wait()
+	for _, c := range conns {
+		c.Close()
+	}
+	u, err := ReadUsage(site.Gatherer.PID())
+	if err != nil {
+		return fmt.Errorf("the gatherer is gone: %w", err)
+	}
+	last := map[string]int64{}
+	if way == "in sum" {
+		last = figures.next(ctx)
+	}
+	none := 0
+	for _, wave := range []string{"long bodies", "long answers", "all wake"} {
+		by := p.by[wave]
+		asked := 0
+		for _, k := range by {
+			asked += k
+		}
+		e.Record.Row("Answers by wave", []string{"way", "wave", "asked", "200", "503", "504", "none"}, way, wave, fmt.Sprint(asked), fmt.Sprint(by[200]), fmt.Sprint(by[503]), fmt.Sprint(by[504]), fmt.Sprint(by[0]))
+		none += by[0]
+	}
+	e.Record.Row("Memory", []string{"way", "memory MiB", "at rest MiB", "most resident MiB", "accounted, most MiB", "limit MiB", "forced over it MiB", "refused", "usual kept"},
+		way, fmt.Sprint(memoryMB), fmt.Sprintf("%.1f", mib(rest.RSS)), fmt.Sprintf("%.1f", mib(u.Peak)), fmt.Sprintf("%.1f", mib(last["peak"])), fmt.Sprintf("%.1f", mib(last["most"])),
+		fmt.Sprintf("%.1f", mib(last["forced"])), fmt.Sprint(last["refused"]), fmt.Sprintf("%d of %d", good.Load(), all.Load()))
+	if way != "in sum" {
+		return nil
+	}
+	switch {
+	case u.Peak > memoryMB<<20:
+		return fmt.Errorf("it held %.1f MiB of %d", mib(u.Peak), memoryMB)
+	case last["refused"] == 0:
+		return fmt.Errorf("nothing was refused: the waves wanted too little")
+	case none > 0:
+		return fmt.Errorf("%d requests got no final answer", none)
+	case float64(good.Load()) < 0.5*float64(all.Load()):
+		return fmt.Errorf("%d of %d usual look-ups were answered", good.Load(), all.Load())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/levels.go
@@ -0,0 +1,172 @@
+package operator
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"oxbowspan/level"
+)
+
+// Levels is what the sections on reduced service say.
+type Levels struct {
+	Figures level.Figures        // without the shares of query types, whose numbers only the settings tell
+	Shares  []map[string]float64 // by rank and query type
+	Socket  string               // where operators look and pin; "" = nowhere
+	lines   []int                // of the levels' sections, by rank
+	path    string
+}
+
+// fullName is the name of full service, which has no section.
+const fullName = "full"
+
+// levels reads the sections on reduced service. Their order in the file is that of the levels.
+func (r *reading) levels(path string) *Levels {
+	out := &Levels{Shares: []map[string]float64{nil}, lines: []int{0}, path: path}
+	out.Figures.Levels = []level.Level{{Name: fullName, Terms: level.Terms{Merge: 1}}}
+	for _, one := range r.ini.Sections() {
+		if name, is := strings.CutPrefix(one.Name(), "level "); is {
+			s := &section{reading: r, s: one}
+			l, shares := r.level(s, name)
+			out.Figures.Levels = append(out.Figures.Levels, l)
+			out.Shares = append(out.Shares, shares)
+			out.lines = append(out.lines, r.lines["["+one.Name()+"]"])
+		}
+	}
+	s := r.section("levels")
+	if s == nil {
+		if len(out.Figures.Levels) > 1 {
+			r.fault(out.lines[1], "a [level] section needs a section [levels]")
+		}
+		return nil
+	}
+	ms := func(key string, absent, least, most time.Duration) level.Time {
+		return level.Time(s.span(key, absent, least, most).Milliseconds())
+	}
+	f := &out.Figures
+	f.Smooth, f.EnterFor = ms("smooth", time.Second, 0, time.Minute), ms("enter_for", time.Second, 0, time.Minute)
+	f.ExitFor, f.Swing = ms("exit_for", 5*time.Second, 100*time.Millisecond, time.Hour), ms("swing", time.Minute, time.Second, 24*time.Hour)
+	f.Stale, f.Ramp = ms("stale", 5*time.Second, 500*time.Millisecond, time.Hour), ms("ramp", 5*time.Second, 0, time.Hour)
+	f.Longest, f.MostUps = int(s.count("longest", 16, 1, 1000)), int(s.count("ups", 4, 1, 60))
+	if socket, given := s.text("socket"); given {
+		if out.Socket = socket; !filepath.IsAbs(socket) {
+			out.Socket = filepath.Join(filepath.Dir(path), socket)
+		}
+	}
+	at := r.lines["[levels]"]
+	s.done()
+	if len(f.Levels) == 1 {
+		r.fault(at, "[levels] needs a section [level NAME] at least")
+		return nil
+	}
+	for _, what := range f.Check() {
+		r.fault(at, "[levels]: %s", what)
+	}
+	return out
+}
+
+// level reads one level.
+func (r *reading) level(s *section, name string) (l level.Level, shares map[string]float64) {
+	l.Name, shares = name, map[string]float64{}
+	enter, exit := s.pairs("enter"), s.pairs("exit")
+	for _, p := range enter {
+		sig, known := level.ParseSignal(p.name)
+		if !known {
+			s.wrong("enter", "%.40q is no signal: lost, load, late, list_age, cold, store and segment_lost are", p.name)
+			continue
+		}
+		c := level.Condition{Signal: sig, Enter: p.value, Exit: p.value * 0.7}
+		for _, q := range exit {
+			if q.name == p.name {
+				c.Exit = q.value
+			}
+		}
+		l.Conditions = append(l.Conditions, c)
+	}
+	for _, q := range exit {
+		found := false
+		for _, p := range enter {
+			found = found || p.name == q.name
+		}
+		if !found {
+			s.wrong("exit", "%.40q does not enter this level", q.name)
+		}
+	}
+	for _, p := range s.pairs("share") {
+		if p.value < 0 || p.value > 1 {
+			s.wrong("share", "%g of %s is not from 0 to 1", p.value, p.name)
+		}
+		shares[p.name] = p.value
+	}
+	l.Terms.Merge = 1
+	if text, given := s.text("merge"); given {
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(v >= 0 && v <= 1) {
+			s.wrong("merge", "%.40q is not from 0 to 1", text)
+		}
+		l.Terms.Merge = v
+	}
+	l.Terms.RetryAfter = level.Time(s.span("retry_after", time.Second, 10*time.Millisecond, time.Hour).Milliseconds())
+	s.done()
+	return l, shares
+}
+
+type pair struct {
+	name  string
+	value float64
+}
+
+// pairs reads "NAME NUMBER NAME NUMBER".
+func (s *section) pairs(key string) (out []pair) {
+	words := s.words(key)
+	if len(words)%2 != 0 {
+		s.wrong(key, "is not NAME NUMBER, as often as wanted")
+		return nil
+	}
+	for i := 0; i < len(words); i += 2 {
+		v, err := strconv.ParseFloat(words[i+1], 64)
+		if err != nil || v < 0 {
+			s.wrong(key, "%.40q behind %s is not a number from 0 up", words[i+1], words[i])
+			continue
+		}
+		out = append(out, pair{words[i], v})
+	}
+	return out
+}
+
+// For makes figures for the query types of the settings. A type that a level does not name has the share of the level before.
+func (l *Levels) For(types []string) (level.Figures, error) {
+	f := l.Figures
+	f.Levels = append([]level.Level(nil), l.Figures.Levels...)
+	var errs []error
+	before := make([]float64, len(types))
+	for i := range before {
+		before[i] = 1
+	}
+	for rank := range f.Levels {
+		serve := append([]float64(nil), before...)
+		for name, share := range l.Shares[rank] {
+			at := -1
+			for i, t := range types {
+				if t == name {
+					at = i
+				}
+			}
+			if at < 0 {
+				errs = append(errs, &Faults{l.path, []Fault{{l.lines[rank], fmt.Sprintf("[level %s] share: %s is no query type of the settings", f.Levels[rank].Name, name)}}})
+				continue
+			}
+			serve[at] = share
+		}
+		f.Levels[rank].Terms.Serve = serve
+		before = serve
+	}
+	if len(errs) == 0 {
+		for _, what := range f.Check() {
+			errs = append(errs, &Faults{l.path, []Fault{{l.lines[1], what}}})
+		}
+	}
+	return f, Join(errs...)
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -161,3 +161,39 @@
 		}
 	}
 }
+
+func TestLevelsOfService(t *testing.T) {
+	f, err := load(t, "[levels]\nsocket = s.sock\nexit_for = 3s\n[level trimmed]\nenter = lost 0.2 load 0.9\nexit = lost 0.1\nshare = report 0.5\nretry_after = 2s\nmerge = 0.5\n[level closed]\nenter = lost 0.9\nshare = lookup 0\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := f.Levels.For([]string{"lookup", "report"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(x.Levels) != 3 || x.Levels[1].Name != "trimmed" || x.Levels[1].Conditions[0].Exit != 0.1 || x.Levels[1].Terms.Merge != 0.5 ||
+		x.Levels[1].Terms.RetryAfter != 2000 || x.Levels[1].Terms.Serve[1] != 0.5 || x.Levels[2].Terms.Serve[1] != 0.5 || x.Levels[2].Terms.Serve[0] != 0 || x.ExitFor != 3000 {
+		t.Errorf("got %+v", x)
+	}
+	if _, err := f.Levels.For([]string{"lookup"}); err == nil || !strings.Contains(err.Error(), ":4: [level trimmed] share: report is no query type") {
+		t.Errorf("a type that is not there: %v", err)
+	}
+	for text, want := range map[string]string{
+		"[level a]\nenter = lost 0.2\n":                                                  "needs a section [levels]",
+		"[levels]\n":                                                                     "needs a section [level NAME]",
+		"[levels]\n[level a]\nenter = rain 0.2\n":                                        `:3: [level a] enter: "rain" is no signal`,
+		"[levels]\n[level a]\nenter = lost\n":                                            "is not NAME NUMBER",
+		"[levels]\n[level a]\nenter = lost much\n":                                       "is not a number from 0 up",
+		"[levels]\n[level a]\nenter = lost 0.2\nexit = lost 0.3\n":                       "not under the 0.2",
+		"[levels]\n[level a]\nenter = lost 0.2\nexit = load 0.3\n":                       "does not enter this level",
+		"[levels]\n[level a]\nenter = lost 0.2\nshare = x 2\n":                           "not from 0 to 1",
+		"[levels]\n[level a]\nenter = lost 0.2\nmerge = 2\n":                             "merge",
+		"[levels]\nups = 0\n[level a]\nenter = lost 0.2\nstrange = 1\n":                  "strange: is not known here",
+		"[levels]\n[level full]\nenter = lost 0.2\n":                                     "level full is there twice",
+		"[levels]\nsocket = s\n[level a]\nenter = lost 0.2\n[level b]\nshare = lookup 0": "it has no condition",
+	} {
+		if _, err := load(t, text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,225 @@
+// Package watch shows operators a running gatherer on a terminal: its level and why, what is shed by query type and customer,
+// the servers by zone with their health. It reads a stream of states and shows the last; it asks nothing and decides nothing.
+package watch
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	tea "github.com/charmbracelet/bubbletea"
+	"github.com/charmbracelet/lipgloss"
+
+	"oxbowspan/internal/admin"
+	"oxbowspan/internal/spark"
+)
+
+// Run shows a source until the operator quits or it ends.
+func Run(s admin.Source) error {
+	last, err := tea.NewProgram(New(s), tea.WithAltScreen()).Run()
+	if m, ok := last.(Model); ok && err == nil {
+		err = m.err
+	}
+	return err
+}
+
+// Model is what is on the screen.
+type Model struct {
+	source        admin.Source
+	state, before admin.State
+	got           int
+	history       map[string][]float64 // of signals and of servers' latency, the last so many
+	width, height int
+	err           error
+}
+
+// mostHistory is how many points a line of figures has; servers that have left are forgotten with it.
+const mostHistory = 40
+
+// New makes an empty screen.
+func New(s admin.Source) Model {
+	return Model{source: s, history: map[string][]float64{}, width: 100, height: 40}
+}
+
+type (
+	came  admin.State
+	ended struct{ err error }
+)
+
+// Init implements tea.Model.
+func (m Model) Init() tea.Cmd { return m.next }
+
+func (m Model) next() tea.Msg {
+	s, err := m.source.Next()
+	if err != nil {
+		return ended{err}
+	}
+	return came(s)
+}
+
+// Update implements tea.Model.
+func (m Model) Update(msg tea.Msg) (tea.Model, tea.Cmd) {
+	switch msg := msg.(type) {
+	case tea.KeyMsg:
+		switch msg.String() {
+		case "q", "esc", "ctrl+c":
+			return m, tea.Quit
+		}
+	case tea.WindowSizeMsg:
+		m.width, m.height = msg.Width, msg.Height
+	case ended:
+		m.err = msg.err
+		return m, tea.Quit
+	case came:
+		m.take(admin.State(msg))
+		return m, m.next
+	}
+	return m, nil
+}
+
+// take notes a state.
+func (m *Model) take(s admin.State) {
+	m.before, m.state = m.state, s
+	m.got++
+	there := map[string]bool{}
+	add := func(name string, v float64) {
+		there[name] = true
+		h := append(m.history[name], v)
+		m.history[name] = h[max(0, len(h)-mostHistory):]
+	}
+	for _, x := range s.Signals {
+		if x.Known {
+			add("signal "+x.Name, x.Value)
+		}
+	}
+	for _, x := range s.Servers {
+		add("server "+x.Host, x.Millis)
+	}
+	for name := range m.history {
+		if !there[name] {
+			delete(m.history, name)
+		}
+	}
+}
+
+var (
+	bold  = lipgloss.NewStyle().Bold(true)
+	dim   = lipgloss.NewStyle().Faint(true)
+	good  = lipgloss.NewStyle().Foreground(lipgloss.Color("2"))
+	worse = lipgloss.NewStyle().Foreground(lipgloss.Color("3"))
+	bad   = lipgloss.NewStyle().Foreground(lipgloss.Color("1")).Bold(true)
+)
+
+// View implements tea.Model.
+func (m Model) View() string {
+	if m.got == 0 {
+		return "waiting for the gatherer ...\n"
+	}
+	s := m.state
+	var b strings.Builder
+	colour := good
+	if s.Rank > 0 {
+		colour = worse
+	}
+	if s.Rank > 1 {
+		colour = bad
+	}
+	fmt.Fprintf(&b, "%s %s for %s   %d searches open   %s\n", bold.Render("level"), colour.Render(s.Level), seconds(s.For), s.Searches, dim.Render(s.At.Format("15:04:05")))
+	if s.Pinned > 0 {
+		fmt.Fprintf(&b, "%s for %s more\n", bad.Render("pinned"), seconds(s.Pinned))
+	}
+	fmt.Fprintf(&b, "%s\n", dim.Render("levels: "+strings.Join(s.Levels, " > ")))
+	b.WriteString("\n" + bold.Render("signals") + "\n")
+	for _, x := range s.Signals {
+		value := dim.Render("not known")
+		if x.Known {
+			value = fmt.Sprintf("%9.3f", x.Value)
+		}
+		fmt.Fprintf(&b, "  %-13s %-9s %s\n", x.Name, value, spark.Line(m.history["signal "+x.Name]))
+	}
+	for _, x := range s.Segments {
+		fmt.Fprintf(&b, "  segment %d: %s\n", x.Segment, worse.Render(x.Level))
+	}
+	b.WriteString("\n" + bold.Render("searches a second") + dim.Render("    served   shed by level") + "\n")
+	for _, t := range s.Types {
+		fmt.Fprintf(&b, "  %-20s share %.2f\n", clip(t.Name, 20), t.Share)
+		for _, c := range t.Customers {
+			served, shed := m.rates(t.Name, c)
+			line := fmt.Sprintf("    %-18s %8.1f %8.1f", clip(c.Name, 18), served, shed)
+			if shed > 0 {
+				line = worse.Render(line)
+			}
+			b.WriteString(line + "\n")
+		}
+	}
+	b.WriteString("\n" + bold.Render("servers") + "\n")
+	zone := ""
+	for i, x := range s.Servers {
+		if x.Zone != zone {
+			zone = x.Zone
+			fmt.Fprintf(&b, "  zone %s: %s\n", zone, zoneLine(s.Servers, zone))
+		}
+		if left := m.height - strings.Count(b.String(), "\n") - 3 - min(len(s.Changes), 5); left < 1 {
+			fmt.Fprintf(&b, "    %s\n", dim.Render(fmt.Sprintf("and %d more", len(s.Servers)-i)))
+			break
+		}
+		state := good.Render(fmt.Sprintf("%-8s", x.State))
+		if x.State != "ready" {
+			state = bad.Render(fmt.Sprintf("%-8s", x.State))
+		}
+		fmt.Fprintf(&b, "    %-16s %s out %3d  %7.1f ms  failing %.2f  %s\n", clip(x.Host, 16), state, x.Out, x.Millis, x.Failing, spark.Line(m.history["server "+x.Host]))
+	}
+	for i, c := range s.Changes {
+		if i >= len(s.Changes)-5 {
+			fmt.Fprintf(&b, "%s\n", dim.Render(fmt.Sprintf("%s %s > %s: %s", c.At.Format("15:04:05"), c.From, c.To, c.Why)))
+		}
+	}
+	b.WriteString(dim.Render("q quits"))
+	lines := strings.Split(b.String(), "\n")
+	for i := range lines {
+		lines[i] = lipgloss.NewStyle().MaxWidth(max(m.width, 20)).Render(lines[i])
+	}
+	return strings.Join(lines, "\n")
+}
+
+// rates are what came a second between the last two states.
+func (m Model) rates(queryType string, c admin.Customer) (served, shed float64) {
+	took := m.state.At.Sub(m.before.At).Seconds()
+	if took <= 0 || m.got < 2 {
+		return 0, 0
+	}
+	was := admin.Customer{}
+	for _, t := range m.before.Types {
+		for _, x := range t.Customers {
+			if t.Name == queryType && x.Name == c.Name {
+				was = x
+			}
+		}
+	}
+	return float64(c.Served-was.Served) / took, float64(c.Shed-was.Shed) / took
+}
+
+func zoneLine(all []admin.Server, zone string) string {
+	by := map[string]int{}
+	for _, x := range all {
+		if x.Zone == zone {
+			by[x.State]++
+		}
+	}
+	var out []string
+	for _, state := range []string{"ready", "cold", "out", "draining"} {
+		if by[state] > 0 {
+			out = append(out, fmt.Sprintf("%d %s", by[state], state))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func seconds(s float64) string { return (time.Duration(s*10) * 100 * time.Millisecond).String() }
+
+func clip(s string, n int) string {
+	if r := []rune(s); len(r) > n {
+		return string(r[:n-1]) + "…"
+	}
+	return s
+}
--- a/store/bench_test.go
+++ b/store/bench_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.etcd.io/bbolt"
 
@@ -59,7 +60,7 @@
 			}
 			defer db.Close()
 			db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket([]byte("t")); return err })
-			db.MaxBatchDelay = 0
+			db.MaxBatchDelay = time.Duration(min(callers-1, 1)) * time.Millisecond // alone it need not wait for others
 			each(b, func(key string) error {
 				return db.Batch(func(tx *bbolt.Tx) error { return tx.Bucket([]byte("t")).Put([]byte(key), value) })
 			})
--- a/store/store.go
+++ b/store/store.go
@@ -232,14 +232,12 @@
 	switch {
 	case s.closing:
 		err = ErrClosed
-	case s.broken != nil:
-		err = s.broken
-	default:
+	default: // also where it is broken: the writer says so, in its own goroutine
 		s.queue = append(s.queue, p)
 	}
 	s.mu.Unlock()
 	if err != nil {
-		p.done(err)
+		go p.done(err) // never in the caller's, which may hold what done wants
 		return
 	}
 	select {
