--- a/internal/park/ways_test.go
+++ b/internal/park/ways_test.go
@@ -35,6 +35,8 @@
 	set  *Set
 	fds  map[uint32]int
 	next uint32
+
+	workers sync.WaitGroup // that deal with what woke
 }
 
 func (p *table) park(c *net.TCPConn) bool {
@@ -76,9 +78,13 @@
 
 func (p *table) end() {
 	p.set.Stop()
+	p.workers.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, fd := range p.fds {
 		p.set.Close(fd)
 	}
+	clear(p.fds)
 }
 
 // again: net/http over a listener that re-accepts what woke; the way that was chosen.
@@ -188,7 +194,9 @@
 	p.fds = map[uint32]int{}
 	p.set, _ = New(func(value uint32, fd int) {
 		if c := p.take(value, fd); c != nil {
+			p.workers.Add(1)
 			go func() {
+				defer p.workers.Done()
 				r := bufio.NewReader(c)
 				if req, err := http.ReadRequest(r); err != nil {
 					c.Close()
@@ -246,7 +254,11 @@
 		ours := p.fds[value] == fd
 		p.mu.Unlock()
 		if ours {
-			go p.answer(value, fd)
+			p.workers.Add(1)
+			go func() {
+				defer p.workers.Done()
+				p.answer(value, fd)
+			}()
 		}
 	})
 	go func() {
