The re-accepting prototype's flags are atomic: a second race, under few processors

Need: with two processors the race detector saw net/http's own reader beside the end. Change: atomic flags; the comment says what the prototype leaves to the gatherer.

--- a/internal/park/ways_test.go
+++ b/internal/park/ways_test.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -95,34 +96,36 @@
 	srv   http.Server
 }
 
-// againConn says that it is over once nothing comes for a moment between two requests.
+// againConn says that it is over once nothing comes for a moment after the first bytes. The prototype answers at once; the
+// gatherer, which does not, looks whether it is between two requests.
 type againConn struct {
 	net.Conn
-	p     *again
-	fresh bool // nothing has been read
-	gone  bool
+	p    *again
+	read atomic.Bool // something has been
+	gone atomic.Bool // its socket is parked
 }
 
 func (c *againConn) Read(b []byte) (int, error) {
-	if !c.fresh {
+	if c.read.Load() {
 		c.Conn.SetReadDeadline(time.Now().Add(time.Millisecond))
 		n, err := c.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.Conn.SetReadDeadline(time.Time{})
 			return n, err
 		}
-		if c.gone = c.p.park(c.Conn.(*net.TCPConn)); c.gone {
+		if c.p.park(c.Conn.(*net.TCPConn)) {
+			c.gone.Store(true)
 			return 0, io.EOF
 		}
 		c.Conn.SetReadDeadline(time.Time{})
 	}
 	n, err := c.Conn.Read(b)
-	c.fresh = false
+	c.read.Store(true)
 	return n, err
 }
 
 func (c *againConn) Close() error {
-	if c.gone {
+	if c.gone.Load() {
 		return nil
 	}
 	return c.Conn.Close()
@@ -133,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &againConn{Conn: c, p: p, fresh: true}, nil
+	return &againConn{Conn: c, p: p}, nil
 }
 
 type wokenOnes struct{ *again }
@@ -143,7 +146,7 @@
 	if !ok {
 		return nil, net.ErrClosed
 	}
-	return &againConn{Conn: c, p: w.again, fresh: true}, nil
+	return &againConn{Conn: c, p: w.again}, nil
 }
 
 func (w wokenOnes) Close() error { return nil }
