A closed idle connection no longer keeps its peer's actor spinning

At fault: untilNext in internal/peer/peer.go, whose 'if c.parts == 0' took in connections that expire had closed, so the actor was due at once until their goroutines ended, and kept the only core from them. Ruled out: the module's timers (always later than now, nothing open), the list's watch, discovery (last change 13.65 s).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -145,6 +145,13 @@
 }
 
 func start(id brain.ServerID, host, addr string, f Figures, now func() brain.Time, sink Sink, budget Budget,
+	connect func(string, time.Duration) (net.Conn, error)) *Peer {
+	p := newPeer(id, host, addr, f, now, sink, budget, connect)
+	go p.run()
+	return p
+}
+
+func newPeer(id brain.ServerID, host, addr string, f Figures, now func() brain.Time, sink Sink, budget Budget,
 	connect func(string, time.Duration) (net.Conn, error)) *Peer {
 	p := &Peer{id: id, host: host, f: f, now: now, sink: sink, budget: budget, addr: addr, connect: connect,
 		mailbox: make(chan any, mailboxSize), news: make(chan any, mailboxSize), done: make(chan struct{}), out: map[subKey]*sub{}}
@@ -152,7 +159,6 @@
 	if p.f.Memory == nil {
 		p.f.Memory = noMemory{}
 	}
-	go p.run()
 	return p
 }
 
@@ -209,10 +215,15 @@
 		next = p.limits[0].Until
 	}
 	for _, c := range p.conns {
+		// One that is closed stays until its goroutines have ended. To be due for it would keep the actor awake without a
+		// pause, and on one core its goroutines would wait for that to be broken off.
+		if c.closed {
+			continue
+		}
 		if c.parts == 0 {
 			next = min(next, c.usedAt+p.idleFor())
 		}
-		if c.halfAt > 0 && !c.closed {
+		if c.halfAt > 0 {
 			next = min(next, c.halfAt+p.f.ConnectTimeout)
 		}
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -332,3 +332,30 @@
 	r.cancel(next[0])
 	r.want(next[0].ID, brain.Cancelled)
 }
+
+// stuckConn is a connection whose goroutines do not end yet although it is closed.
+type stuckConn struct{ net.Conn }
+
+func (stuckConn) Close() error { return nil }
+
+// What is left of a closed connection waits for its goroutines. Its actor must wait with it: one that is due at once, for
+// as long as that takes, leaves them no time on a single core.
+func TestClosedIdleConnectionIsNotDue(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	defer ours.Close()
+	var at brain.Time = 1e9
+	p := newPeer(1, "s-a", "a:1", Figures{ConnectTimeout: 2500, IdleClose: 300000, Streams: 4}, func() brain.Time { return at }, nil, nil, nil)
+	p.conns = append(p.conns, newConn(p, dialed{c: stuckConn{ours}, addr: p.addr}))
+	if got, want := p.untilNext(), 22500*time.Millisecond; got != want {
+		t.Errorf("a new connection is due after %v, want %v", got, want)
+	}
+	at += 225000
+	p.expire()
+	if c := p.conns[0]; !c.closed || c.why != endIdle {
+		t.Fatalf("an idle connection is not closed: %+v", c.why)
+	}
+	if got := p.untilNext(); got <= 0 {
+		t.Errorf("the actor is due after %v while a closed connection's goroutines end", got)
+	}
+}
