Trials go beside a part's own sub-request; copies use the whole budget; a third replica

Cause: with servers cut off, look-ups were shed at their target for one to three parts of twenty. At fault in brain.go: copyPart (5% of parts for copies where no budget is stated; the settings' only price is waste, 0.03), usable (a trial as a part's only sub-request), review (nothing more while two are out). Ruled out: in-flight limit (1 to 4 sheds of 5,000), predictions, descriptors, the list.

Change: those three. Four tests, each seen to fail without its code.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,9 +37,9 @@
 
 	coldSafety = 0.6 // of the rule's multiple: others may send more, or this gatherer before a restart
 
-	resendShare = 0.2  // further sub-requests per search or part taken, where no budget is stated;
-	copyPart    = 0.25 // copies are so much of them, as nobody has said that the servers have room for them
-	copyFloor   = 0.1  // of the budget left to copies when none succeeds, so that success can be seen
+	resendShare = 0.2 // further sub-requests per search or part taken, where no budget is stated
+	copyFloor   = 0.1 // of the budget left to copies when none succeeds, so that success can be seen
+	trialPart   = 0.5 // of the budget, past which no trial is made
 
 	medianStep  = 0.01               // how fast the median answer time is learned
 	learnFirst  = 100                // answers that only teach what the median is
@@ -67,10 +67,11 @@
 	advise, listPause  Time // longest advice to a client, 0 = none; longest pause between calls for the list
 
 	mayCancel, mayCopy, onRequest bool // onRequest: the list must be asked for
+	besides                       bool // trials go out beside a part's own sub-request
 
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
-	free, perItem, copies   float64 // budget of further sub-requests, per search or part; copies' part of it
+	free, perItem           float64 // budget of further sub-requests, per search or part
 	callCost                float64 // in each size, as nearly every part is a call of its own
 
 	now     Time
@@ -156,6 +157,7 @@
 	sentAt, predicted, due   Time    // due: the age at which it is overdue
 	ahead                    float64 // sizes unfinished there, as known, when it was sent
 	further, ended, neverRan bool
+	trial                    bool // beside the part's own, to see whether its server answers
 }
 
 // New makes a gatherer that knows nothing yet but its facts.
@@ -165,17 +167,18 @@
 		listPause: max(f.AskWithin/2, firstPause), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
 		onRequest: f.ListOnRequest, coldFor: f.ColdFor, fallWithin: f.FallWithin, coldShare: f.ColdShare,
 		coldMultiple: coldSafety * max(f.FallMultiple, 1), callCost: f.CallCost,
-		free: f.BudgetFree, perItem: f.BudgetShare, copies: 1,
+		free: f.BudgetFree, perItem: f.BudgetShare,
 		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
 	span := f.BudgetSpan
 	if !f.HasBudget {
-		g.copies, g.free, g.perItem, span = copyPart, float64(g.most), resendShare, 10*shareSpan
+		g.free, g.perItem, span = float64(g.most), resendShare, 10*shareSpan
 	}
 	g.extra, g.taken = newTally(span), newTally(span)
 	for _, t := range f.QueryTypes {
 		g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, f.Tick))
+		g.besides = g.besides || f.MayCopy && f.MayCancel && t.Effect == Idempotent
 		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
 			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0})
 	}
@@ -264,6 +267,7 @@
 type placing struct { // one part's place in a plan and its predicted finish, from now
 	p      *part
 	s      *server // nil = no replica can be used
+	tried  *server // on trial, to be sent the part too; nil = none
 	finish Time
 }
 
@@ -283,11 +287,14 @@
 		clear(g.planned)
 		plan := make([]placing, 0, len(q.parts))
 		for _, p := range q.parts {
-			b := placing{p, g.replica(p, offset), never}
-			if b.s != nil {
+			b := placing{p: p, finish: never}
+			if b.s, b.tried = g.replica(p, offset); b.s != nil {
 				b.finish = g.predict(b.s, p)
 				g.planned[b.s] += p.size
 			}
+			if b.tried != nil {
+				g.planned[b.tried] += p.size
+			}
 			plan = append(plan, b)
 		}
 		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
@@ -330,12 +337,20 @@
 			g.send(b.p, b.s)
 		}
 	}
+	for _, b := range best {
+		if len(b.p.tries) == 1 && b.tried != nil && b.tried != b.s && g.allowed(b.tried, b.p) &&
+			g.affords(trialPart) {
+			g.send(b.p, b.tried)
+			b.p.tries[1].trial = true
+		}
+	}
 	g.review(q)
 }
 
 // replica names a part's replica at an offset, or the next one that can be used. On a ring the offset marks
 // every reach-th cell and a part goes to its replica there; in sets they are counted by offset plus shard.
-func (g *Gatherer) replica(p *part, offset int) *server {
+// Where the one named is due for a trial it is told too.
+func (g *Gatherer) replica(p *part, offset int) (s, tried *server) {
 	all := g.holders[p.shard]
 	start, nearest := (offset+int(p.shard))%max(len(all), 1), g.reach
 	for i, s := range all {
@@ -344,12 +359,16 @@
 		}
 	}
 	for i := range all {
-		if s := all[(start+i)%len(all)]; g.usable(s, p) {
-			return s
+		if s = all[(start+i)%len(all)]; g.usable(s, p) {
+			return s, tried
+		}
+		if i == 0 && g.besides && s.trial && p.q.rules.effect == Idempotent && s.outUntil <= g.now &&
+			len(s.out) == 0 && g.planned[s] == 0 {
+			tried = s
 		}
 	}
-	s, _ := g.pick(p)
-	return s
+	s, _ = g.pick(p)
+	return s, tried
 }
 
 // pick is the usable replica predicted to end a part first. When none is usable it is the least bad one
@@ -370,7 +389,9 @@
 }
 
 // allowed tells whether the rules let a part go to a ready server; usable, that it also looks sound and has
-// not had the part. On trial it takes one part at a time, an idempotent one unless that is long in coming.
+// not had the part. On trial it takes one idempotent part at a time, beside the part's own sub-request where that
+// may be: while a third of a fleet is cut off every search of twenty parts would else depend on some trial. One
+// that is long in coming is made with any part.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
 	return !out && g.room(s, p.size)
@@ -381,7 +402,7 @@
 	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silence(s.out...) > 1 {
 		return false
 	}
-	fit := p.q.rules.effect == Idempotent || g.now > s.outUntil+longestOut*g.pause
+	fit := p.q.rules.effect == Idempotent && !g.besides || g.now > s.outUntil+max(longestOut*g.pause, rateAge)
 	return !s.trial || fit && len(s.out) == 0 && g.planned[s] == 0
 }
 
@@ -477,7 +498,7 @@
 		g.queued += (s.queue - g.queued) * slowWeight
 	}
 	won := e.Outcome == Answered && !p.done && g.open[p.q.id] == p.q
-	if r.further && e.Outcome != Moot {
+	if r.further && !r.trial && e.Outcome != Moot {
 		g.success -= g.success * slowWeight
 		if won {
 			g.success += slowWeight
@@ -574,15 +595,20 @@
 		if p.done {
 			continue
 		}
-		due, wait := never, Time(0)
-		for _, r := range p.tries {
-			if !r.ended {
-				due = min(due, r.sentAt+r.due)
+		due, last, wait, flying, trial, oldest := never, Time(0), Time(0), 0, -1, -1
+		for no, r := range p.tries {
+			if r.trial && !r.ended {
+				trial = no
+			} else if !r.ended {
+				due, last, flying = min(due, r.sentAt+r.due), max(last, r.sentAt+r.due), flying+1
+				if flying == 1 {
+					oldest = no
+				}
 			}
 			// Without a sound replica the last tries are spread over the time: erring servers use them up at once.
 			wait = r.sentAt + (q.end-r.sentAt)/4
 		}
-		if due > g.now && p.flying > 0 {
+		if due > g.now && flying > 0 {
 			next = min(next, due)
 			continue
 		}
@@ -590,12 +616,17 @@
 		next = min(next, g.now+g.pause/lookShare)
 		s, usable := g.pick(p)
 		switch {
-		case s == nil || !g.mayRepeat(p) || p.flying == 0 && !usable && g.now < wait:
-		case p.flying == 0 && (len(p.tries) == 0 || g.affords(1)):
+		case s == nil || !g.mayRepeat(p) || flying == 0 && !usable && g.now < wait:
+		case flying == 0 && (len(p.tries) == 0 || g.affords(1)):
 			g.send(p, s)
-		case p.flying == 1 && g.mayCopy && usable && g.affords(g.copies*max(copyFloor, g.success)) &&
-			g.now+g.predict(s, p) < q.target:
+		case flying == 1 && trial >= 0: // it makes room for a copy: no more than two may be out
+			g.do(Cancel{p.id, SendNo(trial)})
+		case flying == 0 || !usable || !g.mayCopy || !g.affords(max(copyFloor, g.success)) ||
+			g.now+g.predict(s, p) >= q.target:
+		case flying == 1:
 			g.send(p, s)
+		case last <= g.now && g.silence(p.tries[oldest]) > 1 && g.mayCancel: // both may have met what is cut off
+			g.do(Cancel{p.id, SendNo(oldest)})
 		}
 	}
 	g.look(q, next)
@@ -652,7 +683,7 @@
 func (g *Gatherer) cancel(parts ...*part) {
 	for _, p := range parts {
 		for no, r := range p.tries {
-			if g.mayCancel && !r.ended {
+			if g.mayCancel && !r.ended && !r.trial { // a trial is seen to its end, or it would tell nothing
 				g.do(Cancel{p.id, SendNo(no)})
 			}
 		}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -371,3 +371,109 @@
 	})
 	deny(t, b.servers[1].outUntil > b.now+longestOut*b.pause, "out for longer than any failure takes it out")
 }
+
+// sends are the ones among the last actions.
+func (b *bench) sends() (out []Send) {
+	for _, a := range b.last {
+		if s, ok := a.(Send); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// wake passes time and hands over the search's timer.
+func (b *bench) wake(after Time) []Action {
+	b.at += after
+	return b.do(TimerFired{TimerID(b.next)})
+}
+
+// A gatherer of a fleet sees a search a second, and a third of the servers may be cut off: a part whose own sub-request
+// is the trial of a server that failed costs its search. So the trial goes out beside it.
+func TestTrialGoesOutBesideAPartsOwnSubRequest(t *testing.T) {
+	b := newBench(4, nil)
+	b.answered(60, 100)
+	bad := b.to(t, 1, 100)
+	b.end(bad, 100, ConnectFailed)
+	s := b.servers[1]
+	for _, again := range b.sends() {
+		b.end(again, 100, Answered)
+	}
+	b.at = max(b.at, s.outUntil) + 1
+	for range 100 {
+		out := b.search(1)
+		if len(out) == 0 || out[0].Server == 1 {
+			t.Fatalf("a search depends on the server on trial: %v", out)
+		}
+		if len(out) == 2 {
+			deny(t, out[1].Server != 1, "the second sub-request went to %d", out[1].Server)
+			b.end(out[0], 100, Answered)
+			deny(t, slices.ContainsFunc(b.last, func(a Action) bool { _, ok := a.(Cancel); return ok }), "the trial was called off")
+			b.at += 100
+			b.do(SubRequestEnded{Part: out[1].Part, Send: 1, Server: 1, Elapsed: 200, Outcome: Answered})
+			deny(t, s.trial, "its answer did not end the trial")
+			return
+		}
+		b.end(out[0], 100, Answered)
+	}
+	t.Error("no trial was made")
+}
+
+// Where trials use up their half of the budget, what is left is for parts that failed.
+func TestTrialsLeaveHalfOfTheBudget(t *testing.T) {
+	b := newBench(8, nil)
+	b.answered(100, 100)
+	most := 0.0
+	for range 400 {
+		b.at += 100
+		for id := range 4 {
+			s := b.servers[ServerID(id+1)]
+			s.trial, s.outUntil = true, b.at-1
+		}
+		for i, s := range b.search(1) {
+			b.do(SubRequestEnded{Part: s.Part, Send: SendNo(i), Server: s.Server, Elapsed: 50, Outcome: Answered})
+		}
+		most = max(most, b.extra.most(b.now)/(b.free+b.perItem*b.taken.least(b.now)))
+	}
+	deny(t, most < 0.2 || most > trialPart+0.01, "trials used %.2f of the budget", most)
+}
+
+// Where no budget is stated copies may use all of the one that is taken: at a quarter of it searches of twenty parts waited
+// for one of them beside three idle replicas.
+func TestCopiesMayUseTheWholeBudget(t *testing.T) {
+	b := newBench(3, nil)
+	b.answered(200, 100)
+	budget := b.free + b.perItem*b.taken.least(b.now)
+	b.extra.add(b.now, budget/2)
+	own := b.search(1)[0]
+	due := b.out[own.Part].tries[0].due
+	b.wake(due)
+	if got := b.sends(); len(got) != 1 || got[0].Server == own.Server {
+		t.Errorf("with half of the budget left an overdue part brought %v", got)
+	}
+}
+
+// A part and its copy may both have met servers that are cut off. No more than two may be out: the first gives way.
+func TestThirdReplicaIsAskedWhenTwoAreSilent(t *testing.T) {
+	b := newBench(4, func(f *Facts) { f.MostSubRequests = 4 })
+	b.answered(200, 100)
+	own := b.search(1)[0]
+	p := b.out[own.Part]
+	b.wake(p.tries[0].due)
+	second := b.sends()
+	if len(second) != 1 {
+		t.Fatalf("the overdue part brought %v", b.last)
+	}
+	for range 200 {
+		if b.wake(100); len(b.last) > 0 && b.at >= p.tries[1].sentAt+p.tries[1].due {
+			break
+		}
+	}
+	deny(t, !slices.Contains(b.last, Action(Cancel{own.Part, 0})), "with both silent it brought %v", b.last)
+	b.do(SubRequestEnded{Part: own.Part, Send: 0, Server: own.Server, Elapsed: 1, Outcome: Cancelled})
+	third := b.sends()
+	if len(third) != 1 || third[0].Server == own.Server || third[0].Server == second[0].Server {
+		t.Errorf("a third replica was to be asked: %v", b.last)
+	}
+	deny(t, p.flying != 2, "%d are out", p.flying)
+}
