A zone's losses tell on its servers; idle connections to draining servers are let go

At fault: predict in brain.go, a server's own record alone. At fault: takeList in gatherer/module.go told peers nothing of a drain; came in internal/peer/peer.go kept all connections. Ruled out: dials (no failed one has a line), servers' limits.

Change: both, each test seen to fail without its code.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,6 +31,7 @@
 	softFailure = 0.2               // weight of an error: two close together are needed
 	hardFailure = 0.4               // weight of a dead connection or of silence: one is enough
 	goodWeight  = 0.1               // weight of an answer
+	zoneWeight  = 0.2               // of an answer or a hard failure, for all servers of a zone
 	firstPause  = 500 * Millisecond // the list is unasked so long after a failure; a server is out at first
 	pauseShare  = 2                 // the shortest target / pauseShare, but no longer
 	longestOut  = 8                 // the pause doubles up to so many times the first
@@ -85,6 +86,7 @@
 	out     map[PartID]*part     // parts in flight; emptied by outcomes: each sub-request gets one
 	nextAsk Time                 // the list timer's next pause, and whether it is set
 	asking  bool
+	zones   map[ZoneNo]*zone    // as many as the settings name
 	planned map[*server]float64 // sizes within the plan being drawn; emptied by the next
 
 	average                float64 // latency per unit size, over the ready servers heard from; 0 = none
@@ -111,9 +113,17 @@
 	took    tally   // its searches that were not shed
 }
 
+// zone is what the servers of one zone show together: one that is lost or cut off takes them all along, and a
+// gatherer that sees a search a second would find them out one by one.
+type zone struct {
+	failing  float64 // smoothed share of hard failures
+	failedAt Time
+}
+
 type server struct {
 	id               ServerID
 	cell             CellNo
+	zone             *zone
 	state            ServerState
 	upSince          Time // when it last started, as listed; 0 = long ago
 	heardAt          Time
@@ -170,6 +180,7 @@
 		free: f.BudgetFree, perItem: f.BudgetShare,
 		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
+		zones:   map[ZoneNo]*zone{},
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
 	span := f.BudgetSpan
 	if !f.HasBudget {
@@ -389,9 +400,9 @@
 }
 
 // allowed tells whether the rules let a part go to a ready server; usable, that it also looks sound and has
-// not had the part. On trial it takes one idempotent part at a time, beside the part's own sub-request where that
-// may be: while a third of a fleet is cut off every search of twenty parts would else depend on some trial. One
-// that is long in coming is made with any part.
+// not had the part. On trial it takes one idempotent part at a time, beside the part's own sub-request where
+// that may be: while a third of a fleet is cut off every search of twenty parts would else depend on some
+// trial. One that is long in coming is made with any part.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
 	return !out && g.room(s, p.size)
@@ -418,7 +429,11 @@
 	}
 	// A slowdown of seconds, before smoothing catches up: the longer something is out without a word, the slower
 	// the server is held to be. A stall shows likewise. Harm: one odd part makes a sound server look slow.
-	rate *= (1 + silenceWeight*g.silence(s.out...)) / (1 - min(s.failing, 0.99))
+	failing := s.failing
+	if s.heardAt <= s.zone.failedAt { // nothing says that it is better than its zone
+		failing = max(failing, s.zone.failing*g.fresh(s.zone.failedAt, rateAge))
+	}
+	rate *= (1 + silenceWeight*g.silence(s.out...)) / (1 - min(failing, 0.99))
 	ahead := s.backlog + g.queue(s)*g.size + g.planned[s]
 	return Time(min(rate*(ahead+p.size), float64(never-1)))
 }
@@ -518,6 +533,7 @@
 	case Answered:
 		g.answered(float64(max(e.Elapsed, 1)) / p.size)
 		s.failing -= s.failing * goodWeight
+		s.zone.failing -= s.zone.failing * zoneWeight
 		s.trial = s.trial && r.sentAt < s.outUntil
 		if s.failing < goodWeight {
 			s.pause = g.pause
@@ -529,6 +545,8 @@
 	case ConnectFailed, Reset, TimedOut, Cancelled:
 		if e.Outcome == ConnectFailed || e.Outcome == Reset || g.silence(r) > 1 {
 			g.failed(s, hardFailure)
+			s.zone.failing += (1 - s.zone.failing) * zoneWeight
+			s.zone.failedAt = g.now
 		}
 	}
 	if e.Outcome <= TurnedAway {
@@ -776,6 +794,10 @@
 		}
 		g.seat(s, Gone)
 		s.cell = entry.Cell
+		if s.zone = g.zones[entry.Zone]; s.zone == nil {
+			s.zone = &zone{}
+			g.zones[entry.Zone] = s.zone
+		}
 		g.seat(s, entry.State)
 		if entry.UpSince != s.upSince {
 			// Started anew: nothing learned of it holds any more.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -477,3 +477,49 @@
 	}
 	deny(t, p.flying != 2, "%d are out", p.flying)
 }
+
+// A gatherer that sees a search a second would find out the servers of a zone that is cut off one by one. Some of them
+// tell on the others, until one of these answers or that is long ago.
+func TestAZonesFailuresTellOnItsOtherServers(t *testing.T) {
+	b := newBench(0, func(f *Facts) { f.MostSubRequests = 1 })
+	var list []Server
+	for id := range 12 {
+		list = append(list, Server{ID: ServerID(id + 1), State: Ready, Zone: ZoneNo(id % 2)})
+	}
+	b.do(ServerList{ListWhole, list})
+	b.answered(300, 1000)
+	predicted := func(id ServerID) Time {
+		return b.predict(b.servers[id], &part{q: &search{rules: &b.types[0]}, size: 1})
+	}
+	before, other := predicted(8), predicted(7)
+	for left := []ServerID{2, 4, 6}; len(left) > 0; {
+		s := b.search(1)[0]
+		at := slices.Index(left, s.Server)
+		switch {
+		case at >= 0:
+			b.end(s, 100, ConnectFailed)
+			left = slices.Delete(left, at, at+1)
+		case s.Server%2 == 0: // the rest of the zone is not heard from
+			b.end(s, 0, Moot)
+		default:
+			b.end(s, 1000, Answered)
+		}
+	}
+	b.servers[8].heardAt = 0 // nothing was asked of it since
+	if now := predicted(8); now < 3*before/2 {
+		t.Errorf("after three servers of its zone were lost one is predicted to take %d, %d before", now, before)
+	}
+	if now := predicted(7); now > 3*other/2 {
+		t.Errorf("a server of the other zone is predicted to take %d, %d before", now, other)
+	}
+	b.servers[8].heardAt = b.at + 1
+	if now := predicted(8); now > 3*before/2 {
+		t.Errorf("one that spoke since is predicted to take %d, %d before", now, before)
+	}
+	b.servers[8].heardAt = 0
+	b.at += rateAge
+	b.do(TimerFired{})
+	if now := predicted(8); now > 3*before/2 {
+		t.Errorf("long after it is predicted to take %d, %d before", now, before)
+	}
+}
--- a/gatherer/module.go
+++ b/gatherer/module.go
@@ -557,6 +557,9 @@
 			s.peer.Stop() // too busy to be told: it finishes what it has, another takes what comes
 			s.peer = peer.Start(id, e.Host, e.Dial, m.figures, m.clock.now, m.mailbox, m.budget)
 		}
+		if entry.State == brain.Draining && s.peer != nil {
+			s.peer.Offer(peer.Drain{}) // lost when the mailbox is full: its connections then end with the server
+		}
 		s.addr, s.since = e.Dial, since
 		s.draining, s.cell, s.zone = entry.State == brain.Draining, e.Cell, e.Zone
 		ev.Servers = append(ev.Servers, entry)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,6 +21,8 @@
 	endUnlisted  = "unlisted"        // ours: the server has left the list
 	endStopped   = "stopped"         // ours: the program ends
 	endRestarted = "restarted"       // ours: the server started anew, this led to the process before
+	endDraining  = "draining"        // ours: the server drains, nothing new is sent there
+	endSurplus   = "surplus"         // ours: nothing is out on it, and another carries what comes
 	endMoved     = "moved"           // ours: the server listens elsewhere
 	endSilent    = "silent"          // ours: nothing came on it for long, and others are silent too
 	endForm      = "bad_form"        // ours: the server sent what is not the protocol's form
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,8 @@
 	Probe struct{}
 	// Quit closes all connections, whatever is out on them.
 	Quit struct{}
+	// Drain says that nothing new will be sent: connections end once what is out on them has.
+	Drain struct{}
 	// Moved says where the server now listens and since when it runs.
 	Moved struct {
 		Addr  string
@@ -268,11 +270,23 @@
 			c.close(endStopped)
 		}
 		p.failWaiting()
+	case Drain:
+		p.drain()
 	case Moved:
 		p.moved(o)
 	}
 }
 
+// drain lets a server go that takes nothing new. While a release goes on its connections would hold descriptors that those
+// to the servers in its place need, until it ends. Calls that wait for a connection never ran and may go elsewhere.
+func (p *Peer) drain() {
+	p.failWaiting()
+	for _, c := range p.conns {
+		c.leaving = endDraining
+		c.closeIfDone()
+	}
+}
+
 // moved meets a server that started anew or listens elsewhere. Connections from before its start lead to a
 // process that is no more; those to an old address only finish what they carry.
 func (p *Peer) moved(o Moved) {
@@ -510,6 +524,20 @@
 	}
 	c.closeIfDone()
 	p.place()
+	p.thin(c)
+}
+
+// thin closes what carries nothing beside a connection that was just heard on and has room for as much again: second
+// ones are opened while a server is silent, and kept they would use up what the connections to a fleet's other servers need.
+func (p *Peer) thin(heard *conn) {
+	if heard.closed || heard.leaving != "" || 2*heard.parts > p.f.Streams {
+		return
+	}
+	for _, c := range p.conns {
+		if c != heard && c.parts == 0 && !slices.Contains(p.probes, c) {
+			c.close(endSurplus)
+		}
+	}
 }
 
 func (p *Peer) answered(c *conn, f inFrame, first bool) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -176,7 +176,7 @@
 
 func TestASilentConnectionGetsNoNewParts(t *testing.T) {
 	r := newRig(t)
-	first := r.call("a.0")
+	first := r.call("a.0", "a.1")
 	c := take(t, r.dials)
 	r.frame(c)
 	r.pass(100)
@@ -191,10 +191,43 @@
 	// A word on the old one, and it is as good as any; the answer to what was given up is dropped.
 	r.pass(100)
 	c.Write(frame.Whole(frame.Answer, "a.0 served 5 -\nlate"))
+	c.Write(frame.Whole(frame.Answer, "a.1 served 5 -\nv"))
+	r.want(first[1].ID, brain.Answered)
+	third := r.call("c.0")
+	r.frame(c)
+	// Of the two one carries all there is. The other would hold a descriptor until it has been idle for long.
 	d.Write(frame.Whole(frame.Answer, "b.0 served 5 -\nv"))
 	r.want(second[0].ID, brain.Answered)
-	r.call("c.0")
+	c.Write(frame.Whole(frame.Answer, "c.0 served 5 -\nv"))
+	r.want(third[0].ID, brain.Answered)
+	r.closed(d)
+	r.call("d.0")
+	r.frame(c)
+}
+
+// closed waits until the peer has closed a connection.
+func (r *rig) closed(c net.Conn) {
+	r.t.Helper()
+	c.SetReadDeadline(time.Now().Add(wait))
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		r.t.Errorf("a connection that should be closed gives %v", err)
+	}
+}
+
+// Through a release a gatherer held connections to the servers that drained, for as long as these ran, and had none left
+// for the servers in their place.
+func TestADrainingServersConnectionsEndWithWhatIsOut(t *testing.T) {
+	r := newRig(t)
+	parts := r.call("a.0")
+	c := take(t, r.dials)
 	r.frame(c)
+	r.p.Offer(Drain{})
+	r.refuse.Store(true)
+	late := r.call("b.0") // was on its way already: not sent, as it would be sent on a new connection
+	r.want(late[0].ID, brain.ConnectFailed)
+	c.Write(frame.Whole(frame.Answer, "a.0 served 5 -\nv"))
+	r.want(parts[0].ID, brain.Answered)
+	r.closed(c)
 }
 
 func TestIdleConnectionsAreClosedBeforeTheServerMust(t *testing.T) {
