No trial beside a part that may go out only once

Cause: found on reading the change again: fanOut in brain.go sent a trial beside a part's own sub-request without asking the limit per part, so that with a limit of one it went out twice. Ruled out: review asks mayRepeat. Change: trials go beside only where the limit is over one, else the trial is the part's own; a test, seen to fail without it.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -189,7 +189,7 @@
 	g.extra, g.taken = newTally(span), newTally(span)
 	for _, t := range f.QueryTypes {
 		g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, f.Tick))
-		g.besides = g.besides || f.MayCopy && f.MayCancel && t.Effect == Idempotent
+		g.besides = g.besides || f.MayCopy && f.MayCancel && f.MostSubRequests > 1 && t.Effect == Idempotent
 		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
 			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0})
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -523,3 +523,20 @@
 		t.Errorf("long after it is predicted to take %d, %d before", now, before)
 	}
 }
+
+// Where a part may go out only once there is no second sub-request for a trial: the trial is the part's own.
+func TestNoTrialBesideWhereAPartGoesOutOnce(t *testing.T) {
+	b := newBench(2, func(f *Facts) { f.MostSubRequests = 1 })
+	b.answered(20, 100)
+	b.servers[1].trial, b.servers[1].outUntil = true, b.at-1
+	tried := false
+	for range 50 {
+		out := b.search(1)
+		if len(out) != 1 {
+			t.Fatalf("one part that may go out once brought %d sub-requests", len(out))
+		}
+		tried = tried || out[0].Server == 1
+		b.end(out[0], 100, Answered)
+	}
+	deny(t, !tried, "the server on trial was never tried")
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -240,10 +240,7 @@
 	r.want(parts[0].ID, brain.Answered)
 	r.pass(225000)
 	r.cancel(Part{}) // wakes the actor
-	c.SetReadDeadline(time.Now().Add(wait))
-	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
-		t.Errorf("the idle connection gives %v", err)
-	}
+	r.closed(c)
 }
 
 func TestServerThatStartedAnew(t *testing.T) {
