brain.go split by concern: plan, health, cold, further, limit, moment, list

Cause: the system's new front is to share the decisions, and one file of 970 lines held all of them. Ruled out: a package for each concern; they share one table of servers and searches, and half of the lines would be imports. Change: a pure move of functions into files, all named in policy; no line of code changed.

--- /dev/null
+++ b/brain/list.go
@@ -0,0 +1,79 @@
+package brain
+
+// The server list.
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// list applies what the list says. Where it must be asked for, a failed call is followed by another after a
+// pause that doubles, with some chance in it, so that gatherers do not flood a list service already late.
+func (g *Gatherer) list(e ServerList) {
+	if e.Kind == ListFailed {
+		if g.onRequest && !g.asking {
+			g.asking = true
+			g.do(Wake{g.now + g.nextAsk/2 + Time(g.rand.below(int(g.nextAsk))), listTimer})
+			g.nextAsk = min(2*g.nextAsk, g.listPause)
+		}
+		return
+	}
+	g.nextAsk = firstPause
+	if e.Kind == ListCached && g.onRequest {
+		g.do(Subscribe{})
+	}
+	if e.Kind != ListChanges {
+		for _, s := range slices.Clone(g.ready) {
+			g.seat(s, Gone)
+		}
+	}
+	for _, entry := range e.Servers {
+		s := g.servers[entry.ID]
+		if s == nil {
+			s = &server{id: entry.ID, upSince: -1, sent: newTally(g.fallWithin)}
+			g.servers[entry.ID] = s
+		}
+		g.seat(s, Gone)
+		s.cell = entry.Cell
+		if s.zone = g.zones[entry.Zone]; s.zone == nil {
+			s.zone = &zone{}
+			g.zones[entry.Zone] = s.zone
+		}
+		g.seat(s, entry.State)
+		if entry.UpSince != s.upSince {
+			// Started anew: nothing learned of it holds any more.
+			s.upSince, s.pause = entry.UpSince, g.pause
+			s.rate, s.toldAt, s.failing, s.outUntil, s.trial = 0, 0, 0, 0, false
+		}
+	}
+	if len(g.servers) > 2*len(g.ready) {
+		maps.DeleteFunc(g.servers, func(_ ServerID, s *server) bool {
+			return s.state == Gone && len(s.out) == 0 && s.sent.most(g.now) == 0
+		})
+	}
+}
+
+// seat changes a server's state and its place among the ready ones and the holders, at the cost of its entry.
+func (g *Gatherer) seat(s *server, state ServerState) {
+	if (s.state == Ready) != (state == Ready) {
+		seats := []*[]*server{&g.ready}
+		for j := range g.reach {
+			shard := ((int(s.cell)-j)%g.cells + g.cells) % g.cells
+			for ; shard < len(g.holders); shard += g.cells {
+				seats = append(seats, &g.holders[shard])
+			}
+		}
+		for _, all := range seats {
+			at, _ := slices.BinarySearchFunc(*all, s, func(a, b *server) int {
+				return cmp.Or(cmp.Compare(a.cell, b.cell), cmp.Compare(a.id, b.id))
+			})
+			if state == Ready {
+				*all = slices.Insert(*all, at, s)
+			} else {
+				*all = slices.Delete(*all, at, at+1)
+			}
+		}
+	}
+	s.state = state
+}
--- /dev/null
+++ b/brain/plan.go
@@ -0,0 +1,182 @@
+package brain
+
+// The ordinary path: two plans, the prediction, and what takes a part off its plan.
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+type placing struct { // one part's place in a plan and its predicted finish, from now
+	p      *part
+	s      *server // nil = no replica can be used
+	tried  *server // on trial, to be sent the part too; nil = none
+	finish Time
+}
+
+// fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
+// whose slowest part ends first is sent.
+func (g *Gatherer) fanOut(q *search, parts []Part) {
+	g.taken.add(g.now, float64(len(parts)))
+	for _, p := range parts {
+		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1) + g.callCost}
+		g.size += (own.size - g.size) * slowWeight
+		q.parts = append(q.parts, own)
+	}
+	var best []placing
+	slowest := Time(math.MaxInt64)
+	for range 2 {
+		offset := g.rand.below(1 << 16)
+		clear(g.planned)
+		plan := make([]placing, 0, len(q.parts))
+		for _, p := range q.parts {
+			b := placing{p: p, finish: never}
+			if b.s, b.tried = g.replica(p, offset); b.s != nil {
+				b.finish = g.predict(b.s, p)
+				g.planned[b.s] += p.size
+			}
+			if b.tried != nil {
+				g.planned[b.tried] += p.size
+			}
+			plan = append(plan, b)
+		}
+		slices.SortStableFunc(plan, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
+		if end := plan[len(plan)-1].finish; end < slowest {
+			best, slowest = plan, end
+		}
+	}
+	late := q.end // but while places are short its target counts: the sooner, the longer answers take
+	falling := min(1, limitSlack*cmp.Or(g.short, 1)/cmp.Or(g.present, 1))
+	if float64(len(g.out)) >= pressed*g.limit*math.Pow(falling, longPower) {
+		late = q.target
+	}
+	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
+	slowest, idle := Time(0), false // idle: the slowest part would have its server to itself
+	clear(g.planned)
+	for _, b := range best {
+		g.planned[b.s] += b.p.size
+	}
+	for i := range best {
+		b := &best[i]
+		if b.finish > best[0].finish+gap || g.now+b.finish > late {
+			g.planned[b.s] -= b.p.size
+			if s, usable := g.pick(b.p); usable && g.predict(s, b.p) < b.finish {
+				b.s, b.finish = s, g.predict(s, b.p)
+			}
+			g.planned[b.s] += b.p.size
+		}
+		if b.finish > slowest {
+			slowest, idle = b.finish, b.s != nil && b.s.backlog+g.queue(b.s)+g.planned[b.s] <= b.p.size
+		}
+	}
+	// What cannot end in time even so is better not begun, unless it waits for nothing there: only asking tells
+	// whether a server is still slow. Guards against a fleet that stands idle while searches are shed.
+	clear(g.planned)
+	if !q.second && slowest < never && (!idle && g.now+slowest > late || g.now >= q.end) {
+		g.giveUp(q)
+		return
+	}
+	for _, b := range best {
+		if b.s != nil && g.allowed(b.s, b.p) {
+			g.send(b.p, b.s)
+		}
+	}
+	for _, b := range best {
+		if len(b.p.tries) == 1 && b.tried != nil && b.tried != b.s && g.allowed(b.tried, b.p) &&
+			g.affords(trialPart) {
+			g.send(b.p, b.tried)
+			b.p.tries[1].trial = true
+		}
+	}
+	g.review(q)
+}
+
+// replica names a part's replica at an offset, or the next one that can be used. On a ring the offset marks
+// every reach-th cell and a part goes to its replica there; in sets they are counted by offset plus shard.
+// Where the one named is due for a trial it is told too.
+func (g *Gatherer) replica(p *part, offset int) (s, tried *server) {
+	all := g.holders[p.shard]
+	start, nearest := (offset+int(p.shard))%max(len(all), 1), g.reach
+	for i, s := range all {
+		if far := ((int(s.cell)-offset)%g.reach + g.reach) % g.reach; g.reach > 1 && far < nearest {
+			start, nearest = i, far
+		}
+	}
+	for i := range all {
+		if s = all[(start+i)%len(all)]; g.usable(s, p) {
+			return s, tried
+		}
+		if i == 0 && g.besides && s.trial && p.q.rules.effect == Idempotent && s.outUntil <= g.now &&
+			len(s.out) == 0 && g.planned[s] == 0 {
+			tried = s
+		}
+	}
+	s, _ = g.pick(p)
+	return s, tried
+}
+
+// pick is the usable replica predicted to end a part first. When none is usable it is the least bad one
+// that the rules allow: one that fails seldom and ends soon.
+func (g *Gatherer) pick(p *part) (best *server, usable bool) {
+	least := math.Inf(1)
+	for _, s := range g.holders[p.shard] {
+		good := g.usable(s, p)
+		if usable && !good || !g.allowed(s, p) {
+			continue
+		}
+		figure := float64(g.predict(s, p))
+		if good && !usable || figure < least {
+			best, least, usable = s, figure, good
+		}
+	}
+	return best, usable
+}
+
+// allowed tells whether the rules let a part go to a ready server; usable, that it also looks sound and has
+// not had the part. On trial it takes one idempotent part at a time, beside the part's own sub-request where
+// that may be: while a third of a fleet is cut off every search of twenty parts would else depend on some
+// trial. One that is long in coming is made with any part.
+func (g *Gatherer) allowed(s *server, p *part) bool {
+	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
+	return !out && g.room(s, p.size)
+}
+
+func (g *Gatherer) usable(s *server, p *part) bool {
+	had := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s })
+	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silence(s.out...) > 1 ||
+		g.gates && s.trial && s.probedAt < s.outUntil && g.now < s.outUntil+rateAge {
+		return false
+	}
+	fit := p.q.rules.effect == Idempotent && !g.besides || g.now > s.outUntil+max(longestOut*g.pause, rateAge)
+	return !s.trial || fit && len(s.out) == 0 && g.planned[s] == 0
+}
+
+// predict is when a part would end at a server, from now: its size after the unfinished ones there.
+func (g *Gatherer) predict(s *server, p *part) Time {
+	rate := g.average
+	if rate == 0 {
+		rate = float64(p.q.rules.target) / firstShare / p.size
+	}
+	rate /= g.warmth(s)
+	if s.rate > 0 {
+		rate += (s.rate - rate) * g.fresh(s.taughtAt, rateAge)
+	}
+	// A slowdown of seconds, before smoothing catches up: the longer something is out without a word, the slower
+	// the server is held to be. A stall shows likewise. Harm: one odd part makes a sound server look slow.
+	failing := s.failing
+	if s.heardAt <= s.zone.failedAt { // nothing says that it is better than its zone
+		failing = max(failing, s.zone.failing*g.fresh(s.zone.failedAt, rateAge))
+	}
+	rate *= (1 + silenceWeight*g.silence(s.out...)) / (1 - min(failing, 0.99))
+	ahead := s.backlog + g.queue(s)*g.size + g.planned[s]
+	return Time(min(rate*(ahead+p.size), float64(never-1)))
+}
+
+// queue is what a server reported, or the mean report as that grows old.
+func (g *Gatherer) queue(s *server) float64 {
+	return g.queued + (s.queue-g.queued)*g.fresh(s.toldAt, queueAge)
+}
+
+// fresh is how much news of a moment still counts: all at once, nothing when it is so old.
+func (g *Gatherer) fresh(at, age Time) float64 { return max(0, 1-float64(g.now-at)/float64(age)) }
--- a/brain/types.go
+++ b/brain/types.go
@@ -1,5 +1,5 @@
 // Package brain decides, for one gatherer, where the parts of each search go and when it is answered.
-// This file is its interface; brain.go holds every decision.
+// This file is its interface; the others hold every decision, by concern.
 package brain
 
 // Time is a moment or a span in whole tenths of a millisecond.
