--- a/brain/brain.go
+++ b/brain/brain.go
@@ -12,7 +12,10 @@
 //  5. Moment to answer: whole at once, short at the latency target, given up in time.
 //  6. List keeping: a subscription asked for again with growing pauses; unlisted servers are forgotten.
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	gap           = 100 * Millisecond   // the design's: a part so far behind the fastest moves once
@@ -51,6 +54,11 @@
 	pressed     = 0.5                // of the limit: past it places are short; customers are held to shares
 	shareSpan   = 2000 * Millisecond // over which a customer's searches are held against its share
 
+	clientAway    = 10 * Millisecond // of a target that counts at the client, what its connection and the answer's way take
+	fleetSafety   = 0.8              // of the free budget of all gatherers: one that is frozen or cut off may still use its part
+	adviseShare   = 8                // a shed client is told to come back after target / adviseShare, where it may be told so
+	patienceFades = 200              // the longest patience seen is forgotten by a part in so many, per search
+
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
 	lookShare   = 25   // of the first pause, until a part that waits or is late is looked at again
 
@@ -60,7 +68,7 @@
 
 // Gatherer holds all that one gatherer knows.
 type Gatherer struct {
-	types              []typeRules
+	types              []*typeRules
 	customers          []customer
 	cells, reach, most int  // most: sub-requests for one part
 	margin, pause      Time // what must be done by a moment is done so much earlier; a server's first time out
@@ -74,6 +82,10 @@
 	coldFor, fallWithin     Time
 	coldShare, coldMultiple float64
 	free, perItem           float64 // budget of further sub-requests, per search or part
+	freeAll, fleetMost      float64 // of all gatherers, 0 = free is stated; and the most gatherers of late
+	waits, span, shrinkAt   Time    // nothing is free before waits; fewer gatherers count at shrinkAt
+	travel                  Time
+	timeoutSeen             bool
 	callCost                float64 // in each size, as nearly every part is a call of its own
 
 	now     Time
@@ -90,14 +102,14 @@
 	zones   map[ZoneNo]*zone    // as many as the settings name
 	planned map[*server]float64 // sizes within the plan being drawn; emptied by the next
 
-	average                float64 // latency per unit size, over the ready servers heard from; 0 = none
-	borne                  float64 // sizes sent to a warm server within fallWithin, when last there was one
-	size, queued, success  float64 // smoothed: size of a part, reported queues, further ones that answered
-	present, short         float64 // median latency per unit size over all answers: of late, shortest; 0 = none
-	learned, widest, stuck int     // answers that taught these; most parts of a search; parts at silent servers
-	limit, gatherers       float64 // limit: of parts in flight
-	extra, taken           tally   // further sub-requests; searches and parts
-	reaped                 float64 // smoothed share of rested connections that were dead
+	average                float64   // latency per unit size, over the ready servers heard from; 0 = none
+	borne                  float64   // sizes sent to a warm server within fallWithin, when last there was one
+	size, queued, success  float64   // smoothed: size of a part, reported queues, further ones that answered
+	present, short         float64   // median latency per unit size over all answers: of late, shortest; 0 = none
+	learned, widest, stuck int       // answers that taught these; most parts of a search; parts at silent servers
+	limit, gatherers       float64   // limit: of parts in flight
+	budgets                []*budget // of each shard, or one of all
+	reaped                 float64   // smoothed share of rested connections that were dead
 	reapedAt               Time
 }
 
@@ -108,12 +120,15 @@
 	least, whole            float64
 	lateCounts, shortCounts bool // a late answer counts; a short one in time counts as much as a late one
 	second                  bool // a second step follows the first answer
-	patience                Time // the longest of a first try, seen so far
-	gaveUpAt                Time // when one was last given up
+	most                    int
+	shortAt                 float64 // share that is worth answering short at the target
+	patience                Time    // the longest of a first try, seen so far
+	gaveUpAt                Time    // when one was last given up
 }
 
 type server struct {
 	id               ServerID
+	most             int // 0 = no limit
 	cell             CellNo
 	zone             *zone
 	state            ServerState
@@ -178,18 +193,27 @@
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
 		zones:   map[ZoneNo]*zone{},
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
-	span := f.BudgetSpan
+	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
+	if f.AtClient {
+		g.travel = clientAway
+	}
 	if !f.HasBudget {
-		g.free, g.perItem, span = float64(g.most), resendShare, 10*shareSpan
+		g.free, g.perItem, g.span = float64(g.most), resendShare, 10*shareSpan
 	}
-	g.extra, g.taken = newTally(span), newTally(span)
-	for _, t := range f.QueryTypes {
-		g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, f.Tick))
+	if f.BudgetEach {
+		g.freeAll, g.fleetMost = g.free, g.gatherers
+	} else {
+		g.budgets = []*budget{g.newBudget()}
+	}
+	if f.BudgetWaits {
+		g.waits = never // until the first event
+	}
+	for i, t := range f.QueryTypes {
+		g.setType(QueryType(i), t)
 		g.besides = g.besides || f.MayCopy && f.MayCancel && f.MostSubRequests > 1 && t.Effect == Idempotent
-		g.gates = f.MayProbe && !g.besides
-		g.types = append(g.types, typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare,
-			t.WholeAt, t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, 0, -never})
 	}
+	g.besides = g.besides || f.MayCopy && f.BudgetEach
+	g.gates = f.MayProbe && !g.besides
 	spans := float64(shareSpan) / float64(1000*Millisecond) / g.gatherers
 	all := customer{0, newTally(shareSpan)} // the last one stands for all of them
 	for _, c := range f.Customers {
@@ -226,8 +250,34 @@
 		g.fired(e.Timer)
 	case Probed:
 		g.probed(e)
+	case TypeChanged:
+		g.setType(e.Type, e.Facts)
+	case FleetChanged:
+		g.fleet(e)
+	case Told:
+		g.told(e)
 	}
 	return g.acts
 }
 
+// setType puts the figures of a query type in force for the searches to come.
+func (g *Gatherer) setType(at QueryType, t QueryTypeFacts) {
+	if t.LatencyTarget -= g.travel; t.LatencyTarget < g.travel {
+		t.LatencyTarget += g.travel
+	}
+	g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, Millisecond))
+	for len(g.types) <= int(at) {
+		g.types = append(g.types, nil)
+	}
+	r := &typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare, t.WholeAt, t.LateValue > 0,
+		t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
+	if t.Square {
+		r.shortAt, r.shortCounts = max(t.LeastShare, math.Sqrt(t.LateValue)), true
+	}
+	if old := g.types[at]; old != nil {
+		r.patience, r.gaveUpAt = old.patience, old.gaveUpAt
+	}
+	g.types[at] = r
+}
+
 func (g *Gatherer) do(a Action) { g.acts = append(g.acts, a) }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -97,7 +97,7 @@
 	b := newBench(2, nil)
 	b.answered(20, 1000)
 	s := b.to(t, 1, 1000)
-	p := &part{q: &search{rules: &b.types[0]}, size: 1}
+	p := &part{q: &search{rules: b.types[0]}, size: 1}
 	due := b.predict(b.servers[1], p)
 	b.now += 15 * b.out[s.Part].tries[0].predicted
 	late := b.predict(b.servers[1], p)
@@ -276,7 +276,7 @@
 	b.end(b.to(t, 1, 1000), 1000, Answered)
 	b.search(1)
 	b.end(Send{Part: PartID(b.next * 100), Server: 2}, 20000, Answered)
-	s, p := b.servers[2], &part{q: &search{rules: &b.types[0]}, size: 1}
+	s, p := b.servers[2], &part{q: &search{rules: b.types[0]}, size: 1}
 	deny(t, b.average != 1000 || s.rate > 6000, "rate %v after a first answer at 20000, the average is %v", s.rate, b.average)
 	b.search(1)
 	deny(t, b.average < 1000 || b.average > 2000, "average %v with one at 1000 and one at %v", b.average, s.rate)
@@ -364,7 +364,7 @@
 		return b
 	}
 	ratio := func(b *bench) float64 {
-		p := &part{q: &search{rules: &b.types[0]}, size: 1}
+		p := &part{q: &search{rules: b.types[0]}, size: 1}
 		b.survey()
 		return float64(b.predict(b.servers[2], p)) / float64(b.predict(b.servers[1], p))
 	}
@@ -447,7 +447,7 @@
 		for i, s := range b.search(1) {
 			b.do(SubRequestEnded{Part: s.Part, Send: SendNo(i), Server: s.Server, Elapsed: 50, Outcome: Answered})
 		}
-		most = max(most, b.extra.most(b.now)/(b.free+b.perItem*b.taken.least(b.now)))
+		most = max(most, b.budget(0).extra.most(b.now)/(b.free+b.perItem*b.budget(0).taken.least(b.now)))
 	}
 	deny(t, most < 0.2 || most > trialPart+0.01, "trials used %.2f of the budget", most)
 }
@@ -457,8 +457,8 @@
 func TestCopiesMayUseTheWholeBudget(t *testing.T) {
 	b := newBench(3, nil)
 	b.answered(200, 100)
-	budget := b.free + b.perItem*b.taken.least(b.now)
-	b.extra.add(b.now, budget/2)
+	budget := b.free + b.perItem*b.budget(0).taken.least(b.now)
+	b.budget(0).extra.add(b.now, budget/2)
 	own := b.search(1)[0]
 	due := b.out[own.Part].tries[0].due
 	b.wake(due)
@@ -503,7 +503,7 @@
 	b.do(ServerList{ListWhole, list})
 	b.answered(300, 1000)
 	predicted := func(id ServerID) Time {
-		return b.predict(b.servers[id], &part{q: &search{rules: &b.types[0]}, size: 1})
+		return b.predict(b.servers[id], &part{q: &search{rules: b.types[0]}, size: 1})
 	}
 	before, other := predicted(8), predicted(7)
 	for left := []ServerID{2, 4, 6}; len(left) > 0; {
--- a/brain/further.go
+++ b/brain/further.go
@@ -23,7 +23,7 @@
 	s.backlog += p.size
 	s.sent.add(g.now, p.size)
 	if r.further {
-		g.extra.add(g.now, 1)
+		g.budget(p.shard).extra.add(g.now, 1)
 	}
 	g.do(Send{p.id, s.id, p.q.end - g.now})
 }
@@ -121,9 +121,50 @@
 			return false
 		}
 	}
-	return len(p.tries) < g.most
+	return len(p.tries) < p.q.rules.most
 }
 
-func (g *Gatherer) affords(part float64) bool {
-	return g.extra.most(g.now)+1 <= part*(g.free+g.perItem*g.taken.least(g.now))
+func (g *Gatherer) affords(p *part, share float64) bool {
+	b, free := g.budget(p.shard), g.free
+	if g.freeAll > 0 {
+		free = 0
+		if g.now >= g.waits {
+			free = g.freeAll * fleetSafety / g.fleetMost
+		}
+		if g.now >= g.shrinkAt {
+			g.fleetMost = g.gatherers
+		}
+	}
+	return b.extra.most(g.now)+1 <= share*(free+g.perItem*b.taken.least(g.now))
+}
+
+// budget is what a shard's further sub-requests are paid from. It is emptied by time.
+type budget struct{ extra, taken tally } // further sub-requests; searches and parts
+
+func (g *Gatherer) newBudget() *budget { return &budget{newTally(g.span), newTally(g.span)} }
+
+func (g *Gatherer) budget(at ShardNo) *budget {
+	if g.freeAll == 0 {
+		return g.budgets[0]
+	}
+	return g.budgets[at]
+}
+
+// fleet takes the size of the fleet. Fewer gatherers share the budget only once what those gone had used is past.
+func (g *Gatherer) fleet(e FleetChanged) {
+	if g.waits == never {
+		g.waits = g.now + g.span
+	}
+	if g.gatherers = float64(max(e.Gatherers, 1)); g.gatherers >= g.fleetMost {
+		g.fleetMost = g.gatherers
+	} else {
+		g.shrinkAt = g.now + 2*g.span
+	}
+	for g.reach == 1 && len(g.holders) < e.Shards {
+		g.holders = append(g.holders, nil)
+		g.cells = len(g.holders)
+		if g.freeAll > 0 {
+			g.budgets = append(g.budgets, g.newBudget())
+		}
+	}
 }
--- a/brain/health.go
+++ b/brain/health.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// told takes what other gatherers have unfinished: the design's reported queue, where servers report none.
+func (g *Gatherer) told(e Told) {
+	for _, l := range e.Loads {
+		if s := g.servers[l.Server]; s != nil {
+			s.queue, s.toldAt = max(l.Parts, 0), g.now
+			g.queued += (s.queue - g.queued) * slowWeight
+		}
+	}
+}
+
 // probed takes a probe's end. One that fails spares a search the loss of the trial's part: it guards against
 // servers that stay dead, cut off or silent. What hangs may answer it, so a trial follows.
 func (g *Gatherer) probed(e Probed) {
--- a/brain/limit.go
+++ b/brain/limit.go
@@ -11,27 +11,36 @@
 
 // arrived sets a search's moments and sheds what is past the in-flight limit.
 func (g *Gatherer) arrived(e SearchArrived) {
-	r := &g.types[e.Type]
+	r := g.types[e.Type]
 	if e.Sent && r.effect != Idempotent {
 		g.do(Fail{e.Search}) // sent again it might run twice; shed it would be called harmless
 		return
 	}
 	q := &search{id: e.Search, number: e.Number, rules: r}
-	q.end = g.now + max(min(e.Patience, r.timeout)-g.margin, 0)
+	q.end = g.now + max(min(e.Patience-g.travel/2, r.timeout)-g.margin, 0)
 	q.target = g.now + r.target - g.margin
-	r.patience = max(r.patience, e.Patience)
-	if waited := r.timeout - e.Patience; e.Patience < r.patience-g.margin &&
-		(e.Repeat || !g.marked && r.gaveUpAt >= g.now-waited) {
+	r.patience = max(r.patience-r.patience/patienceFades, e.Patience)
+	full := r.timeout
+	if g.timeoutSeen {
+		full = r.patience
+	}
+	if waited := full - e.Patience; e.Patience < r.patience-g.margin &&
+		(e.Repeat || !g.marked && (g.timeoutSeen || r.gaveUpAt >= g.now-waited)) {
 		// What earlier tries left: a retry storm must not be served as if new. Harm: a client merely less patient
 		// when it repeats is taken to have waited.
-		q.target -= r.timeout - e.Patience
+		q.target -= waited
 	}
 	q.target = min(q.target, q.end)
 	if !r.lateCounts && g.marked {
 		q.end = q.target // a repeat is known for one and shed; else what is missing costs less than a repeat
 	}
 	g.open[q.id], g.numbers[q.number] = q, q
-	g.taken.add(g.now, 1)
+	if len(e.Among) > 0 && len(e.Parts) == 1 {
+		e.Parts[0].Shard = g.choose(e.Among)
+	}
+	if g.freeAll == 0 {
+		g.budget(0).taken.add(g.now, 1)
+	}
 	g.widest = max(g.widest, len(e.Parts))
 	g.limit = max(g.limit, max(limitFloor*float64(len(g.ready))/g.gatherers, float64(widestFloor*g.widest)))
 	g.survey()
@@ -71,3 +80,27 @@
 
 // Load is the parts in flight over their limit.
 func (g *Gatherer) Load() float64 { return g.busy() / max(g.limit, 1) }
+
+// choose draws a shard by weight among those that have a ready server, or among all.
+func (g *Gatherer) choose(among []Weighted) (at ShardNo) {
+	for _, any := range []bool{false, true} {
+		sum := 0.0
+		for _, w := range among {
+			if any || len(g.holders[w.Shard]) > 0 {
+				sum += max(w.Weight, 0)
+			}
+		}
+		left := sum * float64(g.rand.below(1<<20)) / (1 << 20)
+		for _, w := range among {
+			if w.Weight > 0 && (any || len(g.holders[w.Shard]) > 0) {
+				if at, left = w.Shard, left-w.Weight; left < 0 {
+					return at
+				}
+			}
+		}
+		if sum > 0 {
+			return at
+		}
+	}
+	return at
+}
--- a/brain/list.go
+++ b/brain/list.go
@@ -35,7 +35,7 @@
 			g.servers[entry.ID] = s
 		}
 		g.seat(s, Gone)
-		s.cell = entry.Cell
+		s.cell, s.most = entry.Cell, entry.Most
 		if s.zone = g.zones[entry.Zone]; s.zone == nil {
 			s.zone = &zone{}
 			g.zones[entry.Zone] = s.zone
--- a/brain/moment.go
+++ b/brain/moment.go
@@ -22,7 +22,7 @@
 			reach += p.weight
 		}
 	}
-	ripe := g.now >= q.end || reach <= got || q.rules.shortCounts && g.now >= q.target
+	ripe := g.now >= q.end || reach <= got || q.rules.shortCounts && g.now >= q.target && got >= q.rules.shortAt-weightSlack
 	switch {
 	case got >= whole || got >= least && ripe:
 		g.answer(q, got >= whole && (!q.second || q.whole))
@@ -61,11 +61,11 @@
 		s, usable := g.pick(p)
 		switch {
 		case s == nil || !g.mayRepeat(p) || flying == 0 && !usable && g.now < wait:
-		case flying == 0 && (len(p.tries) == 0 || g.affords(1)):
+		case flying == 0 && (len(p.tries) == 0 || g.affords(p, 1)):
 			g.send(p, s)
 		case flying == 1 && trial >= 0: // it makes room for a copy: no more than two may be out
 			g.do(Cancel{p.id, SendNo(trial)})
-		case flying == 0 || !usable || !g.affords(max(copyFloor, g.success)) || g.now+g.predict(s, p) >= q.target:
+		case flying == 0 || !usable || !g.affords(p, max(copyFloor, g.success)) || g.now+g.predict(s, p) >= q.target:
 		case flying == 1 && g.mayCopy:
 			g.send(p, s)
 		case !g.mayCopy && g.mayCancel: // the next one goes once this one's end is known
@@ -98,7 +98,7 @@
 	}
 	q.rules.gaveUpAt = g.now
 	if harmless {
-		g.do(Shed{q.id, g.advise})
+		g.do(Shed{q.id, g.advice(q)})
 	} else {
 		g.do(Fail{q.id})
 	}
@@ -138,3 +138,11 @@
 		g.review(q)
 	}
 }
+
+// advice is when a shed client should come back: soon enough for its target, where that counts at the client.
+func (g *Gatherer) advice(q *search) Time {
+	if g.travel == 0 {
+		return g.advise
+	}
+	return min(g.advise, max(q.rules.target/adviseShare, g.travel))
+}
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -18,8 +18,8 @@
 // fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
 // whose slowest part ends first is sent.
 func (g *Gatherer) fanOut(q *search, parts []Part) {
-	g.taken.add(g.now, float64(len(parts)))
 	for _, p := range parts {
+		g.budget(p.Shard).taken.add(g.now, 1)
 		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1) + g.callCost}
 		g.size += (own.size - g.size) * slowWeight
 		q.parts = append(q.parts, own)
@@ -84,7 +84,7 @@
 	}
 	for _, b := range best {
 		if len(b.p.tries) == 1 && b.tried != nil && b.tried != b.s && g.allowed(b.tried, b.p) &&
-			g.affords(trialPart) {
+			g.affords(b.p, trialPart) {
 			g.send(b.p, b.tried)
 			b.p.tries[1].trial = true
 		}
@@ -139,7 +139,7 @@
 // trial. One that is long in coming is made with any part.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
-	return !out && g.room(s, p.size)
+	return !out && (s.most == 0 || len(s.out) < s.most) && g.room(s, p.size)
 }
 
 func (g *Gatherer) usable(s *server, p *part) bool {
--- a/brain/types.go
+++ b/brain/types.go
@@ -60,6 +60,11 @@
 	BudgetShare     float64
 	BudgetSpan      Time
 	OverShareFactor float64 // value of a search beyond its customer's share
+
+	BudgetEach  bool // the budget is stated for each shard; BudgetFree is then for all gatherers together
+	BudgetWaits bool // an earlier life of this gatherer may have used its part: none is free in the first BudgetSpan
+	TimeoutSeen bool // a client's time-out is the longest patience seen of late, not what is stated
+	AtClient    bool // latency targets and time-outs count at the client, not at this gatherer
 }
 
 // QueryTypeFacts describes one query type.
@@ -73,6 +78,9 @@
 	LeastShare    float64 // least share of parts, by weight, for an answer
 	WholeAt       float64 // share of parts, by weight, that makes a whole answer
 	SecondStep    int     // parts of the second step; 0 = one step
+
+	MostSubRequests int  // for one part; 0 = Facts.MostSubRequests
+	Square          bool // the value of an answer that is not whole is the square of its share
 }
 
 // CustomerFacts describes one customer: the searches a second, over all gatherers, within its share.
@@ -105,6 +113,7 @@
 	Cell    CellNo
 	State   ServerState
 	UpSince Time // 0 = long ago
+	Most    int  // parts that may be unfinished there, of this gatherer; 0 = no limit
 }
 
 // Learned is what is known of one server: its latency record and its health.
@@ -134,6 +143,18 @@
 	Size   float64 // expected work in milliseconds; 0 = not told
 }
 
+// Weighted is a shard among those that may answer a search.
+type Weighted struct {
+	Shard  ShardNo
+	Weight float64
+}
+
+// Load is the parts that other gatherers have unfinished at a server.
+type Load struct {
+	Server ServerID
+	Parts  float64
+}
+
 // The events. A SearchArrived carries all its parts; a second step's parts come as MoreParts.
 type (
 	ServerList struct {
@@ -149,7 +170,19 @@
 		Repeat   bool // the client asks again
 		Sent     bool // an earlier search of the same key may have been sent, and nobody knows what became of it
 		Parts    []Part
+		Among    []Weighted // of a search with one part: the shards that may answer it; none = the part's own
+	}
+	// TypeChanged says that a query type came or is another from now on. Searches that are open keep what they came with.
+	TypeChanged struct {
+		Type  QueryType
+		Facts QueryTypeFacts
+	}
+	// FleetChanged says how many shards there may be and how many gatherers there are now. Shards come only where Reach is 1.
+	FleetChanged struct {
+		Shards, Gatherers int
 	}
+	// Told says what other gatherers have unfinished at servers.
+	Told      struct{ Loads []Load }
 	MoreParts struct {
 		Number SearchNo
 		Parts  []Part
@@ -184,6 +217,9 @@
 func (SearchLeft) event()      {}
 func (TimerFired) event()      {}
 func (Probed) event()          {}
+func (TypeChanged) event()     {}
+func (FleetChanged) event()    {}
+func (Told) event()            {}
 
 // Outcome is how a sub-request or probe ended.
 type Outcome uint8
--- /dev/null
+++ b/dance/link.go
@@ -0,0 +1,350 @@
+// Package dance is how the processes of one system talk: protobuf messages in frames over TCP, questions and their
+// answers. It owns the frames' form and bounds, the connections and their ends; what is asked and answered is the
+// programs' own.
+package dance
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
+)
+
+// A connection begins with Preface, from the side that dialled. A frame is its length in four bytes, big-endian, and so
+// many bytes of a Frame.
+const (
+	Preface    = "hive/1\r\n"
+	MostBytes  = 8 << 20 // of one frame
+	deadAfter  = 2500 * time.Millisecond
+	writeLimit = 2500 * time.Millisecond
+	dialLimit  = 1000 * time.Millisecond
+	dialPause  = 250 * time.Millisecond // after a failure, the next caller is told so at once for so long
+)
+
+// Errors of a call.
+var (
+	ErrSilent = errors.New("no answer in time")
+	ErrClosed = errors.New("the connection ended")
+)
+
+// Tune makes a dead peer show: what was sent and is not acknowledged for two and a half seconds ends the connection, and
+// so does a peer that answers no keep-alive probes. It fails silently where the connection is not TCP.
+func Tune(c net.Conn) {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	t.SetNoDelay(true)
+	t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3})
+	if raw, err := t.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadAfter/time.Millisecond))
+		})
+	}
+}
+
+func readFrame(r *bufio.Reader, buf []byte) (*Frame, []byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, buf, err
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n > MostBytes {
+		return nil, buf, eris.Errorf("a frame of %d bytes is over the bound", n)
+	}
+	if cap(buf) < n {
+		buf = make([]byte, n)
+	}
+	buf = buf[:n]
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return nil, buf, err
+	}
+	f := &Frame{}
+	if err := proto.Unmarshal(buf, f); err != nil {
+		return nil, buf, err
+	}
+	if cap(buf) > 64<<10 {
+		buf = nil // a long one is rare: its room is not kept
+	}
+	return f, buf, nil
+}
+
+// Conn is one connection, of either side.
+type Conn struct {
+	c    net.Conn
+	mu   sync.Mutex // over writing
+	room []byte
+}
+
+// Send writes a frame. After an error the connection is closed.
+func (c *Conn) Send(f *Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	buf, err := proto.MarshalOptions{}.MarshalAppend(append(c.room[:0], 0, 0, 0, 0), f)
+	if err != nil {
+		return err
+	}
+	binary.BigEndian.PutUint32(buf, uint32(len(buf)-4))
+	if c.room = buf[:0]; cap(buf) > 64<<10 {
+		c.room = nil
+	}
+	c.c.SetWriteDeadline(time.Now().Add(writeLimit))
+	if _, err = c.c.Write(buf); err != nil {
+		c.c.Close()
+	}
+	return err
+}
+
+// Answer sends the answer to a question.
+func (c *Conn) Answer(question uint64, f *Frame) error {
+	f.Id, f.Answer = question, true
+	return c.Send(f)
+}
+
+// Close ends the connection.
+func (c *Conn) Close() { c.c.Close() }
+
+// Server answers questions on a listener.
+type Server struct {
+	Handle func(c *Conn, f *Frame) // called in turn for each connection; may answer later
+	Left   func(c *Conn)           // nil, or told when a connection has ended
+
+	Strangers atomic.Int64 // connections that did not begin as they should
+	mu        sync.Mutex
+	conns     map[*Conn]bool // emptied as they end
+	closed    bool
+	done      sync.WaitGroup
+}
+
+// Serve accepts until the listener is closed, then ends the connections.
+func (s *Server) Serve(l net.Listener) {
+	s.mu.Lock()
+	s.conns = map[*Conn]bool{}
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil {
+			time.Sleep(20 * time.Millisecond) // no descriptors: the listener goes on
+			continue
+		}
+		Tune(nc)
+		c := &Conn{c: nc}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		s.done.Add(1)
+		go s.read(c)
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
+func (s *Server) read(c *Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		if s.Left != nil {
+			s.Left(c)
+		}
+		s.done.Done()
+	}()
+	r := bufio.NewReader(c.c)
+	var preface [len(Preface)]byte
+	c.c.SetReadDeadline(time.Now().Add(dialLimit * 2))
+	if _, err := io.ReadFull(r, preface[:]); err != nil || string(preface[:]) != Preface {
+		s.Strangers.Add(1)
+		return
+	}
+	c.c.SetReadDeadline(time.Time{})
+	var buf []byte
+	for {
+		var f *Frame
+		var err error
+		if f, buf, err = readFrame(r, buf); err != nil {
+			return
+		}
+		s.Handle(c, f)
+	}
+}
+
+// Caller asks one peer, over one connection that it makes when needed.
+type Caller struct {
+	Address string
+	Heard   func(f *Frame) // nil, or told frames that answer no question
+
+	mu      sync.Mutex
+	conn    *Conn
+	waiting map[uint64]chan *Frame // emptied by answers, time limits and the connection's end
+	lastID  uint64
+	dialing chan struct{}
+	failed  time.Time
+	closed  bool
+}
+
+// Call asks and waits for the answer, no longer than the context lasts.
+func (c *Caller) Call(ctx context.Context, f *Frame) (*Frame, error) {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan *Frame, 1)
+	c.mu.Lock()
+	if c.conn != conn {
+		c.mu.Unlock()
+		return nil, ErrClosed
+	}
+	c.lastID++
+	id := c.lastID
+	c.waiting[id] = answer
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, id)
+		c.mu.Unlock()
+	}()
+	q := &Frame{Id: id, Body: f.Body}
+	if err := conn.Send(q); err != nil {
+		return nil, err
+	}
+	select {
+	case a, ok := <-answer:
+		if !ok {
+			return nil, ErrClosed
+		}
+		return a, nil
+	case <-ctx.Done():
+		return nil, ErrSilent
+	}
+}
+
+// Drop ends the connection, so that the next call makes a new one: for a peer that is silent.
+func (c *Caller) Drop() {
+	c.mu.Lock()
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// Close ends the connection for good.
+func (c *Caller) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.Drop()
+}
+
+// Connected tells whether there is a connection.
+func (c *Caller) Connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
+func (c *Caller) connect(ctx context.Context) (*Conn, error) {
+	for {
+		c.mu.Lock()
+		if c.closed {
+			c.mu.Unlock()
+			return nil, ErrClosed
+		}
+		if c.conn != nil {
+			defer c.mu.Unlock()
+			return c.conn, nil
+		}
+		if time.Since(c.failed) < dialPause {
+			c.mu.Unlock()
+			return nil, ErrClosed
+		}
+		if c.dialing == nil {
+			c.dialing = make(chan struct{})
+			go c.dial(c.dialing)
+		}
+		dialing := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, ErrSilent
+		}
+	}
+}
+
+func (c *Caller) dial(done chan struct{}) {
+	nc, err := net.DialTimeout("tcp", c.Address, dialLimit)
+	if err == nil {
+		Tune(nc)
+		nc.SetWriteDeadline(time.Now().Add(writeLimit))
+		if _, err = nc.Write([]byte(Preface)); err != nil {
+			nc.Close()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(done)
+	c.dialing = nil
+	if err != nil {
+		c.failed = time.Now()
+		return
+	}
+	if c.closed {
+		nc.Close()
+		return
+	}
+	c.conn, c.waiting = &Conn{c: nc}, map[uint64]chan *Frame{}
+	go c.read(c.conn)
+}
+
+func (c *Caller) read(conn *Conn) {
+	r := bufio.NewReader(conn.c)
+	var buf []byte
+	for {
+		var f *Frame
+		var err error
+		if f, buf, err = readFrame(r, buf); err != nil {
+			break
+		}
+		if !f.Answer {
+			if c.Heard != nil {
+				c.Heard(f)
+			}
+			continue
+		}
+		c.mu.Lock()
+		if w := c.waiting[f.Id]; w != nil && c.conn == conn {
+			delete(c.waiting, f.Id)
+			w <- f
+		}
+		c.mu.Unlock()
+	}
+	conn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+		for _, w := range c.waiting {
+			close(w)
+		}
+		c.waiting = nil
+	}
+}
--- /dev/null
+++ b/forager/answer.go
@@ -0,0 +1,111 @@
+package forager
+
+import (
+	"bufio"
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"oxbowspan/brain"
+)
+
+// promises tells whether a status promises that the request has not run and never will.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable, fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// readAnswer reads one whole answer to a request. With an error, the bytes were no whole answer to this request: the
+// connection is of no more use and the request may have run. Keep is how long the connection may rest, 0 = not at all.
+func readAnswer(r *bufio.Reader, s *search, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
+	if err := resp.Header.Read(r); err != nil {
+		return brain.Reset, 0, err
+	}
+	for resp.StatusCode() == fasthttp.StatusContinue {
+		if err := resp.Header.Read(r); err != nil {
+			return brain.Reset, 0, err
+		}
+	}
+	status := resp.StatusCode()
+	bodyless := s.method == "HEAD" || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	if !bodyless {
+		if resp.Header.ContentLength() == -2 {
+			return brain.Reset, 0, eris.New("an answer without a length: whether it is whole can't be known")
+		}
+		if err := resp.ReadBody(r, answerBytes); err != nil {
+			return brain.Reset, 0, err
+		}
+	}
+	if id := resp.Header.Peek("X-Attempt-Id"); len(id) > 0 && string(id) != s.attempt {
+		return brain.Reset, 0, eris.New("an answer to another request")
+	}
+	keep = idleLimit
+	if resp.Header.ConnectionClose() {
+		keep = 0
+	}
+	if text := resp.Header.Peek("Keep-Alive"); len(text) > 0 && keep > 0 {
+		keep = min(keep, keepAlive(string(text)))
+	}
+	return judge(status, resp, s), keep, nil
+}
+
+// judge is what an answer says of its sub-request.
+func judge(status int, resp *fasthttp.Response, s *search) brain.Outcome {
+	marked := len(resp.Header.Peek("X-Not-Executed")) > 0
+	switch {
+	case status == fasthttp.StatusMisdirectedRequest:
+		return brain.TurnedAway
+	case marked && (promises(status) || status == fasthttp.StatusBadRequest):
+		return brain.TurnedAway
+	case status/100 != 2 && (s.route.Gathered() || status >= 500 || status == fasthttp.StatusTooManyRequests):
+		return brain.Errored
+	case status/100 == 2 && len(resp.Header.Peek("X-Server-Seal")) == 0:
+		return brain.Errored
+	case len(resp.Header.Peek("Content-Encoding")) > 0:
+		return brain.Errored
+	case len(resp.Header.Peek("X-Attempt-Id")) == 0 && s.attempt != "" && !s.route.Gathered():
+		return brain.Errored
+	}
+	return brain.Answered
+}
+
+// keepAlive is the time that a Keep-Alive field names, less a little for the way; what it does not name is no bound.
+func keepAlive(text string) time.Duration {
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if ok && strings.EqualFold(strings.TrimSpace(name), "timeout") {
+			if n, err := strconv.Atoi(strings.Trim(strings.TrimSpace(value), `"`)); err == nil && n >= 0 {
+				return max(time.Duration(n)*time.Second-200*time.Millisecond, 0)
+			}
+		}
+	}
+	return idleLimit
+}
+
+// hopByHop tells whether a header field concerns one connection only, or is set anew on each.
+func hopByHop(name []byte) bool {
+	switch len(name) {
+	case 2:
+		return bytes.EqualFold(name, []byte("TE"))
+	case 6:
+		return bytes.EqualFold(name, []byte("Expect"))
+	case 7:
+		return bytes.EqualFold(name, []byte("Trailer")) || bytes.EqualFold(name, []byte("Upgrade"))
+	case 10:
+		return bytes.EqualFold(name, []byte("Connection")) || bytes.EqualFold(name, []byte("Keep-Alive"))
+	case 14:
+		return bytes.EqualFold(name, []byte("Content-Length"))
+	case 16:
+		return bytes.EqualFold(name, []byte("Proxy-Connection"))
+	case 17:
+		return bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	return false
+}
--- /dev/null
+++ b/forager/kinfolk.go
@@ -0,0 +1,140 @@
+package forager
+
+import (
+	"context"
+	"time"
+
+	"oxbowspan/brain"
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/kin"
+)
+
+// loadsEvery is how often a gatherer tells those that watch it what it has unfinished, and takes what it was told.
+const loadsEvery = 250 * time.Millisecond
+
+// watched is a gatherer that this one watches. Its fields are the owner's.
+type watched struct {
+	call  *dance.Caller
+	quit  context.CancelFunc
+	loads map[string]uint32 // by instance
+	at    brain.Time
+}
+
+// heard takes a frame of another gatherer.
+func (f *Forager) heard(c *dance.Conn, q *dance.Frame) {
+	if q.GetWatch() != nil {
+		f.do(func() {
+			f.watchers[c] = true
+			c.Answer(q.Id, &dance.Frame{Body: &dance.Frame_Loads{Loads: f.loads()}})
+		})
+	}
+}
+
+// loads are the unfinished parts that this gatherer has at each server.
+func (f *Forager) loads() *dance.Loads {
+	m := &dance.Loads{Life: f.life}
+	for _, s := range f.flowers {
+		if s.out > 0 {
+			m.Loads = append(m.Loads, &dance.Load{Instance: s.instance, Parts: uint32(s.out)})
+		}
+	}
+	return m
+}
+
+// takeCrowd takes the list of gatherers: whom to watch follows from it.
+func (f *Forager) takeCrowd(n *dance.News) {
+	if !n.HasForagers {
+		return
+	}
+	self := kin.Name(f.set.Internal(boot.ForagerPort))
+	all := []kin.Name{self}
+	for _, o := range n.Foragers {
+		if name := kin.Name(o.Address); name != self {
+			all = append(all, name)
+		}
+	}
+	f.fleet = len(all)
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	f.relist()
+	few := map[kin.Name]bool{}
+	for _, name := range kin.Watched(self, all, kin.Few) {
+		if few[name] = true; f.watching[name] == nil {
+			f.watch(name)
+		}
+	}
+	for name, w := range f.watching {
+		if !few[name] {
+			w.quit()
+			w.call.Close()
+			delete(f.watching, name)
+		}
+	}
+}
+
+func (f *Forager) watch(name kin.Name) {
+	ctx, quit := context.WithCancel(context.Background())
+	w := &watched{quit: quit}
+	w.call = &dance.Caller{Address: string(name)}
+	take := func(m *dance.Loads) {
+		f.do(func() {
+			w.at, w.loads = f.now(), map[string]uint32{}
+			for _, l := range m.Loads {
+				w.loads[l.Instance] = l.Parts
+			}
+		})
+	}
+	w.call.Heard = func(q *dance.Frame) {
+		if m := q.GetLoads(); m != nil {
+			take(m)
+		}
+	}
+	f.watching[name] = w
+	f.wg.Go(func() {
+		for ctx.Err() == nil {
+			limit, cancel := context.WithTimeout(ctx, time.Second)
+			a, err := w.call.Call(limit, &dance.Frame{Body: &dance.Frame_Watch{Watch: &dance.Watch{}}})
+			cancel()
+			if err == nil && a.GetLoads() != nil {
+				take(a.GetLoads())
+			}
+			for err == nil && w.call.Connected() && ctx.Err() == nil {
+				wait(ctx, time.Second)
+			}
+			wait(ctx, time.Second)
+		}
+	})
+}
+
+// share tells the watchers what is unfinished here, and brain what the watched have, taken for all others.
+func (f *Forager) share(now brain.Time) {
+	if len(f.watchers) > 0 {
+		m := &dance.Frame{Body: &dance.Frame_Loads{Loads: f.loads()}}
+		if n := len(m.GetLoads().Loads); n > 0 || f.toldLoads {
+			f.toldLoads = n > 0
+			for c := range f.watchers {
+				c.Send(m)
+			}
+		}
+	}
+	sums, heard := map[string]float64{}, 0
+	for _, w := range f.watching {
+		if w.at > 0 && now-w.at < ticks(4*loadsEvery) {
+			heard++
+			for i, n := range w.loads {
+				sums[i] += float64(n)
+			}
+		}
+	}
+	if heard == 0 {
+		return
+	}
+	scale := float64(max(f.fleet-1, heard)) / float64(heard)
+	told := brain.Told{}
+	for _, s := range f.flowers {
+		if s.listed {
+			told.Loads = append(told.Loads, brain.Load{Server: s.id, Parts: sums[s.instance] * scale})
+		}
+	}
+	f.handle(told)
+}
--- /dev/null
+++ b/forager/news.go
@@ -0,0 +1,167 @@
+package forager
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/kin"
+)
+
+// Rhythm of the questions to the hives.
+const (
+	holdFor   = 1000 * time.Millisecond // a hive may hold a question so long
+	hiveLate  = 700 * time.Millisecond  // and is held to be gone after so much more
+	nextPause = 120 * time.Millisecond  // between hives that don't answer or are cut off
+	bareWait  = 3 * time.Second         // what a cut-off hive says is followed after so long without a better one
+)
+
+// place is a hive that may be asked.
+type place struct {
+	address string
+	zone    string
+}
+
+// follow asks the hives for news, one at a time, each question with what is had.
+func (f *Forager) follow(ctx context.Context) {
+	places := map[string]place{}
+	for _, a := range f.set.SeedHives() {
+		places[a] = place{address: a}
+	}
+	var order []place
+	var turn, life, cursor, crowd uint64
+	at, began := 0, time.Now()
+	calls := map[string]*dance.Caller{} // kept to those in places
+	defer func() {
+		for _, c := range calls {
+			c.Close()
+		}
+	}()
+	arrange := func() {
+		order = order[:0]
+		for _, p := range places {
+			order = append(order, p)
+		}
+		// The nearest first; among equals each gatherer has its own order, so that they spread.
+		self := kin.Name(f.set.Internal(boot.ForagerPort))
+		slices.SortFunc(order, func(a, b place) int {
+			return cmp.Or(cmp.Compare(f.far(a.zone), f.far(b.zone)),
+				cmp.Compare(kin.Weight(kin.Name(a.address), self), kin.Weight(kin.Name(b.address), self)))
+		})
+		at = 0
+	}
+	arrange()
+	for ctx.Err() == nil {
+		p := order[at%len(order)]
+		c := calls[p.address]
+		if c == nil {
+			c = &dance.Caller{Address: p.address}
+			calls[p.address] = c
+		}
+		ask := &dance.Ask{From: &dance.Forager{Life: f.life, Address: f.set.Internal(boot.ForagerPort), Zone: f.set.Zone, Left: f.draining.Load()},
+			Turn: turn, HiveLife: life, Cursor: cursor, Crowd: crowd, HoldMs: uint32(holdFor / time.Millisecond)}
+		limit, cancel := context.WithTimeout(ctx, holdFor+hiveLate)
+		answer, err := c.Call(limit, &dance.Frame{Body: &dance.Frame_Ask{Ask: ask}})
+		cancel()
+		n := answer.GetNews()
+		if err != nil || n == nil {
+			if errors.Is(err, dance.ErrSilent) {
+				c.Drop()
+			}
+			at, life = at+1, 0
+			wait(ctx, nextPause)
+			continue
+		}
+		if !n.Settled && time.Since(began) < bareWait && turn == 0 || !n.Settled && turn > n.Turn {
+			// Cut off or just started: what it knows may be old.
+			f.do(func() { f.takeReports(n) })
+			at, life = at+1, 0
+			wait(ctx, nextPause)
+			continue
+		}
+		life, cursor = n.HiveLife, n.Cursor
+		if n.HasForagers {
+			crowd = n.Crowd
+		}
+		if n.Turn > turn {
+			turn = n.Turn
+			f.takeConfig(n)
+		}
+		f.do(func() { f.takeReports(n); f.takeCrowd(n) })
+		if len(n.Hives) > 0 {
+			fresh := map[string]place{}
+			for _, a := range f.set.SeedHives() {
+				fresh[a] = place{address: a}
+			}
+			for _, h := range n.Hives {
+				fresh[h.Address] = place{h.Address, h.Zone}
+			}
+			if !samePlaces(fresh, places) {
+				places = fresh
+				for a, c := range calls {
+					if _, kept := places[a]; !kept {
+						c.Close()
+						delete(calls, a)
+					}
+				}
+				last := p.address
+				arrange()
+				// Stay with the hive that answers, unless a nearer one is known.
+				if i := slices.IndexFunc(order, func(o place) bool { return o.address == last }); i >= 0 && f.far(order[i].zone) <= f.far(order[0].zone) {
+					at = i
+				} else {
+					life = 0
+				}
+			}
+		}
+		if !n.Settled {
+			at, life = at+1, 0
+			wait(ctx, nextPause)
+		}
+	}
+}
+
+func samePlaces(a, b map[string]place) bool {
+	for k, v := range a {
+		if b[k] != v {
+			return false
+		}
+	}
+	return len(a) == len(b)
+}
+
+// far is how far a zone is: this one's, one of its region, another.
+func (f *Forager) far(zone string) int {
+	switch {
+	case zone == f.set.Zone:
+		return 0
+	case f.set.Zones[zone] == f.set.Region:
+		return 1
+	}
+	return 2
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// takeConfig reads a configuration and has the owner put it in force.
+func (f *Forager) takeConfig(n *dance.News) {
+	if !n.HasConfig {
+		return
+	}
+	c, err := comb.Read(n.Config)
+	if err != nil {
+		f.log.Error().Err(err).Uint64("version", n.Version).Msg("config: an agreed version can't be read, the last one stays")
+		return
+	}
+	f.do(func() { f.putInForce(c, n.Turn) })
+}
--- /dev/null
+++ b/forager/owner.go
@@ -0,0 +1,494 @@
+package forager
+
+import (
+	"math"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"oxbowspan/brain"
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/internal/alarm"
+	"oxbowspan/kin"
+	"oxbowspan/waggle"
+)
+
+// follows is what one version of the configuration means here. It is read by many and never changed.
+type follows struct {
+	turn   uint64
+	table  *comb.Table
+	routes map[*comb.Route]*route
+}
+
+// route is a route of one version, in brain's terms.
+type route struct {
+	*comb.Route
+	typ    brain.QueryType
+	shards []brain.ShardNo // a gathered route's
+	among  []brain.Weighted
+	names  int // parts of an answer, with those shards that stand twice counted once
+}
+
+// search is one request on its way through the program.
+type search struct {
+	// Set by the client's goroutine.
+	route    *route
+	method   string
+	uri      string
+	head     []byte // the header lines that go along
+	body     []byte
+	attempt  string
+	patience brain.Time
+	reply    chan reply // takes one without waiting
+
+	// The owner's.
+	id     brain.SearchID
+	parts  []*part
+	over   bool
+	mayRun bool               // something was sent and may have run or run yet
+	sent   bool               // something was offered to a server
+	last   *fasthttp.Response // the last answer of a server that was no success, to be passed on
+}
+
+type part struct {
+	s     *search
+	id    brain.PartID
+	shard brain.ShardNo
+	calls []*call // by number of the sub-request; nil = ended
+	out   int
+	in    *fasthttp.Response
+}
+
+// call is one sub-request.
+type call struct {
+	p      *part
+	no     brain.SendNo
+	f      *flower
+	link   *link // nil = not connected yet
+	sentAt brain.Time
+	until  brain.Time
+	rested bool
+	over   bool
+}
+
+// flower is a server as this gatherer sees it.
+type flower struct {
+	id       brain.ServerID
+	instance string
+	address  string
+	service  string
+	zone     string
+	state    waggle.State
+	silent   bool
+	sequence uint64
+	replaced bool // another server answered at its address
+	listed   bool
+	idle     []*link // the last used last
+	links    int     // connections, those being made too
+	out      int     // sub-requests that have not ended
+	missedAt brain.Time
+}
+
+// owner is the state of the goroutine that alone calls brain.
+type owner struct {
+	brain     *brain.Gatherer
+	searches  map[brain.SearchID]*search // emptied by the final answer
+	partsOf   map[brain.PartID]*part     // emptied when the search is over and nothing is out
+	flowers   map[string]*flower         // by instance; emptied of those gone
+	servers   map[brain.ServerID]*flower // the same
+	shards    map[string]brain.ShardNo   // by service: as many as the operator and the servers ever named
+	types     map[string]brain.QueryType // by host and prefix; a route that went leaves its number to the next
+	free      []brain.QueryType
+	zones     map[string]brain.ZoneNo // as many as servers named
+	limits    map[string]int          // connection limits, by service
+	config    *comb.Configuration
+	turnNow   uint64
+	timers    alarm.Heap[due] // emptied as they fire
+	pending   []brain.Event
+	watchers  map[*dance.Conn]bool
+	watching  map[kin.Name]*watched
+	fleet     int
+	shareAt   brain.Time
+	lastID    uint64
+	lastNo    brain.SearchNo
+	room      []byte // for the text of a request
+	toldLoads bool
+}
+
+// due is a timer of brain's or the time limit of a call.
+type due struct {
+	timer brain.TimerID
+	call  *call
+}
+
+// figures that the platform states nowhere.
+const (
+	lateValue   = 0.3                    // share of an answer's worth after its target
+	mostAdvice  = 200 * time.Millisecond // a client follows advice up to a third of its time
+	defaultMost = 1                      // attempts, where a route states none
+)
+
+func (f *Forager) init0() brain.Facts {
+	b := f.set.Bounds
+	return brain.Facts{Seed: f.life, Gatherers: 1, Tick: brain.Millisecond, Cells: 1, Reach: 1, MostSubRequests: defaultMost,
+		MayCopy: true, AdviseRetry: ticks(mostAdvice), HasBudget: b.HasRetryBudget, BudgetEach: true,
+		BudgetFree: b.BudgetExtraTries, BudgetShare: b.RetryBudgetRatio,
+		BudgetSpan:  ticks(time.Duration((b.BudgetWindowS + 1) * float64(time.Second))),
+		BudgetWaits: !f.set.FirstStart, TimeoutSeen: true, AtClient: true, OverShareFactor: 1}
+}
+
+func (o *owner) init(f *Forager) {
+	o.brain = brain.New(f.init0())
+	o.searches, o.partsOf = map[brain.SearchID]*search{}, map[brain.PartID]*part{}
+	o.flowers, o.servers = map[string]*flower{}, map[brain.ServerID]*flower{}
+	o.shards, o.types, o.zones = map[string]brain.ShardNo{}, map[string]brain.QueryType{}, map[string]brain.ZoneNo{}
+	o.limits, o.watchers, o.watching = map[string]int{}, map[*dance.Conn]bool{}, map[kin.Name]*watched{}
+	o.fleet = 1
+}
+
+// own is the owner's goroutine.
+func (f *Forager) own() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := f.now()
+		if now >= f.shareAt {
+			f.shareAt = now + ticks(loadsEvery)
+			f.share(now)
+		}
+		f.fire(now)
+		next := f.shareAt
+		if at, ok := f.timers.Next(); ok {
+			next = min(next, brain.Time(at))
+		}
+		timer.Reset(max(span(next-f.now()), 100*time.Microsecond))
+		select {
+		case c := <-f.cmds:
+			c()
+		case <-timer.C:
+		case <-f.stopped:
+			f.end()
+			return
+		}
+		for range len(f.cmds) {
+			(<-f.cmds)()
+		}
+	}
+}
+
+func (f *Forager) end() {
+	for _, w := range f.watching {
+		w.quit()
+		w.call.Close()
+	}
+	for _, s := range f.flowers {
+		for _, l := range s.idle {
+			l.c.Close()
+		}
+	}
+	for _, p := range f.partsOf {
+		for _, c := range p.calls {
+			if c != nil && c.link != nil {
+				c.link.c.Close()
+			}
+		}
+	}
+}
+
+func (f *Forager) fire(now brain.Time) {
+	for {
+		at, ok := f.timers.Next()
+		if !ok || brain.Time(at) > now {
+			return
+		}
+		d := f.timers.Pop()
+		if d.call == nil {
+			f.handle(brain.TimerFired{Timer: d.timer})
+		} else if !d.call.over {
+			f.callEnded(d.call, brain.TimedOut, nil)
+		}
+	}
+}
+
+// handle gives an event to brain and performs its actions, in order.
+func (f *Forager) handle(ev brain.Event) {
+	f.perform(f.brain.Handle(f.now(), ev))
+	for len(f.pending) > 0 {
+		next := f.pending[0]
+		f.pending = f.pending[1:]
+		f.perform(f.brain.Handle(f.now(), next))
+	}
+	f.pending = nil
+}
+
+func (f *Forager) perform(acts []brain.Action) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case brain.Send:
+			f.send(a)
+		case brain.Answer:
+			f.answer(a)
+		case brain.Shed:
+			f.giveUp(a.Search, a.RetryAfter)
+		case brain.Fail:
+			f.giveUp(a.Search, 0)
+		case brain.Wake:
+			f.timers.Push(int64(a.At), due{timer: a.Timer})
+		case brain.CloseIdle:
+			if s := f.servers[a.Server]; s != nil {
+				f.closeIdle(s)
+			}
+		}
+	}
+}
+
+// arrived takes a request.
+func (f *Forager) arrived(s *search) {
+	f.lastID++
+	s.id = brain.SearchID(f.lastID)
+	if f.lastNo++; f.lastNo >= math.MaxUint32-1 {
+		f.lastNo = 1
+	}
+	f.searches[s.id] = s
+	ev := brain.SearchArrived{Search: s.id, Number: f.lastNo, Type: s.route.typ, Patience: s.patience, Among: s.route.among}
+	shards := s.route.shards
+	if len(shards) == 0 {
+		shards = []brain.ShardNo{s.route.among[0].Shard}
+	}
+	for _, at := range shards {
+		f.lastID++
+		p := &part{s: s, id: brain.PartID(f.lastID), shard: at}
+		s.parts = append(s.parts, p)
+		f.partsOf[p.id] = p
+		ev.Parts = append(ev.Parts, brain.Part{ID: p.id, Shard: at, Weight: 1 / float64(len(shards))})
+	}
+	f.handle(ev)
+}
+
+// answer gives a search what is in.
+func (f *Forager) answer(a brain.Answer) {
+	s := f.searches[a.Search]
+	if s == nil {
+		return
+	}
+	r := reply{kind: replyParts, missing: len(s.parts)}
+	for _, p := range s.parts {
+		if p.in != nil {
+			r.parts = append(r.parts, p.in)
+			r.missing--
+			p.in = nil
+		}
+	}
+	if !s.route.Gathered() {
+		r.kind = replyPassOn
+	}
+	f.finish(s, r)
+}
+
+// giveUp ends a search without an answer. Only where nothing has run nor can yet, it is told that coming back is harmless.
+func (f *Forager) giveUp(id brain.SearchID, advice brain.Time) {
+	s := f.searches[id]
+	if s == nil {
+		return
+	}
+	r := reply{kind: replyShed, advice: span(advice)}
+	for _, p := range s.parts {
+		s.mayRun = s.mayRun || p.out > 0
+	}
+	switch {
+	case s.mayRun && s.last != nil && !s.route.Gathered():
+		r = reply{kind: replyPassOn, parts: []*fasthttp.Response{s.last}}
+		s.last = nil
+	case s.mayRun:
+		r.kind = replyFail
+	}
+	f.finish(s, r)
+}
+
+func (f *Forager) finish(s *search, r reply) {
+	s.over = true
+	delete(f.searches, s.id)
+	for _, p := range s.parts {
+		if p.in != nil {
+			fasthttp.ReleaseResponse(p.in)
+			p.in = nil
+		}
+		f.forget(p)
+	}
+	if s.last != nil {
+		fasthttp.ReleaseResponse(s.last)
+		s.last = nil
+	}
+	s.reply <- r
+}
+
+func (f *Forager) forget(p *part) {
+	if p.s.over && p.out == 0 {
+		delete(f.partsOf, p.id)
+	}
+}
+
+// putInForce follows a version of the configuration from now on.
+func (f *Forager) putInForce(c *comb.Configuration, turn uint64) {
+	if turn <= f.turnNow {
+		return
+	}
+	f.turnNow, f.config = turn, c
+	f.limits = map[string]int{}
+	for _, s := range c.Services {
+		f.limits[s.Name] = s.ConnectionLimit
+		f.shard(s.Name)
+	}
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	next := &follows{turn: turn, table: comb.NewTable(c), routes: map[*comb.Route]*route{}}
+	had := f.types
+	f.types = map[string]brain.QueryType{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		key := strings.ToLower(r.Hostname) + r.PathPrefix
+		typ, known := had[key]
+		if delete(had, key); !known {
+			typ = brain.QueryType(len(f.types) + len(had) + len(f.free))
+			if n := len(f.free); n > 0 {
+				typ, f.free = f.free[n-1], f.free[:n-1]
+			}
+		}
+		f.types[key] = typ
+		to := &route{Route: r, typ: typ}
+		for _, s := range r.Services() {
+			at, weight := f.shard(s), 1.0
+			for _, w := range r.WeightedServices {
+				if w.Service == s {
+					weight = w.Weight
+				}
+			}
+			if r.Gathered() {
+				to.shards = append(to.shards, at)
+			} else {
+				to.among = append(to.among, brain.Weighted{Shard: at, Weight: weight})
+			}
+		}
+		if r.Gathered() {
+			to.among = nil
+		}
+		next.routes[r] = to
+		effect := brain.NonIdempotent
+		if r.RouteKind == comb.Retryable {
+			effect = brain.Idempotent
+		}
+		least := 1.0
+		if r.Gathered() {
+			least = max(r.MinimumShare, 1e-9)
+		}
+		f.handle(brain.TypeChanged{Type: typ, Facts: brain.QueryTypeFacts{Effect: effect, LatencyTarget: milliseconds(r.TargetMS),
+			ClientTimeout: milliseconds(r.TimeoutMS), LateValue: lateValue, LeastShare: least, WholeAt: 1,
+			MostSubRequests: max(r.Attempts, defaultMost), Square: r.Gathered()}})
+	}
+	for _, typ := range had {
+		f.free = append(f.free, typ)
+	}
+	f.follows.Store(next)
+	f.relist()
+	f.log.Info().Uint64("version", c.Version).Uint64("turn", turn).Int("routes", len(c.Routes)).Msg("config: in force")
+}
+
+func milliseconds(ms float64) brain.Time { return brain.Time(ms * float64(brain.Millisecond)) }
+
+// shard is the number of a service.
+func (f *Forager) shard(service string) brain.ShardNo {
+	at, known := f.shards[service]
+	if !known {
+		at = brain.ShardNo(len(f.shards))
+		f.shards[service] = at
+	}
+	return at
+}
+
+func (f *Forager) zone(name string) brain.ZoneNo {
+	no, known := f.zones[name]
+	if !known {
+		no = brain.ZoneNo(len(f.zones))
+		f.zones[name] = no
+	}
+	return no
+}
+
+// takeReports merges what a hive says of the servers.
+func (f *Forager) takeReports(n *dance.News) {
+	if n.Whole && n.Settled && n.Warm {
+		named := map[string]bool{}
+		for _, r := range n.Reports {
+			named[r.Instance] = true
+		}
+		for i, s := range f.flowers {
+			if !named[i] {
+				s.state = waggle.Gone
+			}
+		}
+	}
+	for _, r := range n.Reports {
+		s := f.flowers[r.Instance]
+		if s == nil {
+			if r.Service == "" || r.State == uint32(waggle.Gone) {
+				continue
+			}
+			f.lastID++
+			s = &flower{id: brain.ServerID(f.lastID), instance: r.Instance}
+			f.flowers[r.Instance], f.servers[s.id] = s, s
+		}
+		if r.Sequence >= s.sequence {
+			if r.Service != "" {
+				s.address, s.service, s.zone = r.Address, r.Service, r.Zone
+			}
+			s.sequence, s.silent = r.Sequence, r.Silent
+		}
+		s.state = max(s.state, waggle.State(r.State))
+	}
+	if len(n.Reports) > 0 || n.Whole {
+		f.relist()
+	}
+}
+
+// relist tells brain which servers there are.
+func (f *Forager) relist() {
+	for _, s := range f.flowers {
+		f.shard(s.service)
+	}
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	ev := brain.ServerList{Kind: brain.ListChanges}
+	for i, s := range f.flowers {
+		entry := brain.Server{ID: s.id, Zone: f.zone(s.zone), Cell: brain.CellNo(f.shard(s.service)), Most: f.most(s.service)}
+		if !s.silent && !s.replaced {
+			switch s.state {
+			case waggle.Ready:
+				entry.State = brain.Ready
+			case waggle.Draining:
+				entry.State = brain.Draining
+			}
+		}
+		if s.listed = entry.State == brain.Ready; !s.listed {
+			f.closeIdle(s)
+		}
+		ev.Servers = append(ev.Servers, entry)
+		if s.state == waggle.Gone && s.out == 0 && s.links == 0 {
+			delete(f.flowers, i)
+			delete(f.servers, s.id)
+		}
+	}
+	f.handle(ev)
+	if f.config != nil && len(ev.Servers) > 0 && !f.ready.Load() {
+		f.ready.Store(true)
+		f.log.Info().Int("servers", len(ev.Servers)).Msg("forager: ready")
+	}
+}
+
+// most is this gatherer's part of the connections that a server of a service takes from all callers together.
+func (f *Forager) most(service string) int {
+	limit := f.limits[service]
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, limit*9/10/max(f.fleet, 1))
+}
--- /dev/null
+++ b/hive/calls.go
@@ -0,0 +1,196 @@
+package hive
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"oxbowspan/comb"
+	"oxbowspan/swarm"
+	"oxbowspan/waggle"
+)
+
+// How long the calls may take, and how long their bodies may be.
+const (
+	spreadLimit  = 800 * time.Millisecond // callers give up after a second
+	agreeLimit   = 900 * time.Millisecond
+	beatBytes    = 16 << 10
+	configBytes  = 8 << 20
+	basedOnField = "X-Based-On-Version"
+)
+
+// calls are the calls of servers and operators: one handler object for each resource.
+func (h *Hive) calls() http.Handler {
+	mux := http.NewServeMux()
+	instances, configuration := &instanceCalls{h}, &configurationCalls{h}
+	mux.HandleFunc("POST /-/instances/{id}/heartbeat", instances.heartbeat)
+	mux.HandleFunc("POST /-/instances/{id}/sign-off", instances.signOff)
+	mux.HandleFunc("POST /-/configuration/replace", configuration.replace)
+	mux.HandleFunc("GET /-/configuration/read", configuration.read)
+	return mux
+}
+
+func refuse(w http.ResponseWriter, status int, sentence string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	text, _ := json.Marshal(map[string]string{"error": sentence})
+	w.Write(text)
+}
+
+// instanceCalls are what servers say of themselves.
+type instanceCalls struct{ h *Hive }
+
+func (c *instanceCalls) heartbeat(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, beatBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "the heartbeat's body can't be read")
+		return
+	}
+	var b comb.Heartbeat
+	if err := b.UnmarshalJSON(body); err != nil || !json.Valid(body) {
+		refuse(w, http.StatusBadRequest, "the heartbeat is not as it should be")
+		return
+	}
+	id := waggle.InstanceID(r.PathValue("id"))
+	if id == "" || b.Service == "" || b.Address == "" {
+		refuse(w, http.StatusBadRequest, "a heartbeat names its instance, service and address")
+		return
+	}
+	state := waggle.Ready
+	if b.State == comb.StateDraining {
+		state = waggle.Draining
+	}
+	c.take(w, r, func(now time.Duration) {
+		c.h.table.Take(waggle.Report{Instance: id, Service: waggle.ServiceID(b.Service), Address: b.Address, Zone: b.Zone,
+			Version: b.Version, Slots: b.CapacitySlots, State: state, Sequence: waggle.Sequence(b.CallSequence), HeardAt: now,
+			WarmAt: now + time.Duration(b.ColdRemainingMS*float64(time.Millisecond))}, "")
+	})
+}
+
+func (c *instanceCalls) signOff(w http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, beatBytes))
+	id := waggle.InstanceID(r.PathValue("id"))
+	c.take(w, r, func(now time.Duration) { c.h.table.SignOff(id, now) })
+}
+
+// take hands a report to the owner. What takes a server out is acknowledged only when a majority of the core holds it, so
+// that it is not lost with this machine.
+func (c *instanceCalls) take(w http.ResponseWriter, r *http.Request, report func(now time.Duration)) {
+	h := c.h
+	var wait *spread
+	h.ask(func() {
+		now, before := h.now(), h.table.Cursor()
+		report(now)
+		changed := h.table.Changed(before)
+		for _, o := range changed {
+			if o.State != waggle.Ready {
+				wait = &spread{cursor: h.table.Cursor(), done: make(chan struct{}), until: now + spreadLimit}
+			}
+		}
+		if id := waggle.InstanceID(r.PathValue("id")); wait == nil {
+			// A call sent again: the first one may not have been borne yet.
+			if o := h.table.Get(id); o != nil && o.State != waggle.Ready {
+				wait = &spread{cursor: h.table.ChangedAt(id), done: make(chan struct{}), until: now + spreadLimit}
+			}
+		}
+		if len(changed) > 0 {
+			h.news(wait != nil)
+		}
+		if wait != nil {
+			if h.borne(wait.cursor) {
+				wait = nil
+			} else {
+				h.spreads = append(h.spreads, wait)
+				h.hurry()
+			}
+		}
+	})
+	if wait != nil {
+		select {
+		case <-wait.done:
+		case <-time.After(spreadLimit):
+			refuse(w, http.StatusServiceUnavailable, "too few of the core have heard of it yet")
+			return
+		case <-h.stopped:
+			refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write([]byte("{}"))
+}
+
+// configurationCalls are what the operator wants.
+type configurationCalls struct{ h *Hive }
+
+func (c *configurationCalls) replace(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "the configuration's body can't be read whole")
+		return
+	}
+	basedOn, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
+		return
+	}
+	conf, err := comb.Read(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if faults := conf.Check(); len(faults) > 0 {
+		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
+		return
+	}
+	sum := sha256.Sum256(body)
+	version, based, digest := swarm.Version(conf.Version), swarm.Version(basedOn), string(sum[:])
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
+	defer cancel()
+	var fate int
+	var why string
+	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
+		switch fate, why = http.StatusOK, ""; {
+		case v.Fate(version, based, digest):
+		case v.Version != based:
+			fate, why = http.StatusPreconditionFailed, "version "+strconv.FormatUint(uint64(v.Version), 10)+" is in place"
+		case version <= v.Version:
+			fate, why = http.StatusBadRequest, "the version is not above "+strconv.FormatUint(uint64(v.Version), 10)
+		default:
+			return v.WithConfig(version, based, digest, body)
+		}
+		return v
+	})
+	switch {
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
+	case fate != http.StatusOK:
+		refuse(w, fate, why)
+	default:
+		c.h.log.Info().Uint64("version", conf.Version).Uint64("turn", uint64(v.Turn)).Msg("config: acknowledged")
+		w.Header().Set("Content-Type", "application/json")
+		w.Write([]byte(`{"version":` + strconv.FormatUint(conf.Version, 10) + `}`))
+	}
+}
+
+// read makes sure of the newest value by a round: a machine that lags must not answer with an old one.
+func (c *configurationCalls) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit)
+	defer cancel()
+	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value { return v })
+	switch {
+	case errors.Is(err, errUndecided):
+		refuse(w, http.StatusServiceUnavailable, "the core could not make sure of the newest version in time")
+	case v.Digest == "":
+		refuse(w, http.StatusNotFound, "there is no configuration yet")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Write(v.Body)
+	}
+}
--- /dev/null
+++ b/hive/hive.go
@@ -0,0 +1,428 @@
+// Package hive is the control plane as a library: one core machine, which takes the servers' calls and the operator's,
+// agrees with the other core machines on the configuration, and brings all of it to the foragers that ask.
+//
+// One goroutine, the owner, holds every table of the package and works through a queue of commands; those that speak on
+// sockets hand it commands. Decisions are made by swarm (ballots), waggle (reports) and seats.go (who should vote).
+package hive
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/internal/wax"
+	"oxbowspan/swarm"
+	"oxbowspan/waggle"
+)
+
+// Rhythm of the hive's own talk.
+const (
+	pulseEvery  = 400 * time.Millisecond  // to each other hive
+	callLimit   = 800 * time.Millisecond  // for an answer of another hive
+	settledFor  = 1500 * time.Millisecond // a hive counts as in contact so long after its last word
+	tidyEvery   = 400 * time.Millisecond
+	newsDelay   = 60 * time.Millisecond // what is not urgent is gathered so long
+	foragerLost = 4 * time.Second       // without a question, a forager is held to be gone
+	peerLost    = 30 * time.Second      // without a word, a hive that does not vote is forgotten
+	resolveWait = 400 * time.Millisecond
+)
+
+// Hive is one core machine's process.
+type Hive struct {
+	set      *boot.Settings
+	log      zerolog.Logger
+	store    *wax.Store
+	self     swarm.AcceptorID
+	proposer swarm.ProposerID
+	life     uint64
+	address  string
+	start    time.Time
+	cmds     chan func()
+	stopped  chan struct{}
+	turn     chan struct{} // holds one token: this hive's rounds go one at a time
+	wg       sync.WaitGroup
+
+	// The owner's.
+	known     *swarm.Value // decided, or what a round may start from
+	confirmed bool         // known was decided
+	ballot    uint64       // the highest number seen
+	voted     swarm.Turn   // the newest turn that this acceptor voted for
+	votedAt   time.Duration
+	table     *waggle.Table
+	foragers  map[uint64]*forager // emptied of those not heard for a while
+	crowd     uint64              // number of the list of foragers
+	peers     map[string]*peer    // emptied of those unheard that do not vote
+	waiters   map[*waiter]bool    // emptied by answers
+	spreads   []*spread           // emptied by acks and time
+	newsAt    time.Duration       // when waiters are to be told; 0 = nothing to tell
+	tidyAt    time.Duration
+	trying    bool // a round to resolve or to join is on its way
+	tryAt     time.Duration
+	leaving   bool
+}
+
+type forager struct {
+	life    uint64
+	address string
+	zone    string
+	heardAt time.Duration
+	told    bool // heard by this hive itself
+}
+
+// spread waits until a report is held by enough of the core.
+type spread struct {
+	cursor waggle.Cursor
+	done   chan struct{}
+	until  time.Duration
+}
+
+// waiter is a forager's held question.
+type waiter struct {
+	conn  *dance.Conn
+	id    uint64
+	ask   *dance.Ask
+	until time.Duration
+}
+
+// New opens the state and makes a hive that does nothing yet.
+func New(set *boot.Settings, log zerolog.Logger) (*Hive, error) {
+	genesis, self := seats(set)
+	if !set.FirstStart {
+		self = 0
+	}
+	store, aside, err := wax.Open(set.DataDirectory, self)
+	if err != nil {
+		return nil, err
+	}
+	if aside != "" {
+		log.Warn().Str("file", aside).Msg("state: damaged file set aside, coming back as a stranger")
+	}
+	state := store.State()
+	h := &Hive{set: set, log: log, store: store, self: state.ID, proposer: swarm.ProposerID(wax.Draw()), life: uint64(wax.Draw()),
+		address: set.Internal(boot.HivePort), start: time.Now(), cmds: make(chan func(), 1024), stopped: make(chan struct{}),
+		turn: make(chan struct{}, 1), known: swarm.Genesis(genesis), table: waggle.NewTable(set.Beat()),
+		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, ballot: state.Promised.Number}
+	if v := state.Value; v != nil {
+		// Whether it was decided is not known. The set before it was.
+		h.voted = v.Turn
+		if v.Turn > 0 {
+			h.known = &swarm.Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
+		}
+	}
+	h.turn <- struct{}{}
+	return h, nil
+}
+
+// seats are the first acceptors, and this machine's identity among them, 0 = none. At the first start every process is
+// told the same seeds, so that all name the same set.
+func seats(set *boot.Settings) (members []swarm.Member, self swarm.AcceptorID) {
+	for i, a := range set.SeedHives() {
+		id := genesisID(set.SeedAddresses[i])
+		members = append(members, swarm.Member{ID: id, Address: a})
+		if set.SeedAddresses[i] == set.Listen.Control {
+			self = id
+		}
+	}
+	return members, self
+}
+
+// now is the steady clock.
+func (h *Hive) now() time.Duration { return time.Since(h.start) }
+
+// do hands the owner a command. It tells whether the owner still works.
+func (h *Hive) do(f func()) bool {
+	select {
+	case h.cmds <- f:
+		return true
+	case <-h.stopped:
+		return false
+	}
+}
+
+// ask hands the owner a command and waits for its end.
+func (h *Hive) ask(f func()) bool {
+	done := make(chan struct{})
+	if !h.do(func() { f(); close(done) }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-h.stopped:
+		return false
+	}
+}
+
+// Run serves until the context is done.
+func (h *Hive) Run(ctx context.Context) error {
+	control, err := net.Listen("tcp", h.set.Listen.Control)
+	if err != nil {
+		return eris.Errorf("the control address can't be listened on: %v", err)
+	}
+	inner, err := net.Listen("tcp", h.address)
+	if err != nil {
+		control.Close()
+		return eris.Errorf("the internal address can't be listened on: %v", err)
+	}
+	talk := &dance.Server{Handle: h.heard, Left: func(c *dance.Conn) { h.do(func() { h.leftBy(c) }) }}
+	web := &http.Server{Handler: h.calls(), ReadHeaderTimeout: 3 * time.Second, IdleTimeout: 30 * time.Second}
+	h.wg.Go(func() { talk.Serve(inner) })
+	h.wg.Go(func() { web.Serve(control) })
+	h.wg.Go(h.own)
+	h.do(func() {
+		for _, a := range h.set.SeedHives() {
+			h.meet(a)
+		}
+		h.tryAt = h.now() + time.Duration(rand.Int64N(int64(resolveWait)))
+		h.log.Info().Uint64("identity", uint64(h.self)).Uint64("turn", uint64(h.voted)).Msg("hive: started")
+	})
+	<-ctx.Done()
+	h.log.Info().Msg("hive: leaving")
+	h.giveSeat()
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	control.Close()
+	web.Shutdown(end)
+	inner.Close()
+	close(h.stopped)
+	h.wg.Wait()
+	return h.store.Close()
+}
+
+// own is the owner: it works through the queue of commands.
+func (h *Hive) own() {
+	timer := time.NewTimer(tidyEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case f := <-h.cmds:
+			f()
+		case <-timer.C:
+		case <-h.stopped:
+			for _, p := range h.peers {
+				p.end()
+			}
+			return
+		}
+		for range len(h.cmds) {
+			(<-h.cmds)()
+		}
+		next := h.turnTo(h.now())
+		timer.Reset(max(next-h.now(), time.Millisecond))
+	}
+}
+
+// turnTo does what is due and returns when the next thing is.
+func (h *Hive) turnTo(now time.Duration) time.Duration {
+	if now >= h.tidyAt {
+		h.tidyAt = now + tidyEvery
+		h.tidy(now)
+	}
+	next := h.tidyAt
+	if h.newsAt != 0 {
+		if now >= h.newsAt {
+			h.newsAt = 0
+			h.tell(now)
+		} else {
+			next = min(next, h.newsAt)
+		}
+	}
+	for w := range h.waiters {
+		if now >= w.until {
+			h.answer(w, now)
+		} else {
+			next = min(next, w.until)
+		}
+	}
+	return next
+}
+
+// tidy forgets what is over and starts the rounds that this hive owes.
+func (h *Hive) tidy(now time.Duration) {
+	if h.table.Tidy(now) {
+		h.news(false)
+	}
+	for life, f := range h.foragers {
+		if now-f.heardAt > foragerLost {
+			delete(h.foragers, life)
+			h.crowd++
+			h.news(false)
+		}
+	}
+	for a, p := range h.peers {
+		if now-p.heardAt > peerLost && !h.seat(a) && !h.seed(a) {
+			delete(h.peers, a)
+			p.end()
+		}
+	}
+	kept := h.spreads[:0]
+	for _, s := range h.spreads {
+		if now < s.until {
+			kept = append(kept, s)
+		}
+	}
+	h.spreads = kept
+	h.owe(now)
+}
+
+// news has the waiters told, at once or soon.
+func (h *Hive) news(urgent bool) {
+	at := h.now()
+	if !urgent {
+		at += newsDelay
+	}
+	if h.newsAt == 0 || at < h.newsAt {
+		h.newsAt = max(at, 1)
+	}
+}
+
+// tell answers the waiters for whom there is news.
+func (h *Hive) tell(now time.Duration) {
+	for w := range h.waiters {
+		if h.hasNews(w.ask) {
+			h.answer(w, now)
+		}
+	}
+}
+
+func (h *Hive) hasNews(a *dance.Ask) bool {
+	return h.confirmed && uint64(h.known.Turn) > a.Turn || a.HiveLife != h.life || a.Crowd != h.crowd ||
+		len(h.table.Changed(waggle.Cursor(a.Cursor))) > 0
+}
+
+// settled tells whether this hive is in contact with a majority of the acceptors.
+func (h *Hive) settled(now time.Duration) bool {
+	return swarm.Majority(h.known.Members, func(id swarm.AcceptorID) bool {
+		if id == h.self {
+			return true
+		}
+		for _, p := range h.peers {
+			if p.id == id && now-p.heardAt < settledFor && p.heardAt > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (h *Hive) answer(w *waiter, now time.Duration) {
+	delete(h.waiters, w)
+	a := w.ask
+	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.confirmed && h.settled(now), Turn: a.Turn,
+		Warm: now > 3*h.set.Beat(), Crowd: h.crowd}
+	if h.confirmed && uint64(h.known.Turn) > a.Turn {
+		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
+	}
+	after := waggle.Cursor(a.Cursor)
+	if a.HiveLife != h.life {
+		n.Whole, after = true, 0
+	}
+	for _, r := range h.table.Changed(after) {
+		n.Reports = append(n.Reports, fromReport(r, now))
+	}
+	if a.Crowd != h.crowd || n.Whole {
+		n.HasForagers = true
+		for _, f := range h.foragers {
+			n.Foragers = append(n.Foragers, &dance.Forager{Life: f.life, Address: f.address, Zone: f.zone})
+		}
+		n.Hives = append(n.Hives, h.me())
+		for _, p := range h.peers {
+			if p.heardAt > 0 && now-p.heardAt < settledFor {
+				n.Hives = append(n.Hives, p.tells(now, h.seat(p.address)))
+			}
+		}
+	}
+	w.conn.Answer(w.id, &dance.Frame{Body: &dance.Frame_News{News: n}})
+}
+
+// leftBy drops the questions of a connection that has ended.
+func (h *Hive) leftBy(c *dance.Conn) {
+	for w := range h.waiters {
+		if w.conn == c {
+			delete(h.waiters, w)
+		}
+	}
+}
+
+// heard takes a frame of another process, in the goroutine of its connection.
+func (h *Hive) heard(c *dance.Conn, f *dance.Frame) {
+	switch b := f.Body.(type) {
+	case *dance.Frame_Prepare:
+		h.prepare(b.Prepare, func(p *dance.Promise) { c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_Promise{Promise: p}}) })
+	case *dance.Frame_Accept:
+		h.accept(b.Accept, func(a *dance.Accepted) { c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_Accepted{Accepted: a}}) })
+	case *dance.Frame_Pulse:
+		h.ask(func() {
+			back := h.pulsed(b.Pulse, h.now())
+			c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_PulseBack{PulseBack: back}})
+		})
+	case *dance.Frame_Ask:
+		h.do(func() { h.asked(c, f.Id, b.Ask, h.now()) })
+	}
+}
+
+// asked takes a forager's question.
+func (h *Hive) asked(c *dance.Conn, id uint64, a *dance.Ask, now time.Duration) {
+	if f := a.From; f != nil && f.Life != 0 {
+		h.foragerHeard(f, now, true)
+	}
+	for _, r := range a.Known {
+		h.table.Take(toReport(r, now), "forager")
+	}
+	w := &waiter{conn: c, id: id, ask: a, until: now + time.Duration(a.HoldMs)*time.Millisecond}
+	h.waiters[w] = true
+	if h.hasNews(a) || a.HoldMs == 0 {
+		h.answer(w, now)
+	}
+}
+
+// foragerHeard notes that a forager lives. One life at an address ends those before it.
+func (h *Hive) foragerHeard(f *dance.Forager, at time.Duration, told bool) {
+	if f.Left {
+		if h.foragers[f.Life] != nil {
+			delete(h.foragers, f.Life)
+			h.crowd++
+			h.news(false)
+		}
+		return
+	}
+	if old := h.foragers[f.Life]; old != nil {
+		old.heardAt, old.told = max(old.heardAt, at), old.told || told
+		return
+	}
+	if h.now()-at > foragerLost/2 && !told {
+		return // old news of one that may have been forgotten
+	}
+	for life, o := range h.foragers {
+		if o.address == f.Address {
+			if o.heardAt > at {
+				return
+			}
+			delete(h.foragers, life)
+		}
+	}
+	h.foragers[f.Life] = &forager{f.Life, f.Address, f.Zone, at, told}
+	h.crowd++
+	h.news(false)
+}
+
+func fromReport(r *waggle.Report, now time.Duration) *dance.Report {
+	return &dance.Report{Instance: string(r.Instance), Service: string(r.Service), Address: r.Address, Zone: r.Zone, Version: r.Version,
+		Slots: uint32(r.Slots), State: uint32(r.State), ColdMs: uint32(max(r.WarmAt-now, 0) / time.Millisecond),
+		Sequence: uint64(r.Sequence), AgeMs: uint32(max(now-r.HeardAt, 0) / time.Millisecond), Silent: r.Silent}
+}
+
+func toReport(r *dance.Report, now time.Duration) waggle.Report {
+	return waggle.Report{Instance: waggle.InstanceID(r.Instance), Service: waggle.ServiceID(r.Service), Address: r.Address, Zone: r.Zone,
+		Version: r.Version, Slots: int(r.Slots), State: waggle.State(min(r.State, uint32(waggle.Gone))),
+		WarmAt: now + time.Duration(r.ColdMs)*time.Millisecond, Sequence: waggle.Sequence(r.Sequence),
+		HeardAt: now - time.Duration(r.AgeMs)*time.Millisecond}
+}
--- /dev/null
+++ b/hive/peers.go
@@ -0,0 +1,257 @@
+package hive
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oxbowspan/dance"
+	"oxbowspan/swarm"
+	"oxbowspan/waggle"
+)
+
+// peer is another hive. Its fields are the owner's, save those that are set when it is made.
+type peer struct {
+	address string
+	call    *dance.Caller
+	kick    chan struct{}
+	quit    context.CancelFunc
+
+	id      swarm.AcceptorID
+	control string
+	zone    string
+	life    uint64                   // of its process
+	metAt   time.Duration            // when this hive first tried to reach it
+	heardAt time.Duration            // 0 = never
+	turn    swarm.Turn               // that it knows
+	has     waggle.Cursor            // up to which it has this hive's reports
+	differ  []int                    // ranges of reports in which it differs
+	digests time.Duration            // when digests were last sent
+	silent  map[string]time.Duration // how long it has not heard others, by address, as it last told
+}
+
+func (p *peer) end() {
+	p.quit()
+	p.call.Close()
+}
+
+func (p *peer) tells(now time.Duration, voter bool) *dance.Hive {
+	return &dance.Hive{Id: uint64(p.id), Address: p.address, Control: p.control, Zone: p.zone, Voter: voter,
+		SilentMs: uint32((now - max(p.heardAt, p.metAt)) / time.Millisecond)}
+}
+
+func (h *Hive) me() *dance.Hive {
+	return &dance.Hive{Id: uint64(h.self), Address: h.address, Control: h.set.Listen.Control, Zone: h.set.Zone,
+		Voter: swarm.Has(h.known.Members, h.self)}
+}
+
+// meet makes a hive known.
+func (h *Hive) meet(address string) *peer {
+	if address == h.address || address == "" {
+		return nil
+	}
+	if p := h.peers[address]; p != nil {
+		return p
+	}
+	ctx, quit := context.WithCancel(context.Background())
+	p := &peer{address: address, call: &dance.Caller{Address: address}, kick: make(chan struct{}, 1), quit: quit, metAt: h.now(),
+		silent: map[string]time.Duration{}}
+	h.peers[address] = p
+	h.wg.Go(func() { h.talk(ctx, p) })
+	return p
+}
+
+// hurry has what changed told to all hives now.
+func (h *Hive) hurry() {
+	for _, p := range h.peers {
+		select {
+		case p.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// talk sends pulses to one hive, each after the answer to the one before.
+func (h *Hive) talk(ctx context.Context, p *peer) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-p.kick:
+		case <-ctx.Done():
+			return
+		case <-h.stopped:
+			return
+		}
+		var pulse *dance.Pulse
+		var upTo waggle.Cursor
+		if !h.ask(func() { pulse, upTo = h.pulse(p, h.now()) }) {
+			return
+		}
+		limit, cancel := context.WithTimeout(ctx, callLimit)
+		back, err := p.call.Call(limit, &dance.Frame{Body: &dance.Frame_Pulse{Pulse: pulse}})
+		cancel()
+		if err == dance.ErrSilent {
+			p.call.Drop()
+		}
+		if err == nil && back.GetPulseBack() != nil {
+			h.do(func() { h.pulsedBack(p, back.GetPulseBack(), upTo, h.now()) })
+		}
+		timer.Reset(pulseEvery)
+	}
+}
+
+// pulse makes what one hive is to be told now.
+func (h *Hive) pulse(p *peer, now time.Duration) (*dance.Pulse, waggle.Cursor) {
+	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn)}
+	if !h.confirmed {
+		m.Turn = 0
+	} else if p.turn < h.known.Turn && p.heardAt > 0 {
+		m.Value = dance.FromValue(h.known, "")
+	}
+	upTo := h.table.Cursor()
+	sent := map[waggle.InstanceID]bool{}
+	for _, r := range h.table.Heard(p.has, p.address) {
+		sent[r.Instance] = true
+		m.Reports = append(m.Reports, fromReport(r, now))
+	}
+	for _, no := range p.differ { // mended from the newer: it takes what is newer than its own
+		for _, r := range h.table.Range(no) {
+			if !sent[r.Instance] {
+				m.Reports = append(m.Reports, fromReport(r, now))
+			}
+		}
+	}
+	p.differ = nil
+	for _, f := range h.foragers {
+		if f.told {
+			m.Foragers = append(m.Foragers, &dance.Forager{Life: f.life, Address: f.address, Zone: f.zone,
+				AgeMs: uint32((now - f.heardAt) / time.Millisecond)})
+		}
+	}
+	for _, o := range h.peers {
+		m.Hives = append(m.Hives, o.tells(now, h.seat(o.address)))
+	}
+	if now-p.digests > 2*time.Second {
+		p.digests = now
+		sums := h.table.Digests()
+		m.Digests = sums[:]
+	}
+	return m, upTo
+}
+
+// pulsed takes what another hive tells and answers it.
+func (h *Hive) pulsed(m *dance.Pulse, now time.Duration) *dance.PulseBack {
+	back := &dance.PulseBack{From: h.me(), Life: h.life}
+	from := m.From
+	if from == nil || from.Address == h.address {
+		return back
+	}
+	p := h.meet(from.Address)
+	if p == nil {
+		return back
+	}
+	h.word(p, from, m.Life, swarm.Turn(m.Turn), now)
+	for _, o := range m.Hives {
+		if o.SilentMs < uint32(peerLost/time.Millisecond) || h.seat(o.Address) {
+			h.meet(o.Address)
+		}
+		p.silent[o.Address] = time.Duration(o.SilentMs) * time.Millisecond
+	}
+	if m.Value != nil {
+		h.learn(dance.ToValue(m.Value, nil))
+	}
+	urgent, changed := false, h.table.Cursor()
+	for _, r := range m.Reports {
+		in := toReport(r, now)
+		was := h.table.Get(in.Instance)
+		before := waggle.Ready
+		if was != nil {
+			before = was.State
+		}
+		if h.table.Take(in, p.address) && in.State > before {
+			urgent = true
+		}
+	}
+	if len(h.table.Changed(changed)) > 0 {
+		h.news(urgent)
+	}
+	for _, f := range m.Foragers {
+		h.foragerHeard(f, now-time.Duration(f.AgeMs)*time.Millisecond, false)
+	}
+	if len(m.Digests) == waggle.Ranges {
+		for no, sum := range h.table.Digests() {
+			if sum != m.Digests[no] {
+				back.Differ = append(back.Differ, uint32(no))
+				p.differ = append(p.differ, no)
+			}
+		}
+	}
+	if h.confirmed {
+		if back.Turn = uint64(h.known.Turn); h.known.Turn > p.turn {
+			back.Value = dance.FromValue(h.known, "")
+		}
+	}
+	return back
+}
+
+// pulsedBack takes the answer to a pulse.
+func (h *Hive) pulsedBack(p *peer, m *dance.PulseBack, upTo waggle.Cursor, now time.Duration) {
+	if m.From == nil {
+		return
+	}
+	lived := p.life == m.Life || p.life == 0
+	h.word(p, m.From, m.Life, swarm.Turn(m.Turn), now)
+	if lived {
+		p.has = max(p.has, upTo)
+	}
+	if m.Value != nil {
+		h.learn(dance.ToValue(m.Value, nil))
+	}
+	for _, no := range m.Differ {
+		if no < waggle.Ranges && !slices.Contains(p.differ, int(no)) {
+			p.differ = append(p.differ, int(no))
+		}
+	}
+	kept := h.spreads[:0]
+	for _, s := range h.spreads {
+		if h.borne(s.cursor) {
+			close(s.done)
+		} else {
+			kept = append(kept, s)
+		}
+	}
+	h.spreads = kept
+}
+
+// borne tells whether a majority of the acceptors' machines hold the reports up to a cursor.
+func (h *Hive) borne(cursor waggle.Cursor) bool {
+	return swarm.Majority(h.known.Members, func(id swarm.AcceptorID) bool {
+		if id == h.self {
+			return true
+		}
+		for _, p := range h.peers {
+			if p.id == id && p.has >= cursor {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// word notes that a hive lives. One that began anew has nothing of this hive's.
+func (h *Hive) word(p *peer, from *dance.Hive, life uint64, turn swarm.Turn, now time.Duration) {
+	if p.life != life && p.life != 0 {
+		p.has, p.turn = 0, 0
+	}
+	p.life, p.id, p.control, p.zone = life, swarm.AcceptorID(from.Id), from.Control, from.Zone
+	p.heardAt, p.turn = max(now, 1), turn
+}
+
+// seat tells whether an acceptor votes at an address; seed, whether the settings name it.
+func (h *Hive) seat(address string) bool {
+	return slices.ContainsFunc(h.known.Members, func(m swarm.Member) bool { return m.Address == address })
+}
+
+func (h *Hive) seed(address string) bool { return slices.Contains(h.set.SeedHives(), address) }
--- /dev/null
+++ b/hive/rounds.go
@@ -0,0 +1,229 @@
+package hive
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oxbowspan/dance"
+	"oxbowspan/swarm"
+)
+
+// errUndecided says that a round came to no end in time: its proposal may be decided yet, or not.
+var errUndecided = errors.New("no majority answered in time")
+
+func genesisID(control string) swarm.AcceptorID {
+	return swarm.AcceptorID(xxhash.Sum64String("genesis "+control) | 1)
+}
+
+// prepare and accept are the acceptor's side. An acceptor whose disk is behind says nothing: the round goes on with others.
+func (h *Hive) prepare(m *dance.Prepare, answer func(*dance.Promise)) {
+	var told swarm.Promise
+	h.store.Update(func(s swarm.State) swarm.State {
+		next, p := s.Prepare(swarm.Prepare{To: swarm.AcceptorID(m.To), Ballot: dance.ToBallot(m.Ballot)})
+		told = p
+		return next
+	}, func(s swarm.State, err error) {
+		if err != nil {
+			h.log.Warn().Err(err).Msg("disk: a promise could not be stored")
+			answer(&dance.Promise{From: uint64(h.self)})
+			return
+		}
+		answer(&dance.Promise{From: uint64(told.From), Ok: told.OK, Promised: dance.FromBallot(told.Promised),
+			Accepted: dance.FromBallot(told.Accepted), Value: dance.FromValue(told.Value, string(m.Have))})
+	})
+}
+
+func (h *Hive) accept(m *dance.Accept, answer func(*dance.Accepted)) {
+	var told swarm.Accepted
+	value := dance.ToValue(m.Value, nil)
+	h.store.Update(func(s swarm.State) swarm.State {
+		next, a := s.Accept(swarm.Accept{To: swarm.AcceptorID(m.To), Ballot: dance.ToBallot(m.Ballot), Value: value})
+		told = a
+		return next
+	}, func(s swarm.State, err error) {
+		if err != nil {
+			h.log.Warn().Err(err).Msg("disk: a vote could not be stored")
+			answer(&dance.Accepted{From: uint64(h.self)})
+			return
+		}
+		if told.OK {
+			go h.do(func() { h.hasVoted(value.Turn, dance.ToBallot(m.Ballot)) })
+		}
+		answer(&dance.Accepted{From: uint64(told.From), Ok: told.OK, Promised: dance.FromBallot(told.Promised)})
+	})
+}
+
+// hasVoted notes a vote: if its fate is not heard of soon, this hive finds it out.
+func (h *Hive) hasVoted(turn swarm.Turn, b swarm.Ballot) {
+	h.ballot = max(h.ballot, b.Number)
+	if turn > h.voted {
+		h.voted, h.votedAt = turn, h.now()
+	}
+}
+
+// learn takes a value that is decided.
+func (h *Hive) learn(v *swarm.Value) {
+	if v == nil || h.confirmed && v.Turn <= h.known.Turn || v.Turn < h.known.Turn {
+		return
+	}
+	old := h.known
+	h.known, h.confirmed = v, true
+	for _, m := range v.Voters() {
+		h.meet(m.Address)
+	}
+	if v.Version != old.Version {
+		h.log.Info().Uint64("turn", uint64(v.Turn)).Uint64("version", uint64(v.Version)).Msg("config: a version is agreed")
+	}
+	if len(v.Members) != len(old.Members) || !v.Settled() {
+		h.log.Info().Uint64("turn", uint64(v.Turn)).Interface("members", v.Members).Msg("swarm: the acceptors are agreed")
+	}
+	h.news(true)
+	h.hurry()
+}
+
+// propose runs rounds until change has nothing more to say of the newest value, which is then decided. Its own rounds go
+// one at a time.
+func (h *Hive) propose(ctx context.Context, change swarm.Change) (*swarm.Value, error) {
+	select {
+	case <-h.turn:
+		defer func() { h.turn <- struct{}{} }()
+	case <-ctx.Done():
+		return nil, errUndecided
+	case <-h.stopped:
+		return nil, errUndecided
+	}
+	for try := 0; ; try++ {
+		var known *swarm.Value
+		ballot := swarm.Ballot{By: h.proposer}
+		if !h.ask(func() {
+			h.ballot++
+			known, ballot.Number = h.known, h.ballot
+		}) {
+			return nil, errUndecided
+		}
+		v, changed, err := h.round(ctx, swarm.NewRound(ballot, known, change))
+		if err == nil {
+			h.ask(func() { h.learn(v) })
+			if v.Settled() && changed {
+				return v, nil
+			}
+			continue // the acceptors changed: that is confirmed first
+		}
+		if ctx.Err() != nil {
+			return nil, errUndecided
+		}
+		// Duels end soon: each waits by lot, longer with each try.
+		select {
+		case <-time.After(time.Duration(rand.Int64N(int64(min(try+1, 6)) * int64(25*time.Millisecond)))):
+		case <-ctx.Done():
+			return nil, errUndecided
+		}
+	}
+}
+
+// round carries one round's messages. Changed tells whether the change was asked and has had its way.
+func (h *Hive) round(ctx context.Context, r *swarm.Round) (v *swarm.Value, changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	answers := make(chan any, 32)
+	known := r.Known()
+	ask := func(m swarm.Member, f *dance.Frame) {
+		if m.ID == h.self {
+			switch b := f.Body.(type) {
+			case *dance.Frame_Prepare:
+				h.prepare(b.Prepare, func(p *dance.Promise) { answers <- p })
+			case *dance.Frame_Accept:
+				h.accept(b.Accept, func(a *dance.Accepted) { answers <- a })
+			}
+			return
+		}
+		var p *peer
+		h.ask(func() { p = h.meet(m.Address) })
+		if p == nil {
+			return
+		}
+		go func() {
+			a, err := p.call.Call(ctx, f)
+			if err != nil {
+				return
+			}
+			switch b := a.Body.(type) {
+			case *dance.Frame_Promise:
+				answers <- b.Promise
+			case *dance.Frame_Accepted:
+				answers <- b.Accepted
+			}
+		}()
+	}
+	prepare := func() {
+		for _, m := range r.Ask() {
+			ask(m, &dance.Frame{Body: &dance.Frame_Prepare{Prepare: &dance.Prepare{To: uint64(m.ID),
+				Ballot: dance.FromBallot(r.Ballot()), Have: []byte(known.Digest)}}})
+		}
+	}
+	prepare()
+	for {
+		select {
+		case a := <-answers:
+			switch a := a.(type) {
+			case *dance.Promise:
+				value := dance.ToValue(a.Value, known.Body)
+				to := r.Promised(swarm.Promise{From: swarm.AcceptorID(a.From), OK: a.Ok, Promised: dance.ToBallot(a.Promised),
+					Accepted: dance.ToBallot(a.Accepted), Value: value})
+				if to == nil {
+					prepare()
+				}
+				for _, m := range to {
+					ask(m, &dance.Frame{Body: &dance.Frame_Accept{Accept: &dance.Accept{To: uint64(m.ID),
+						Ballot: dance.FromBallot(r.Ballot()), Value: dance.FromValue(r.Proposal(), "")}}})
+				}
+			case *dance.Accepted:
+				if r.Accepted(swarm.Accepted{From: swarm.AcceptorID(a.From), OK: a.Ok, Promised: dance.ToBallot(a.Promised)}) {
+					return r.Proposal(), r.Asked(), nil
+				}
+			}
+			if by, lost := r.Lost(); lost {
+				h.do(func() { h.ballot = max(h.ballot, by.Number) })
+				return nil, false, errUndecided
+			}
+		case <-ctx.Done():
+			return nil, false, errUndecided
+		case <-h.stopped:
+			return nil, false, errUndecided
+		}
+	}
+}
+
+// owe starts a round where this hive owes one: to find out the fate of a vote, or to get a seat.
+func (h *Hive) owe(now time.Duration) {
+	if h.trying || now < h.tryAt || h.leaving {
+		return
+	}
+	unresolved := h.voted > h.known.Turn && now-h.votedAt > resolveWait || !h.confirmed && (h.voted > 0 || !h.set.FirstStart)
+	seatless := h.wantsSeat(now)
+	unsettled := h.confirmed && !h.known.Settled() && now-h.votedAt > resolveWait
+	if !unresolved && !seatless && !unsettled {
+		return
+	}
+	h.trying = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*callLimit)
+		defer cancel()
+		change := func(v *swarm.Value) *swarm.Value { return v }
+		if seatless {
+			change = h.takeSeat()
+		}
+		_, err := h.propose(ctx, change)
+		h.do(func() {
+			h.trying = false
+			h.tryAt = h.now() + time.Duration(rand.Int64N(int64(resolveWait)))
+			if err != nil {
+				h.tryAt += resolveWait
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/hive/seats.go
@@ -0,0 +1,126 @@
+package hive
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"oxbowspan/swarm"
+)
+
+// seatLost is how long a machine that votes must be unheard, by all that speak, before its seat may go to another.
+const seatLost = 2200 * time.Millisecond
+
+// claim is what a hive without a seat knows when it asks for one.
+type claim struct {
+	self   swarm.Member
+	target int                                // seats that there should be
+	silent func(address string) time.Duration // the shortest that anybody who speaks has not heard a machine
+}
+
+// change gives the claimant a seat, where there is one to have: that of the disk that was at its address before it, an
+// empty one, or the one longest lost. Nobody else loses a seat, however slow or cut off: that would lower what is borne.
+func (c claim) change(v *swarm.Value) *swarm.Value {
+	if swarm.Has(v.Members, c.self.ID) || len(v.Members) == 0 {
+		return v
+	}
+	members := slices.Clone(v.Members)
+	if i := slices.IndexFunc(members, func(m swarm.Member) bool { return m.Address == c.self.Address }); i >= 0 {
+		members[i] = c.self
+		return v.WithMembers(members)
+	}
+	if len(members) < c.target {
+		return v.WithMembers(append(members, c.self))
+	}
+	lost, longest := -1, seatLost
+	for i, m := range members {
+		if s := c.silent(m.Address); s > longest {
+			lost, longest = i, s
+		}
+	}
+	if lost < 0 {
+		return v
+	}
+	members[lost] = c.self
+	return v.WithMembers(members)
+}
+
+// claim is made of what the owner knows now.
+func (h *Hive) claim(now time.Duration) claim {
+	silences := map[string]time.Duration{}
+	for _, m := range h.known.Members {
+		if m.Address == h.address {
+			continue
+		}
+		shortest := time.Duration(0)
+		if p := h.peers[m.Address]; p != nil {
+			shortest = now - max(p.heardAt, p.metAt)
+		}
+		told := false
+		longest := shortest
+		for _, p := range h.peers {
+			if p.address == m.Address || p.heardAt == 0 || now-p.heardAt > settledFor {
+				continue
+			}
+			if s, ok := p.silent[m.Address]; ok {
+				if !told || s < longest {
+					longest = s
+				}
+				told = true
+			}
+		}
+		if p := h.peers[m.Address]; p != nil && p.heardAt == 0 && told {
+			shortest = longest // a newcomer never heard it: the others' word counts
+		}
+		silences[m.Address] = min(shortest, longest)
+		if !told {
+			silences[m.Address] = 0 // nobody else speaks: it may be this machine that is cut off
+		}
+	}
+	return claim{swarm.Member{ID: h.self, Address: h.address}, 2*h.set.Tolerated.Machines + 1,
+		func(a string) time.Duration { return silences[a] }}
+}
+
+// wantsSeat tells whether this hive should ask for a seat now.
+func (h *Hive) wantsSeat(now time.Duration) bool {
+	if !h.confirmed || swarm.Has(h.known.Members, h.self) || !h.known.Settled() || !h.settled(now) {
+		return false
+	}
+	return h.claim(now).change(h.known) != h.known
+}
+
+func (h *Hive) takeSeat() swarm.Change {
+	c := h.claim(h.now())
+	return c.change
+}
+
+// giveSeat hands this hive's seat to one that lives and has none, before this hive ends: it may end for good.
+func (h *Hive) giveSeat() {
+	var to *swarm.Member
+	h.ask(func() {
+		h.leaving = true
+		now := h.now()
+		if !h.confirmed || !swarm.Has(h.known.Members, h.self) {
+			return
+		}
+		for _, p := range h.peers {
+			if p.heardAt > 0 && now-p.heardAt < settledFor && p.id != 0 && !swarm.Has(h.known.Members, p.id) && !h.seat(p.address) {
+				to = &swarm.Member{ID: p.id, Address: p.address}
+			}
+		}
+	})
+	if to == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	h.propose(ctx, func(v *swarm.Value) *swarm.Value {
+		i := slices.IndexFunc(v.Members, func(m swarm.Member) bool { return m.ID == h.self })
+		if i < 0 || swarm.Has(v.Members, to.ID) {
+			return v
+		}
+		members := slices.Clone(v.Members)
+		members[i] = *to
+		return v.WithMembers(members)
+	})
+}
--- /dev/null
+++ b/internal/entrance/entrance.go
@@ -0,0 +1,160 @@
+// Package entrance is the command line of the system's two programs, hive and forager.
+package entrance
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rs/zerolog"
+
+	"oxbowspan/comb"
+	"oxbowspan/forager"
+	"oxbowspan/hive"
+	"oxbowspan/internal/boot"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1 // it could not start or go on, or a check found a fault
+	exitUsage  = 2 // the command line is not as it should be
+)
+
+// Version is the programs' own.
+const Version = "0.1.0"
+
+type program struct {
+	name           string
+	front, control bool
+	run            func(ctx context.Context, set *boot.Settings, log zerolog.Logger) error
+	memoryShare    float64 // of the limit that the collector works towards
+	collect        int     // growth of the heap between collections, in percent
+}
+
+// Hive runs the control plane's command line and returns its exit code.
+func Hive(args []string, out, errs io.Writer) int {
+	return program{"hive", false, true, func(ctx context.Context, set *boot.Settings, log zerolog.Logger) error {
+		h, err := hive.New(set, log)
+		if err != nil {
+			return err
+		}
+		return h.Run(ctx)
+	}, 0.6, 200}.main(args, out, errs)
+}
+
+// Forager runs the data plane's command line and returns its exit code.
+func Forager(args []string, out, errs io.Writer) int {
+	return program{"forager", true, false, func(ctx context.Context, set *boot.Settings, log zerolog.Logger) error {
+		return forager.New(set, log).Run(ctx)
+	}, 0.6, 400}.main(args, out, errs)
+}
+
+func (p program) main(args []string, out, errs io.Writer) int {
+	set := flag.NewFlagSet(p.name, flag.ContinueOnError)
+	set.SetOutput(errs)
+	path := set.String("boot", "", "the settings `file`; else "+boot.Variable+" names it")
+	level := set.String("log-level", "info", "the least `level` that is logged: debug, info, warn, error")
+	options := []ff.Option{ff.WithEnvVarPrefix("OXBOWSPAN")}
+	serve := &ffcli.Command{Name: "serve", ShortUsage: p.name + " serve", ShortHelp: "serve until SIGTERM", Options: options,
+		FlagSet: flag.NewFlagSet("serve", flag.ContinueOnError),
+		Exec:    func(context.Context, []string) error { return p.serve(boot.Path(*path), *level, errs) }}
+	checkBoot := &ffcli.Command{Name: "boot", ShortUsage: p.name + " check boot", ShortHelp: "say all that is wrong with the settings file",
+		Exec: func(context.Context, []string) error { return p.check(boot.Path(*path), out) }}
+	checkConfig := &ffcli.Command{Name: "config", ShortUsage: p.name + " check config FILE", ShortHelp: "say all that is wrong with a configuration",
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return flag.ErrHelp
+			}
+			return checkConfiguration(args[0], out)
+		}}
+	check := &ffcli.Command{Name: "check", ShortUsage: p.name + " check boot|config FILE", ShortHelp: "check the settings file or a configuration",
+		Subcommands: []*ffcli.Command{checkBoot, checkConfig}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+	version := &ffcli.Command{Name: "version", ShortUsage: p.name + " version", ShortHelp: "say which version this is",
+		Exec: func(context.Context, []string) error { fmt.Fprintln(out, p.name, Version); return nil }}
+	root := &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] serve|check|version", FlagSet: set, Options: options,
+		Subcommands: []*ffcli.Command{serve, check, version}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+	err := root.ParseAndRun(context.Background(), args)
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	}
+	fmt.Fprintf(errs, "%s: %v\n", p.name, err)
+	return exitFailed
+}
+
+func (p program) read(path string) (*boot.Settings, []string, error) {
+	s, err := boot.Read(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s, s.Check(p.front, p.control), nil
+}
+
+func (p program) check(path string, out io.Writer) error {
+	_, faults, err := p.read(path)
+	if err != nil {
+		return err
+	}
+	return tell(faults, "the settings file is as it should be", out)
+}
+
+func checkConfiguration(path string, out io.Writer) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("the configuration can't be read: %w", err)
+	}
+	c, err := comb.Read(text)
+	if err != nil {
+		return err
+	}
+	return tell(c.Check(), "the configuration is valid", out)
+}
+
+func tell(faults []string, fine string, out io.Writer) error {
+	for _, f := range faults {
+		fmt.Fprintln(out, f)
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%d faults", len(faults))
+	}
+	fmt.Fprintln(out, fine)
+	return nil
+}
+
+func (p program) serve(path, level string, errs io.Writer) error {
+	s, faults, err := p.read(path)
+	if err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("the settings file: %s", faults[0])
+	}
+	least, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return fmt.Errorf("no log level is called %q", level)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	zerolog.DurationFieldUnit = time.Millisecond
+	log := zerolog.New(errs).Level(least).With().Timestamp().Logger()
+	if s.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Limits.MemoryMB * p.memoryShare * (1 << 20)))
+	}
+	debug.SetGCPercent(p.collect)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings file is read at the start only. A signal that says it changed must not end the process.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	return p.run(ctx, s, log)
+}
--- /dev/null
+++ b/swarm/types.go
@@ -0,0 +1,130 @@
+// Package swarm agrees on one value by ballots among acceptors with disks, as a swarm agrees on a nest: without a leader,
+// whoever has found something proposes it, and a majority decides. It owns what an acceptor promises and votes, how a
+// proposer's round goes, and which sets of acceptors may decide. It has no I/O, no clock and no goroutine: the caller
+// stores what an acceptor returns before it tells anybody, and carries messages.
+//
+// The value is a register (turns 1, 2, 3, ...): each turn's value holds the operator's configuration and the set of
+// acceptors. A round first learns the newest value that may have been decided, then proposes that value again or one that
+// follows it. docs/design/system.md has the argument why two sets never decide apart.
+package swarm
+
+import (
+	"cmp"
+	"slices"
+)
+
+type (
+	AcceptorID uint64 // an acceptor's disk: drawn when the disk is first used; 0 = none
+	ProposerID uint64 // one life of a proposing process, drawn when it starts
+	Turn       uint64 // how many values were decided up to one; 0 = none
+	Version    uint64 // of the operator's configuration; 0 = none
+)
+
+// Ballot orders rounds: by number, then by who proposes. The zero Ballot comes before all.
+type Ballot struct {
+	Number uint64
+	By     ProposerID
+}
+
+// Compare returns -1, 0 or 1 as b comes before, is or comes after o.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.Number, o.Number), cmp.Compare(b.By, o.By))
+}
+
+// Member is an acceptor and where it was last reached.
+type Member struct {
+	ID      AcceptorID
+	Address string
+}
+
+// Past is a configuration that was agreed.
+type Past struct {
+	Version, BasedOn Version
+	Digest           string
+}
+
+// KeptPasts is how many agreed configurations a value remembers besides its own, so that a call sent again finds its fate.
+const KeptPasts = 128
+
+// Value is what is agreed on at one turn.
+type Value struct {
+	Turn           Turn
+	Members, Prior []Member // the acceptors from this turn on, and those of the turn before
+	Version        Version
+	BasedOn        Version
+	Digest         string // of Body; "" = no configuration yet
+	Body           []byte
+	Past           []Past // the oldest first, without this one
+}
+
+// Settled tells whether the value's acceptors are those of the turn before: only then may another follow it.
+func (v *Value) Settled() bool { return sameMembers(v.Members, v.Prior) }
+
+// Same tells whether two values are one.
+func (v *Value) Same(o *Value) bool {
+	return v.Turn == o.Turn && v.Version == o.Version && v.Digest == o.Digest && sameMembers(v.Members, o.Members) &&
+		sameMembers(v.Prior, o.Prior)
+}
+
+// Fate tells whether a configuration is this value's or was agreed on before it.
+func (v *Value) Fate(version, basedOn Version, digest string) bool {
+	p := Past{version, basedOn, digest}
+	return v.Digest != "" && Past{v.Version, v.BasedOn, v.Digest} == p || slices.Contains(v.Past, p)
+}
+
+// WithConfig returns the value of the next turn with another configuration. The value must be settled.
+func (v *Value) WithConfig(version, basedOn Version, digest string, body []byte) *Value {
+	next := &Value{v.Turn + 1, v.Members, v.Members, version, basedOn, digest, body, v.Past}
+	if v.Digest != "" {
+		next.Past = append(slices.Clone(v.Past), Past{v.Version, v.BasedOn, v.Digest})
+		next.Past = next.Past[max(0, len(next.Past)-KeptPasts):]
+	}
+	return next
+}
+
+// WithMembers returns the value of the next turn with another set of acceptors. The value must be settled.
+func (v *Value) WithMembers(members []Member) *Value {
+	return &Value{v.Turn + 1, members, v.Members, v.Version, v.BasedOn, v.Digest, v.Body, v.Past}
+}
+
+// Settle returns the value of the next turn, which confirms a change of the acceptors.
+func (v *Value) Settle() *Value { return v.WithMembers(v.Members) }
+
+// Genesis is the value before any was agreed, with the acceptors that the first start names.
+func Genesis(members []Member) *Value { return &Value{Members: members, Prior: members} }
+
+func sameMembers(a, b []Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m Member) bool { return !Has(b, m.ID) })
+}
+
+// Has tells whether an acceptor is among members.
+func Has(members []Member, id AcceptorID) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id })
+}
+
+// Majority tells whether more than half of the members satisfy a condition. No members have no majority.
+func Majority(members []Member, is func(AcceptorID) bool) bool {
+	n := 0
+	for _, m := range members {
+		if is(m.ID) {
+			n++
+		}
+	}
+	return 2*n > len(members)
+}
+
+// decides tells whether acceptors who satisfy a condition decide a value: a majority of its set and of the one before.
+func decides(v *Value, is func(AcceptorID) bool) bool {
+	return Majority(v.Members, is) && Majority(v.Prior, is)
+}
+
+// Voters are the acceptors whose word counts for a value: its set and the one before.
+func (v *Value) Voters() []Member {
+	all := slices.Clone(v.Members)
+	for _, m := range v.Prior {
+		if !Has(all, m.ID) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/waggle/waggle.go
@@ -0,0 +1,238 @@
+// Package waggle keeps what servers say of themselves, as bees tell by their dance where the flowers are: records that any
+// core machine may take and that merge to the same whatever way they came. It owns the order of two records of one server,
+// who counts as silent, and what may be forgotten. It has no I/O, no clock and no goroutine; all times are the caller's
+// steady clock, and an age is told in place of a time wherever records go to another machine.
+package waggle
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+type (
+	InstanceID string // one life of a server
+	ServiceID  string
+	Sequence   uint64 // rises with each call of a server
+	Cursor     uint64 // a place in the order of a table's changes
+	State      uint8  // goes up only
+)
+
+// The states of a server.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Report is what is known of one server's life.
+type Report struct {
+	Instance InstanceID
+	Service  ServiceID
+	Address  string
+	Zone     string
+	Version  string
+	Slots    int
+	State    State
+	WarmAt   time.Duration // when it is no longer slow from its start
+	Sequence Sequence
+	HeardAt  time.Duration // when the newest call came, by the holder's steady clock
+	Silent   bool          // not heard for a while, though others are
+
+	heard   Cursor // of the last word of any kind
+	changed Cursor // of the last word that changed what is to be done
+	from    string // whom the last word came from; "" = the server itself
+}
+
+// newer tells whether a call numbered so tells more than what is held.
+func (r *Report) newer(seq Sequence) bool { return seq > r.Sequence }
+
+// How long things are kept. Silence is counted in beats, as the deployment says how often servers call.
+const (
+	silentBeats = 3.5              // without a call for so many intervals, a server is silent
+	lostBeats   = 25               // and after so many it is forgotten
+	goneFor     = 60 * time.Second // a server that signed off is remembered so long, against late calls
+)
+
+// Table is one holder's reports. What empties it: Tidy, which forgets those gone or silent for long.
+type Table struct {
+	beat    time.Duration
+	reports map[InstanceID]*Report
+	cursor  Cursor
+	heardAt time.Duration // when any call came
+}
+
+// NewTable makes an empty table of servers that call once in an interval.
+func NewTable(beat time.Duration) *Table {
+	return &Table{beat: max(beat, time.Millisecond), reports: map[InstanceID]*Report{}}
+}
+
+// Take merges a report, heard at its HeardAt, from the server itself (from = "") or from another holder. It tells whether
+// the report said anything new.
+func (t *Table) Take(in Report, from string) bool {
+	r := t.reports[in.Instance]
+	if r == nil {
+		if in.State != Ready && in.Service == "" {
+			in.Silent = false // a sign-off of one that nobody knows: kept against late calls
+		}
+		r = &in
+		t.reports[in.Instance] = r
+		t.cursor++
+		r.heard, r.changed, r.from = t.cursor, t.cursor, from
+		t.heardAt = max(t.heardAt, in.HeardAt)
+		t.succeeds(r)
+		return true
+	}
+	t.heardAt = max(t.heardAt, in.HeardAt)
+	changed, heard := false, false
+	if in.State > r.State {
+		r.State, changed = in.State, true
+	}
+	if r.newer(in.Sequence) {
+		changed = changed || r.Address != in.Address || r.Service != in.Service || r.Slots != in.Slots
+		heard = true
+		r.Service, r.Address, r.Zone, r.Version, r.Slots = in.Service, in.Address, in.Zone, in.Version, in.Slots
+		r.Sequence, r.WarmAt = in.Sequence, in.WarmAt
+		r.HeardAt = max(r.HeardAt, in.HeardAt)
+		if r.Silent && r.State != Gone {
+			r.Silent, changed = false, true
+		}
+	}
+	if changed || heard {
+		t.cursor++
+		r.heard, r.from = t.cursor, from
+		if changed {
+			r.changed = t.cursor
+		}
+	}
+	return changed || heard
+}
+
+// succeeds takes the lives that stood at the address of one just heard of for the first time as silent: their next call
+// brings them back, should that one's have been the late word of a life that is over.
+func (t *Table) succeeds(r *Report) {
+	if r.State != Ready || r.Address == "" {
+		return
+	}
+	for _, o := range t.reports {
+		if o != r && o.Address == r.Address && o.State != Gone && !o.Silent && o.HeardAt < r.HeardAt {
+			t.cursor++
+			o.Silent, o.heard, o.changed, o.from = true, t.cursor, t.cursor, ""
+		}
+	}
+}
+
+// SignOff notes that a server has ended.
+func (t *Table) SignOff(id InstanceID, now time.Duration) {
+	r := Report{Instance: id, State: Gone, HeardAt: now}
+	if old := t.reports[id]; old != nil {
+		r.Sequence = old.Sequence
+	}
+	t.Take(r, "")
+}
+
+// Tidy marks the silent and forgets what is over. While most servers are unheard, the fault is held to be between them and
+// the holders: nobody is marked. It tells whether anything changed.
+func (t *Table) Tidy(now time.Duration) bool {
+	live, unheard := 0, 0
+	for id, r := range t.reports {
+		old := now - r.HeardAt
+		if r.State == Gone && old > goneFor || old > lostBeats*t.beat && (r.Silent || r.State == Draining) {
+			if r.State == Gone || now-t.heardAt < t.beat {
+				delete(t.reports, id)
+			}
+			continue
+		}
+		if r.State != Gone && !r.Silent {
+			if live++; float64(old) > silentBeats*float64(t.beat) {
+				unheard++
+			}
+		}
+	}
+	changed := false
+	if 2*unheard > live {
+		return false
+	}
+	for _, r := range t.reports {
+		if r.State != Gone && !r.Silent && float64(now-r.HeardAt) > silentBeats*float64(t.beat) {
+			t.cursor++
+			r.Silent, r.heard, r.changed, r.from = true, t.cursor, t.cursor, ""
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Cursor is the place of the last change.
+func (t *Table) Cursor() Cursor { return t.cursor }
+
+// Get returns what is held of one server, nil = nothing.
+func (t *Table) Get(id InstanceID) *Report { return t.reports[id] }
+
+// Len is how many servers are held.
+func (t *Table) Len() int { return len(t.reports) }
+
+// Heard are the reports with any word after a cursor, in the order of the words, less those that came from one holder.
+func (t *Table) Heard(after Cursor, less string) []*Report {
+	return t.since(func(r *Report) Cursor { return r.heard }, after, less)
+}
+
+// Changed are the reports with a change after a cursor, in the order of the changes.
+func (t *Table) Changed(after Cursor) []*Report {
+	return t.since(func(r *Report) Cursor { return r.changed }, after, "")
+}
+
+func (t *Table) since(at func(*Report) Cursor, after Cursor, less string) (out []*Report) {
+	if after >= t.cursor {
+		return nil
+	}
+	for _, r := range t.reports {
+		if at(r) > after && (less == "" || r.from != less) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Report) int { return cmp.Compare(at(a), at(b)) })
+	return out
+}
+
+// Ranges is how many ranges of instance ids digests are made over.
+const Ranges = 16
+
+// Digests sums up what is held, by ranges: equal tables have equal digests, whatever way they were filled. What changes
+// with each beat is left out.
+func (t *Table) Digests() (sums [Ranges]uint64) {
+	for id, r := range t.reports {
+		h := fnv.New64a()
+		h.Write([]byte(id))
+		h.Write([]byte{0, byte(r.State)})
+		h.Write([]byte(r.Address))
+		sums[rangeOf(id)] ^= h.Sum64()
+	}
+	return sums
+}
+
+// Range is what is held of one range.
+func (t *Table) Range(no int) (out []*Report) {
+	for id, r := range t.reports {
+		if rangeOf(id) == no {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Report) int { return cmp.Compare(a.Instance, b.Instance) })
+	return out
+}
+
+func rangeOf(id InstanceID) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % Ranges)
+}
+
+// ChangedAt is the place of a server's last change.
+func (t *Table) ChangedAt(id InstanceID) Cursor {
+	if r := t.reports[id]; r != nil {
+		return r.changed
+	}
+	return 0
+}
