Near servers where the plan ends no later; a shard that is all down is not waited for

Ruled out: offsets over the near servers only, which would leave the design's plans. Change: after the plan is chosen a far part moves once to a near server if neither it nor the plan ends later; parts of a shard without a sound replica are neither sent nor waited for where the others are worth an answer.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -66,121 +66,6 @@
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
 )
 
-// Gatherer holds all that one gatherer knows.
-type Gatherer struct {
-	types              []*typeRules
-	customers          []customer
-	cells, reach, most int  // most: sub-requests for one part
-	margin, pause      Time // what must be done by a moment is done so much earlier; a server's first time out
-	advise, listPause  Time // longest advice to a client, 0 = none; longest pause between calls for the list
-
-	mayCancel, mayCopy, onRequest bool // onRequest: the list must be asked for
-	marked                        bool // clients mark their repeats
-	besides                       bool // trials go out beside a part's own sub-request
-	gates                         bool // a probe goes before each trial, as a search depends on it
-
-	coldFor, fallWithin     Time
-	coldShare, coldMultiple float64
-	free, perItem           float64 // budget of further sub-requests, per search or part
-	freeAll, fleetMost      float64 // of all gatherers, 0 = free is stated; and the most gatherers of late
-	waits, span, shrinkAt   Time    // nothing is free before waits; fewer gatherers count at shrinkAt
-	travel                  Time
-	timeoutSeen             bool
-	callCost                float64 // in each size, as nearly every part is a call of its own
-
-	now     Time
-	acts    []Action
-	rand    mwc
-	servers map[ServerID]*server // emptied by the list: gone, nothing out or just sent
-	ready   []*server            // those listed as ready, in order of cells and ids, as in holders
-	holders [][]*server          // of each shard; both kept by the list
-	open    map[SearchID]*search // emptied by the final answer or the client's leaving
-	numbers map[SearchNo]*search // as open
-	out     map[PartID]*part     // parts in flight; emptied by outcomes: each sub-request gets one
-	nextAsk Time                 // the list timer's next pause, and whether it is set
-	asking  bool
-	zones   map[ZoneNo]*zone    // as many as the settings name
-	planned map[*server]float64 // sizes within the plan being drawn; emptied by the next
-
-	average                float64   // latency per unit size, over the ready servers heard from; 0 = none
-	borne                  float64   // sizes sent to a warm server within fallWithin, when last there was one
-	size, queued, success  float64   // smoothed: size of a part, reported queues, further ones that answered
-	present, short         float64   // median latency per unit size over all answers: of late, shortest; 0 = none
-	learned, widest, stuck int       // answers that taught these; most parts of a search; parts at silent servers
-	limit, gatherers       float64   // limit: of parts in flight
-	budgets                []*budget // of each shard, or one of all
-	reaped                 float64   // smoothed share of rested connections that were dead
-	reapedAt               Time
-}
-
-// typeRules are the figures of one query type that decisions use.
-type typeRules struct {
-	effect                  Effect
-	target, timeout, window Time
-	least, whole            float64
-	lateCounts, shortCounts bool // a late answer counts; a short one in time counts as much as a late one
-	second                  bool // a second step follows the first answer
-	most                    int
-	shortAt                 float64 // share that is worth answering short at the target
-	patience                Time    // the longest of a first try, seen so far
-	gaveUpAt                Time    // when one was last given up
-}
-
-type server struct {
-	id               ServerID
-	most             int // 0 = no limit
-	cell             CellNo
-	zone             *zone
-	state            ServerState
-	upSince          Time // when it last started, as listed; 0 = long ago
-	heardAt          Time
-	took, size       float64       // smoothed latency, and the sizes that took it: its own and what stood before
-	rate             float64       // the one over the other: small parts must not weigh like large ones
-	queue            float64       // parts it last reported,
-	toldAt, taughtAt Time          // when it reported, and when the rate was learned
-	lostAt           Time          // when what was sent on a rested connection was lost; 0 = answers came since
-	out              []*subRequest // in order of sending; emptied by outcomes
-	backlog          float64       // their sizes
-	sent             tally         // sizes sent
-	failing          float64       // smoothed share of failures
-	outUntil, pause  Time          // taken out until then, and the next time out
-	trial            bool          // one part at a time until it answers
-	probing          bool          // a probe is out
-	probedAt         Time          // when one was last answered
-	lot              float64       // for its cold allowance, from 0 to 1
-	lotUntil         Time          // then it is drawn anew
-}
-
-type search struct {
-	id            SearchID
-	number        SearchNo
-	rules         *typeRules
-	parts         []*part // of the present step
-	second, whole bool    // the second step is on; the first step's answer was whole
-	target, end   Time    // when it should be answered, and when it is given up
-	lookAt        Time    // of the pending timer; 0 = none
-}
-
-type part struct {
-	q            *search
-	id           PartID
-	shard        ShardNo
-	weight, size float64
-	tries        []*subRequest
-	flying       int  // tries that have not ended
-	done         bool // its answer is in
-}
-
-type subRequest struct {
-	p                        *part
-	s                        *server
-	sentAt, predicted, due   Time    // due: the age at which it is overdue
-	ahead                    float64 // sizes unfinished there, as known, when it was sent
-	further, ended, neverRan bool
-	rested                   bool // on a connection that had carried nothing for a while
-	trial                    bool // beside the part's own, to see whether its server answers
-}
-
 // New makes a gatherer that knows nothing yet but its facts.
 func New(f Facts) *Gatherer {
 	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
@@ -193,6 +78,7 @@
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
 		zones:   map[ZoneNo]*zone{},
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
+	g.nears, g.near = f.Nears, f.Zone
 	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
 	if f.AtClient {
 		g.travel = clientAway
@@ -270,7 +156,7 @@
 		g.types = append(g.types, nil)
 	}
 	r := &typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare, t.WholeAt, t.LateValue > 0,
-		t.ShortValue*t.LeastShare >= t.LateValue, t.SecondStep > 0, cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
+		t.ShortValue*t.LeastShare >= t.LateValue, t.Square, t.SecondStep > 0, cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
 	if t.Square {
 		r.shortAt, r.shortCounts = max(t.LeastShare, math.Sqrt(t.LateValue)), true
 	}
--- a/brain/further.go
+++ b/brain/further.go
@@ -138,18 +138,6 @@
 	return b.extra.most(g.now)+1 <= share*(free+g.perItem*b.taken.least(g.now))
 }
 
-// budget is what a shard's further sub-requests are paid from. It is emptied by time.
-type budget struct{ extra, taken tally } // further sub-requests; searches and parts
-
-func (g *Gatherer) newBudget() *budget { return &budget{newTally(g.span), newTally(g.span)} }
-
-func (g *Gatherer) budget(at ShardNo) *budget {
-	if g.freeAll == 0 {
-		return g.budgets[0]
-	}
-	return g.budgets[at]
-}
-
 // fleet takes the size of the fleet. Fewer gatherers share the budget only once what those gone had used is past.
 func (g *Gatherer) fleet(e FleetChanged) {
 	if g.waits == never {
--- a/brain/health.go
+++ b/brain/health.go
@@ -2,13 +2,6 @@
 
 // Health: who failed, who is silent, and how one comes back.
 
-// zone is what the servers of one zone show together: one that is lost or cut off takes them all along, and a
-// gatherer that sees a search a second would find them out one by one.
-type zone struct {
-	failing  float64 // smoothed share of hard failures
-	failedAt Time
-}
-
 // survey is what the ready servers show together: their speed, the load of the warm ones, what is stuck.
 func (g *Gatherer) survey() {
 	speed, heard, load, warm := 0.0, 0.0, 0.0, 0.0
@@ -85,16 +78,6 @@
 	return float64(g.now-max(out[0].sentAt, out[0].s.heardAt)) / float64(max(out[0].due, 1))
 }
 
-// Learned tells what a later run may recall.
-func (g *Gatherer) Learned() (out []Learned) {
-	for _, s := range g.ready {
-		if s.rate > 0 || s.failing > 0 {
-			out = append(out, Learned{s.id, s.upSince, s.took, s.size, s.taughtAt, s.outUntil, s.failing})
-		}
-	}
-	return out
-}
-
 // recalled takes in what still counts. A record of a moment to come is of a clock that went back.
 func (g *Gatherer) recalled(e Recalled) {
 	for _, r := range e.Servers {
--- a/brain/limit.go
+++ b/brain/limit.go
@@ -4,11 +4,6 @@
 
 import "math"
 
-type customer struct {
-	perSpan float64 // this gatherer's part of the customer's share in shareSpan; 0 = no limit
-	took    tally   // its searches that were not shed
-}
-
 // arrived sets a search's moments and sheds what is past the in-flight limit.
 func (g *Gatherer) arrived(e SearchArrived) {
 	r := g.types[e.Type]
@@ -78,9 +73,6 @@
 	}
 }
 
-// Load is the parts in flight over their limit.
-func (g *Gatherer) Load() float64 { return g.busy() / max(g.limit, 1) }
-
 // choose draws a shard by weight among those that have a ready server, or among all.
 func (g *Gatherer) choose(among []Weighted) (at ShardNo) {
 	for _, any := range []bool{false, true} {
--- a/brain/list.go
+++ b/brain/list.go
@@ -3,7 +3,6 @@
 // The server list.
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 )
@@ -35,6 +34,7 @@
 			g.servers[entry.ID] = s
 		}
 		g.seat(s, Gone)
+		s.near = g.nears && entry.Zone == g.near
 		s.cell, s.most = entry.Cell, entry.Most
 		if s.zone = g.zones[entry.Zone]; s.zone == nil {
 			s.zone = &zone{}
@@ -53,27 +53,3 @@
 		})
 	}
 }
-
-// seat changes a server's state and its place among the ready ones and the holders, at the cost of its entry.
-func (g *Gatherer) seat(s *server, state ServerState) {
-	if (s.state == Ready) != (state == Ready) {
-		seats := []*[]*server{&g.ready}
-		for j := range g.reach {
-			shard := ((int(s.cell)-j)%g.cells + g.cells) % g.cells
-			for ; shard < len(g.holders); shard += g.cells {
-				seats = append(seats, &g.holders[shard])
-			}
-		}
-		for _, all := range seats {
-			at, _ := slices.BinarySearchFunc(*all, s, func(a, b *server) int {
-				return cmp.Or(cmp.Compare(a.cell, b.cell), cmp.Compare(a.id, b.id))
-			})
-			if state == Ready {
-				*all = slices.Insert(*all, at, s)
-			} else {
-				*all = slices.Delete(*all, at, at+1)
-			}
-		}
-	}
-	s.state = state
-}
--- a/brain/moment.go
+++ b/brain/moment.go
@@ -10,7 +10,7 @@
 	} else if q.second {
 		whole = 1 - weightSlack
 	}
-	got, reach := 0.0, 0.0 // weights: in, and still to be had
+	got, reach, spare := 0.0, 0.0, g.spare(q) // weights: in, and still to be had
 	if q.second && len(q.parts) == 0 {
 		reach = 1 // its parts are still to come
 	}
@@ -18,7 +18,7 @@
 		if p.done {
 			got += p.weight
 		}
-		if p.done || p.flying > 0 || g.mayRepeat(p) {
+		if p.done || (p.flying > 0 || g.mayRepeat(p)) && !(spare && g.hopeless(p)) {
 			reach += p.weight
 		}
 	}
@@ -36,7 +36,7 @@
 		next = min(next, q.target)
 	}
 	for _, p := range q.parts {
-		if p.done {
+		if p.done || spare && g.hopeless(p) {
 			continue
 		}
 		due, last, wait, flying, trial, oldest := never, Time(0), Time(0), 0, -1, -1
@@ -105,12 +105,6 @@
 	g.close(q)
 }
 
-func (g *Gatherer) close(q *search) {
-	delete(g.open, q.id)
-	delete(g.numbers, q.number)
-	g.cancel(q.parts...)
-}
-
 func (g *Gatherer) cancel(parts ...*part) {
 	for _, p := range parts {
 		for no, r := range p.tries {
@@ -121,24 +115,6 @@
 	}
 }
 
-func (g *Gatherer) look(q *search, at Time) {
-	if at = max(at, g.now+1); q.lookAt != 0 && q.lookAt <= at {
-		return
-	}
-	q.lookAt = at
-	g.do(Wake{at, TimerID(q.number)})
-}
-
-func (g *Gatherer) fired(t TimerID) {
-	if t == listTimer {
-		g.asking = false
-		g.do(Subscribe{})
-	} else if q := g.numbers[SearchNo(t)]; q != nil && q.lookAt <= g.now {
-		q.lookAt = 0
-		g.review(q)
-	}
-}
-
 // advice is when a shed client should come back: soon enough for its target, where that counts at the client.
 func (g *Gatherer) advice(q *search) Time {
 	if g.travel == 0 {
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -8,13 +8,6 @@
 	"slices"
 )
 
-type placing struct { // one part's place in a plan and its predicted finish, from now
-	p      *part
-	s      *server // nil = no replica can be used
-	tried  *server // on trial, to be sent the part too; nil = none
-	finish Time
-}
-
 // fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
 // whose slowest part ends first is sent.
 func (g *Gatherer) fanOut(q *search, parts []Part) {
@@ -70,23 +63,27 @@
 			slowest, idle = b.finish, b.s != nil && b.s.backlog+g.queue(b.s)+g.planned[b.s] <= b.p.size
 		}
 	}
+	slowest = g.nearer(best, slowest)
 	// What cannot end in time even so is better not begun, unless it waits for nothing there: only asking tells
 	// whether a server is still slow. Guards against a fleet that stands idle while searches are shed.
-	clear(g.planned)
+	if clear(g.planned); q.rules.square {
+		slowest, idle = g.enough(q, best), idle && slowest < never
+	}
 	if !q.second && slowest < never && (!idle && g.now+slowest > late || g.now >= q.end) {
 		g.giveUp(q)
 		return
 	}
+	spare := g.spare(q)
 	for _, b := range best {
-		if b.s != nil && g.allowed(b.s, b.p) {
+		if b.s != nil && g.allowed(b.s, b.p) && !(spare && g.hopeless(b.p)) {
 			g.send(b.p, b.s)
 		}
 	}
 	for _, b := range best {
-		if len(b.p.tries) == 1 && b.tried != nil && b.tried != b.s && g.allowed(b.tried, b.p) &&
-			g.affords(b.p, trialPart) {
+		if n := len(b.p.tries); b.tried != nil && (b.tried != b.s || n == 0) && g.allowed(b.tried, b.p) &&
+			(n == 0 && spare || n == 1 && g.affords(b.p, trialPart)) {
 			g.send(b.p, b.tried)
-			b.p.tries[1].trial = true
+			b.p.tries[n].trial = n > 0
 		}
 	}
 	g.review(q)
@@ -180,3 +177,65 @@
 
 // fresh is how much news of a moment still counts: all at once, nothing when it is so old.
 func (g *Gatherer) fresh(at, age Time) float64 { return max(0, 1-float64(g.now-at)/float64(age)) }
+
+// nearer moves parts of the plan that is sent to servers of this gatherer's zone, each to the one that the plan's own
+// order names there, where that makes neither the part nor the plan end later. What passes between zones is dear.
+func (g *Gatherer) nearer(best []placing, slowest Time) Time {
+	if !g.nears {
+		return slowest
+	}
+	offset := g.rand.below(1 << 16)
+	for i := range best {
+		b := &best[i]
+		if b.s == nil || b.s.near {
+			continue
+		}
+		var near []*server
+		for _, s := range g.holders[b.p.shard] {
+			if s.near && g.usable(s, b.p) {
+				near = append(near, s)
+			}
+		}
+		if len(near) == 0 {
+			continue
+		}
+		s := near[(offset+int(b.p.shard))%len(near)]
+		g.planned[b.s] -= b.p.size
+		if end := g.predict(s, b.p); end <= max(slowest, b.finish) {
+			b.s, b.finish = s, end
+		}
+		g.planned[b.s] += b.p.size
+	}
+	return slowest
+}
+
+// enough is when the parts that make a short answer worth having end, from now.
+func (g *Gatherer) enough(q *search, best []placing) (end Time) {
+	in := 0.0
+	slices.SortStableFunc(best, func(a, b placing) int { return cmp.Compare(a.finish, b.finish) })
+	for _, b := range best {
+		if in >= q.rules.shortAt-weightSlack {
+			break
+		}
+		in, end = in+b.p.weight, b.finish
+	}
+	return end
+}
+
+// hopeless tells whether no replica of a part looks sound: all of a shard may be down.
+func (g *Gatherer) hopeless(p *part) bool {
+	return p.q.rules.square && !slices.ContainsFunc(g.holders[p.shard], func(s *server) bool {
+		return s.outUntil <= g.now && !s.trial && g.silence(s.out...) <= 1
+	})
+}
+
+// spare tells whether a search's other parts make an answer worth having without the hopeless ones.
+func (g *Gatherer) spare(q *search) bool {
+	in := 0.0
+	for _, p := range q.parts {
+		if p.done || !g.hopeless(p) {
+			in += p.weight
+		}
+	}
+	return q.rules.square && in < 1-weightSlack && in >= q.rules.shortAt-weightSlack
+}
--- a/brain/types.go
+++ b/brain/types.go
@@ -64,6 +64,8 @@
 	BudgetEach  bool // the budget is stated for each shard; BudgetFree is then for all gatherers together
 	BudgetWaits bool // an earlier life of this gatherer may have used its part: none is free in the first BudgetSpan
 	TimeoutSeen bool // a client's time-out is the longest patience seen of late, not what is stated
+	Nears       bool // servers of the gatherer's own zone are better where they are as good
+	Zone        ZoneNo
 	AtClient    bool // latency targets and time-outs count at the client, not at this gatherer
 }
 
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -136,7 +136,7 @@
 		MayCopy: true, AdviseRetry: ticks(mostAdvice), HasBudget: b.HasRetryBudget, BudgetEach: true,
 		BudgetFree: b.BudgetExtraTries, BudgetShare: b.RetryBudgetRatio,
 		BudgetSpan:  ticks(time.Duration((b.BudgetWindowS + 1) * float64(time.Second))),
-		BudgetWaits: !f.set.FirstStart, TimeoutSeen: true, AtClient: true, OverShareFactor: 1}
+		BudgetWaits: !f.set.FirstStart, TimeoutSeen: true, AtClient: true, Nears: true, Zone: 0, OverShareFactor: 1}
 }
 
 func (o *owner) init(f *Forager) {
@@ -146,6 +146,7 @@
 	o.shards, o.types, o.zones = map[string]brain.ShardNo{}, map[string]brain.QueryType{}, map[string]brain.ZoneNo{}
 	o.limits, o.watchers, o.watching = map[string]int{}, map[*dance.Conn]bool{}, map[kin.Name]*watched{}
 	o.fleet = 1
+	o.zones[f.set.Zone] = 0
 }
 
 // own is the owner's goroutine.
