Beats go on as sequence and age; gatherers watch their own zone; near within a quarter of the target

Change: hives pass on what servers told them, and others' words only to a hive that does not hear them; refreshes are short.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -57,6 +57,7 @@
 	clientAway    = 10 * Millisecond // of a target that counts at the client, what its connection and the answer's way take
 	fleetSafety   = 0.8              // of the free budget of all gatherers: one that is frozen or cut off may still use its part
 	adviseShare   = 8                // a shed client is told to come back after target / adviseShare, where it may be told so
+	nearShare     = 4                // a near server that ends a part within target / nearShare is as good as a far one
 	patienceFades = 200              // the longest patience seen is forgotten by a part in so many, per search
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
@@ -66,52 +67,6 @@
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
 )
 
-// New makes a gatherer that knows nothing yet but its facts.
-func New(f Facts) *Gatherer {
-	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
-		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
-		listPause: max(f.AskWithin/2, firstPause), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
-		onRequest: f.ListOnRequest, marked: f.RepeatsMarked, coldFor: f.ColdFor, fallWithin: f.FallWithin,
-		coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1), callCost: f.CallCost,
-		free: f.BudgetFree, perItem: f.BudgetShare,
-		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
-		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
-		zones:   map[ZoneNo]*zone{},
-		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
-	g.nears, g.near = f.Nears, f.Zone
-	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
-	if f.AtClient {
-		g.travel = clientAway
-	}
-	if !f.HasBudget {
-		g.free, g.perItem, g.span = float64(g.most), resendShare, 10*shareSpan
-	}
-	if f.BudgetEach {
-		g.freeAll, g.fleetMost = g.free, g.gatherers
-	} else {
-		g.budgets = []*budget{g.newBudget()}
-	}
-	if f.BudgetWaits {
-		g.waits = never // until the first event
-	}
-	for i, t := range f.QueryTypes {
-		g.setType(QueryType(i), t)
-		g.besides = g.besides || f.MayCopy && f.MayCancel && f.MostSubRequests > 1 && t.Effect == Idempotent
-	}
-	g.besides = g.besides || f.MayCopy && f.BudgetEach
-	g.gates = f.MayProbe && !g.besides
-	spans := float64(shareSpan) / float64(1000*Millisecond) / g.gatherers
-	all := customer{0, newTally(shareSpan)} // the last one stands for all of them
-	for _, c := range f.Customers {
-		if f.OverShareFactor < 1 {
-			g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
-			all.perSpan += c.SharePerSecond * spans
-		}
-	}
-	g.customers = append(g.customers, all)
-	return g
-}
-
 // Handle takes what happened and returns what is to be done.
 func (g *Gatherer) Handle(now Time, ev Event) []Action {
 	g.now, g.acts = max(now, g.now), nil
--- a/brain/moment.go
+++ b/brain/moment.go
@@ -10,15 +10,17 @@
 	} else if q.second {
 		whole = 1 - weightSlack
 	}
-	got, reach, spare := 0.0, 0.0, g.spare(q) // weights: in, and still to be had
+	got, reach := 0.0, 0.0 // weights: in, and still to be had
 	if q.second && len(q.parts) == 0 {
 		reach = 1 // its parts are still to come
 	}
+	gone := func(p *part) bool { return p.skip || g.hopeless(p, never) }
+	spare := g.spare(q, gone)
 	for _, p := range q.parts {
 		if p.done {
 			got += p.weight
 		}
-		if p.done || (p.flying > 0 || g.mayRepeat(p)) && !(spare && g.hopeless(p)) {
+		if p.done || (p.flying > 0 || g.mayRepeat(p)) && !(spare && gone(p)) {
 			reach += p.weight
 		}
 	}
@@ -36,7 +38,7 @@
 		next = min(next, q.target)
 	}
 	for _, p := range q.parts {
-		if p.done || spare && g.hopeless(p) {
+		if p.done || spare && gone(p) {
 			continue
 		}
 		due, last, wait, flying, trial, oldest := never, Time(0), Time(0), 0, -1, -1
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -63,7 +63,7 @@
 			slowest, idle = b.finish, b.s != nil && b.s.backlog+g.queue(b.s)+g.planned[b.s] <= b.p.size
 		}
 	}
-	slowest = g.nearer(best, slowest)
+	slowest = g.nearer(q, best, slowest)
 	// What cannot end in time even so is better not begun, unless it waits for nothing there: only asking tells
 	// whether a server is still slow. Guards against a fleet that stands idle while searches are shed.
 	if clear(g.planned); q.rules.square {
@@ -73,15 +73,16 @@
 		g.giveUp(q)
 		return
 	}
-	spare := g.spare(q)
+	spare := g.spare(q, func(p *part) bool { return g.hopeless(p, q.target-g.now) })
 	for _, b := range best {
-		if b.s != nil && g.allowed(b.s, b.p) && !(spare && g.hopeless(b.p)) {
+		b.p.skip = spare && g.hopeless(b.p, q.target-g.now)
+		if b.s != nil && !b.p.skip && g.allowed(b.s, b.p) {
 			g.send(b.p, b.s)
 		}
 	}
 	for _, b := range best {
 		if n := len(b.p.tries); b.tried != nil && (b.tried != b.s || n == 0) && g.allowed(b.tried, b.p) &&
-			(n == 0 && spare || n == 1 && g.affords(b.p, trialPart)) {
+			(n == 0 && b.p.skip || n == 1 && g.affords(b.p, trialPart)) {
 			g.send(b.p, b.tried)
 			b.p.tries[n].trial = n > 0
 		}
@@ -180,7 +181,7 @@
 
 // nearer moves parts of the plan that is sent to servers of this gatherer's zone, each to the one that the plan's own
 // order names there, where that makes neither the part nor the plan end later. What passes between zones is dear.
-func (g *Gatherer) nearer(best []placing, slowest Time) Time {
+func (g *Gatherer) nearer(q *search, best []placing, slowest Time) Time {
 	if !g.nears {
 		return slowest
 	}
@@ -201,7 +202,7 @@
 		}
 		s := near[(offset+int(b.p.shard))%len(near)]
 		g.planned[b.s] -= b.p.size
-		if end := g.predict(s, b.p); end <= max(slowest, b.finish) {
+		if end := g.predict(s, b.p); end <= max(slowest, b.finish, q.rules.target/nearShare) {
 			b.s, b.finish = s, end
 		}
 		g.planned[b.s] += b.p.size
@@ -222,18 +223,20 @@
 	return end
 }
 
-// hopeless tells whether no replica of a part looks sound: all of a shard may be down.
-func (g *Gatherer) hopeless(p *part) bool {
+// hopeless tells whether no sound replica of a part would end it in a time, nor stands idle: all of its shard may be down,
+// or the few that are back would be overrun.
+func (g *Gatherer) hopeless(p *part, within Time) bool {
 	return p.q.rules.square && !slices.ContainsFunc(g.holders[p.shard], func(s *server) bool {
-		return s.outUntil <= g.now && !s.trial && g.silence(s.out...) <= 1
+		return s.outUntil <= g.now && !s.trial && g.silence(s.out...) <= 1 &&
+			(within == never || g.predict(s, p) <= within || s.backlog+g.queue(s)+g.planned[s] == 0)
 	})
 }
 
-// spare tells whether a search's other parts make an answer worth having without the hopeless ones.
-func (g *Gatherer) spare(q *search) bool {
+// spare tells whether a search's other parts make an answer worth having without those that are given up.
+func (g *Gatherer) spare(q *search, gone func(*part) bool) bool {
 	in := 0.0
 	for _, p := range q.parts {
-		if p.done || !g.hopeless(p) {
+		if p.done || !gone(p) {
 			in += p.weight
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -55,6 +55,52 @@
 	reapedAt               Time
 }
 
+// New makes a gatherer that knows nothing yet but its facts.
+func New(f Facts) *Gatherer {
+	g := &Gatherer{cells: f.Cells, reach: min(f.Reach, f.Cells), holders: make([][]*server, f.Shards),
+		most: f.MostSubRequests, margin: max(2*f.Tick, 4*Millisecond), advise: f.AdviseRetry,
+		listPause: max(f.AskWithin/2, firstPause), mayCancel: f.MayCancel, mayCopy: f.MayCopy,
+		onRequest: f.ListOnRequest, marked: f.RepeatsMarked, coldFor: f.ColdFor, fallWithin: f.FallWithin,
+		coldShare: f.ColdShare, coldMultiple: coldSafety * max(f.FallMultiple, 1), callCost: f.CallCost,
+		free: f.BudgetFree, perItem: f.BudgetShare,
+		rand: newMWC(f.Seed), servers: map[ServerID]*server{}, open: map[SearchID]*search{},
+		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
+		zones:   map[ZoneNo]*zone{},
+		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
+	g.nears, g.near = f.Nears, f.Zone
+	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
+	if f.AtClient {
+		g.travel = clientAway
+	}
+	if !f.HasBudget {
+		g.free, g.perItem, g.span = float64(g.most), resendShare, 10*shareSpan
+	}
+	if f.BudgetEach {
+		g.freeAll, g.fleetMost = g.free, g.gatherers
+	} else {
+		g.budgets = []*budget{g.newBudget()}
+	}
+	if f.BudgetWaits {
+		g.waits = never // until the first event
+	}
+	for i, t := range f.QueryTypes {
+		g.setType(QueryType(i), t)
+		g.besides = g.besides || f.MayCopy && f.MayCancel && f.MostSubRequests > 1 && t.Effect == Idempotent
+	}
+	g.besides = g.besides || f.MayCopy && f.BudgetEach
+	g.gates = f.MayProbe && !g.besides
+	spans := float64(shareSpan) / float64(1000*Millisecond) / g.gatherers
+	all := customer{0, newTally(shareSpan)} // the last one stands for all of them
+	for _, c := range f.Customers {
+		if f.OverShareFactor < 1 {
+			g.customers = append(g.customers, customer{c.SharePerSecond * spans, newTally(shareSpan)})
+			all.perSpan += c.SharePerSecond * spans
+		}
+	}
+	g.customers = append(g.customers, all)
+	return g
+}
+
 // typeRules are the figures of one query type that decisions use.
 type typeRules struct {
 	effect                  Effect
@@ -113,6 +159,7 @@
 	tries        []*subRequest
 	flying       int  // tries that have not ended
 	done         bool // its answer is in
+	skip         bool // given up from the start: its shard is down or overrun, and the others are enough
 }
 
 type subRequest struct {
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -48,17 +48,24 @@
 		return
 	}
 	self := kin.Name(f.set.Internal(boot.ForagerPort))
-	all := []kin.Name{self}
+	// Those of this zone are watched, where there are any: they ask the servers that this gatherer asks, and news of them
+	// passes between no zones.
+	all, zone := []kin.Name{self}, []kin.Name{self}
 	for _, o := range n.Foragers {
 		if name := kin.Name(o.Address); name != self {
-			all = append(all, name)
+			if all = append(all, name); o.Zone == f.set.Zone {
+				zone = append(zone, name)
+			}
 		}
 	}
-	f.fleet = len(all)
+	f.fleet, f.company = len(all), len(zone)-1
+	if len(zone) == 1 {
+		zone, f.company = all, len(all)-1
+	}
 	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
 	f.relist()
 	few := map[kin.Name]bool{}
-	for _, name := range kin.Watched(self, all, kin.Few) {
+	for _, name := range kin.Watched(self, zone, kin.Few) {
 		if few[name] = true; f.watching[name] == nil {
 			f.watch(name)
 		}
@@ -129,10 +136,11 @@
 	if heard == 0 {
 		return
 	}
-	scale := float64(max(f.fleet-1, heard)) / float64(heard)
+	scale := float64(max(f.company, heard)) / float64(heard)
 	told := brain.Told{}
 	for _, s := range f.flowers {
-		if s.listed {
+		// Of servers elsewhere, silence of this zone's gatherers says nothing: those of their own zones ask them.
+		if s.listed && (s.zone == f.set.Zone || f.company == f.fleet-1) {
 			told.Loads = append(told.Loads, brain.Load{Server: s.id, Parts: sums[s.instance] * scale})
 		}
 	}
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -109,7 +109,8 @@
 	pending   []brain.Event
 	watchers  map[*dance.Conn]bool
 	watching  map[kin.Name]*watched
-	fleet     int
+	fleet     int // gatherers, this one too
+	company   int // others that those watched stand for
 	shareAt   brain.Time
 	lastID    uint64
 	lastNo    brain.SearchNo
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -423,6 +423,6 @@
 func toReport(r *dance.Report, now time.Duration) waggle.Report {
 	return waggle.Report{Instance: waggle.InstanceID(r.Instance), Service: waggle.ServiceID(r.Service), Address: r.Address, Zone: r.Zone,
 		Version: r.Version, Slots: int(r.Slots), State: waggle.State(min(r.State, uint32(waggle.Gone))),
-		WarmAt: now + time.Duration(r.ColdMs)*time.Millisecond, Sequence: waggle.Sequence(r.Sequence),
+		Refresh: r.Refresh, WarmAt: now + time.Duration(r.ColdMs)*time.Millisecond, Sequence: waggle.Sequence(r.Sequence),
 		HeardAt: now - time.Duration(r.AgeMs)*time.Millisecond}
 }
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -112,9 +112,15 @@
 	}
 	upTo := h.table.Cursor()
 	sent := map[waggle.InstanceID]bool{}
-	for _, r := range h.table.Heard(p.has, p.address) {
+	deaf := func(from string) bool { return p.silent[from] > 2*pulseEvery }
+	for _, r := range h.table.Heard(p.has, p.address, deaf) {
 		sent[r.Instance] = true
-		m.Reports = append(m.Reports, fromReport(r, now))
+		if r.ChangedAfter(p.has) {
+			m.Reports = append(m.Reports, fromReport(r, now))
+		} else {
+			m.Reports = append(m.Reports, &dance.Report{Instance: string(r.Instance), Sequence: uint64(r.Sequence),
+				AgeMs: uint32(max(now-r.HeardAt, 0) / time.Millisecond), Refresh: true})
+		}
 	}
 	for _, no := range p.differ { // mended from the newer: it takes what is newer than its own
 		for _, r := range h.table.Range(no) {
--- a/waggle/waggle.go
+++ b/waggle/waggle.go
@@ -39,6 +39,7 @@
 	Sequence Sequence
 	HeardAt  time.Duration // when the newest call came, by the holder's steady clock
 	Silent   bool          // not heard for a while, though others are
+	Refresh  bool          // of one that comes in: only its instance, sequence and age are told
 
 	heard   Cursor // of the last word of any kind
 	changed Cursor // of the last word that changed what is to be done
@@ -72,6 +73,9 @@
 // the report said anything new.
 func (t *Table) Take(in Report, from string) bool {
 	r := t.reports[in.Instance]
+	if r == nil && in.Refresh {
+		return false // its whole report will come: digests differ
+	}
 	if r == nil {
 		if in.State != Ready && in.Service == "" {
 			in.Silent = false // a sign-off of one that nobody knows: kept against late calls
@@ -89,6 +93,9 @@
 	if in.State > r.State {
 		r.State, changed = in.State, true
 	}
+	if r.newer(in.Sequence) && in.Refresh {
+		in.Service, in.Address, in.Zone, in.Version, in.Slots, in.WarmAt = r.Service, r.Address, r.Zone, r.Version, r.Slots, r.WarmAt
+	}
 	if r.newer(in.Sequence) {
 		changed = changed || r.Address != in.Address || r.Service != in.Service || r.Slots != in.Slots
 		heard = true
@@ -173,11 +180,16 @@
 // Len is how many servers are held.
 func (t *Table) Len() int { return len(t.reports) }
 
-// Heard are the reports with any word after a cursor, in the order of the words, less those that came from one holder.
-func (t *Table) Heard(after Cursor, less string) []*Report {
-	return t.since(func(r *Report) Cursor { return r.heard }, after, less)
+// Heard are the reports with any word after a cursor that another holder is to be told, in the order of the words: those
+// that servers gave here, those that changed, and those of third holders whom it does not hear itself, as deaf tells.
+func (t *Table) Heard(after Cursor, to string, deaf func(from string) bool) []*Report {
+	all := t.since(func(r *Report) Cursor { return r.heard }, after, to)
+	return slices.DeleteFunc(all, func(r *Report) bool { return r.from != "" && r.changed <= after && !deaf(r.from) })
 }
 
+// ChangedAfter tells whether more than the time of a server's last call is new after a cursor.
+func (r *Report) ChangedAfter(after Cursor) bool { return r.changed > after }
+
 // Changed are the reports with a change after a cursor, in the order of the changes.
 func (t *Table) Changed(after Cursor) []*Report {
 	return t.since(func(r *Report) Cursor { return r.changed }, after, "")
