Servers known are kept on the core's disks as hints; rounds begin at once at a start

Ruled out: hints for gatherers (they have no disk). Change: changed reports go to the disk every 2 s at most, read back at the start and held for just heard; the first round waits 60 ms at most.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,9 +1,7 @@
 package brain
 
-// How to call it: New makes the decisions of one gatherer from its Facts. Handle takes one Event and the
-// moment it came, in order of arrival, and returns the Actions to perform, in order. Interface: types.go.
-//
-// The design (docs/design.md) places each part: see plan.go, the ordinary path. Beside it, six mechanisms, a file each:
+// Handle takes one Event and its moment, in order of arrival, and returns the Actions to perform, in order.
+// The design (docs/design.md) places each part: see plan.go. Beside it, six mechanisms, a file each:
 //  1. Health: errors and silence take a server out; one trial part at a time brings it back, after a probe
 //     where a search depends on it. Rested connections, where many are found dead, are closed before use.
 //  2. Cold allowance: a server just started gets its share of what warm ones bear, by its age.
@@ -50,14 +48,14 @@
 	limitFloor  = 9.0                // parts in flight for each ready server, over all gatherers, always allowed
 	widestFloor = 3                  // and so many of the widest searches
 	shortestUp  = 1e-4               // the shortest answer time is forgotten so fast, per answer
-	longPower   = 4                  // past limitSlack, how much less than pressed will do as answers take longer
+	longPower   = 4                  // past limitSlack, how much less than pressed will do
 	pressed     = 0.5                // of the limit: past it places are short; customers are held to shares
 	shareSpan   = 2000 * Millisecond // over which a customer's searches are held against its share
 
-	clientAway    = 10 * Millisecond // of a target that counts at the client, what its connection and the answer's way take
-	fleetSafety   = 0.8              // of the free budget of all gatherers: one that is frozen or cut off may still use its part
-	adviseShare   = 8                // a shed client is told to come back after target / adviseShare, where it may be told so
-	nearShare     = 4                // a near server that ends a part within target / nearShare is as good as a far one
+	clientAway    = 10 * Millisecond // of a target that counts at the client, what the way takes
+	fleetSafety   = 0.8              // of the free budget of all: one that is cut off may still use its part
+	adviseShare   = 8                // a shed client is told to come back after target / adviseShare
+	nearShare     = 4                // a near server that ends a part within target / nearShare will do
 	patienceFades = 200              // the longest patience seen is forgotten by a part in so many, per search
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
@@ -110,8 +108,9 @@
 	for len(g.types) <= int(at) {
 		g.types = append(g.types, nil)
 	}
-	r := &typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare, t.WholeAt, t.LateValue > 0,
-		t.ShortValue*t.LeastShare >= t.LateValue, t.Square, t.SecondStep > 0, cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
+	r := &typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare, t.WholeAt,
+		t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.Square, t.SecondStep > 0,
+		cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
 	if t.Square {
 		r.shortAt, r.shortCounts = max(t.LeastShare, math.Sqrt(t.LateValue)), true
 	}
--- a/brain/cold.go
+++ b/brain/cold.go
@@ -1,7 +1,5 @@
 package brain
 
-// The cold allowance of servers just started.
-
 // warmth is the share of its capacity that a server has at least, by its age.
 func (g *Gatherer) warmth(s *server) float64 {
 	if s.upSince == 0 || g.coldFor <= 0 {
--- a/brain/further.go
+++ b/brain/further.go
@@ -138,7 +138,7 @@
 	return b.extra.most(g.now)+1 <= share*(free+g.perItem*b.taken.least(g.now))
 }
 
-// fleet takes the size of the fleet. Fewer gatherers share the budget only once what those gone had used is past.
+// fleet takes the size of the fleet. Fewer share the budget only once what those gone had used is past.
 func (g *Gatherer) fleet(e FleetChanged) {
 	if g.waits == never {
 		g.waits = g.now + g.span
--- a/brain/moment.go
+++ b/brain/moment.go
@@ -1,6 +1,7 @@
 package brain
 
 // The moment to answer.
+import "slices"
 
 // review answers a search, sends what is due or gives it up, and sets the timer for the next look.
 func (g *Gatherer) review(q *search) {
@@ -24,7 +25,8 @@
 			reach += p.weight
 		}
 	}
-	ripe := g.now >= q.end || reach <= got || q.rules.shortCounts && g.now >= q.target && got >= q.rules.shortAt-weightSlack
+	short := q.rules.shortCounts && g.now >= q.target && got >= q.rules.shortAt-weightSlack
+	ripe := g.now >= q.end || reach <= got || short
 	switch {
 	case got >= whole || got >= least && ripe:
 		g.answer(q, got >= whole && (!q.second || q.whole))
@@ -67,7 +69,7 @@
 			g.send(p, s)
 		case flying == 1 && trial >= 0: // it makes room for a copy: no more than two may be out
 			g.do(Cancel{p.id, SendNo(trial)})
-		case flying == 0 || !usable || !g.affords(p, max(copyFloor, g.success)) || g.now+g.predict(s, p) >= q.target:
+		case flying == 0 || !usable || g.now+g.predict(s, p) >= q.target || !g.affords(p, max(copyFloor, g.success)):
 		case flying == 1 && g.mayCopy:
 			g.send(p, s)
 		case !g.mayCopy && g.mayCancel: // the next one goes once this one's end is known
@@ -119,7 +121,8 @@
 
 // advice is when a shed client should come back: soon enough for its target, where that counts at the client.
 func (g *Gatherer) advice(q *search) Time {
-	if g.travel == 0 {
+	bare := slices.ContainsFunc(q.parts, func(p *part) bool { return len(g.holders[p.shard]) == 0 })
+	if g.travel == 0 || bare { // nobody to ask: it takes a while until one is known
 		return g.advise
 	}
 	return min(g.advise, max(q.rules.target/adviseShare, g.travel))
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -179,8 +179,8 @@
 // fresh is how much news of a moment still counts: all at once, nothing when it is so old.
 func (g *Gatherer) fresh(at, age Time) float64 { return max(0, 1-float64(g.now-at)/float64(age)) }
 
-// nearer moves parts of the plan that is sent to servers of this gatherer's zone, each to the one that the plan's own
-// order names there, where that makes neither the part nor the plan end later. What passes between zones is dear.
+// nearer moves parts of the plan to servers of this gatherer's zone, each to the one an offset names there, if
+// neither the part nor the plan ends later, or soon enough. What passes between zones is dear.
 func (g *Gatherer) nearer(q *search, best []placing, slowest Time) Time {
 	if !g.nears {
 		return slowest
@@ -223,8 +223,8 @@
 	return end
 }
 
-// hopeless tells whether no sound replica of a part would end it in a time, nor stands idle: all of its shard may be down,
-// or the few that are back would be overrun.
+// hopeless tells whether no sound replica of a part would end it in a time, nor stands idle: all of a shard
+// may be down, or the few that are back would be overrun.
 func (g *Gatherer) hopeless(p *part, within Time) bool {
 	return p.q.rules.square && !slices.ContainsFunc(g.holders[p.shard], func(s *server) bool {
 		return s.outUntil <= g.now && !s.trial && g.silence(s.out...) <= 1 &&
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -127,7 +127,7 @@
 // figures that the platform states nowhere.
 const (
 	lateValue   = 0.3                    // share of an answer's worth after its target
-	mostAdvice  = 200 * time.Millisecond // a client follows advice up to a third of its time
+	mostAdvice  = 400 * time.Millisecond // a client follows advice up to a third of its time
 	defaultMost = 1                      // attempts, where a route states none
 )
 
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"oxbowspan/dance"
 	"oxbowspan/internal/boot"
@@ -67,6 +68,9 @@
 	trying    bool // a round to resolve or to join is on its way
 	tryAt     time.Duration
 	leaving   bool
+	hintedAt  time.Duration
+	hinted    waggle.Cursor // up to which the reports are on the disk, as hints
+	hinting   bool
 }
 
 type forager struct {
@@ -118,6 +122,7 @@
 		}
 	}
 	h.turn <- struct{}{}
+	h.recall(store.Hints())
 	return h, nil
 }
 
@@ -181,7 +186,7 @@
 		for _, a := range h.set.SeedHives() {
 			h.meet(a)
 		}
-		h.tryAt = h.now() + time.Duration(rand.Int64N(int64(resolveWait)))
+		h.tidyAt = h.now() + time.Duration(rand.Int64N(int64(60*time.Millisecond))) // who begins is left to chance
 		h.log.Info().Uint64("identity", uint64(h.self)).Uint64("turn", uint64(h.voted)).Msg("hive: started")
 	})
 	<-ctx.Done()
@@ -271,6 +276,48 @@
 	}
 	h.spreads = kept
 	h.owe(now)
+	h.keepHints(now)
+}
+
+// hintsEvery is how often changed reports are put on the disk at most.
+const hintsEvery = 2 * time.Second
+
+// keepHints puts the servers that are known on the disk, so that a core whose every machine lost power knows them before
+// they have called again. What is there may be old: a server that does not call is soon silent again.
+func (h *Hive) keepHints(now time.Duration) {
+	upTo := h.table.Cursor()
+	if h.hinting || now-h.hintedAt < hintsEvery || len(h.table.Changed(h.hinted)) == 0 {
+		return
+	}
+	m := &dance.Pulse{}
+	for _, r := range h.table.Changed(0) {
+		m.Reports = append(m.Reports, fromReport(r, now))
+	}
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	h.hintedAt = now
+	h.hinting = h.store.KeepHints(text, func(err error) {
+		go h.do(func() {
+			if h.hinting = false; err == nil {
+				h.hinted = upTo
+			}
+		})
+	})
+}
+
+func (h *Hive) recall(hints []byte) {
+	m := &dance.Pulse{}
+	if len(hints) == 0 || proto.Unmarshal(hints, m) != nil {
+		return
+	}
+	for _, r := range m.Reports {
+		r.AgeMs = 0 // how long ago that was nobody knows
+		in := toReport(r, h.now())
+		in.Silent = r.Silent
+		h.table.Take(in, "disk")
+	}
 }
 
 // news has the waiters told, at once or soon.
--- a/internal/wax/wax.go
+++ b/internal/wax/wax.go
@@ -3,6 +3,7 @@
 package wax
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -29,6 +30,7 @@
 	keyID    = []byte("identity")
 	keyState = []byte("state")
 	keyValue = []byte("value")
+	keyHints = []byte("hints")
 )
 
 // ErrBusy says that the disk is behind.
@@ -40,6 +42,7 @@
 	work  chan func()
 	done  chan struct{}
 	state swarm.State // the last that is known to be on the disk; the disk's goroutine's
+	hints []byte      // as found at the start
 }
 
 // Open opens or makes the file in a directory. Genesis is the identity for a disk that is empty; 0 draws one. A file that
@@ -91,6 +94,7 @@
 	if form := b.Get(keyForm); form != nil && binary.BigEndian.Uint64(form) != Format {
 		return eris.Errorf("the state file has form %d, this program reads %d", binary.BigEndian.Uint64(form), Format)
 	}
+	s.hints = bytes.Clone(b.Get(keyHints))
 	if id := b.Get(keyID); len(id) == 8 {
 		s.state.ID = swarm.AcceptorID(binary.BigEndian.Uint64(id))
 		return s.read(b)
@@ -184,6 +188,25 @@
 	})
 }
 
+// Hints are what KeepHints last stored, as found at the start; nil = nothing. They help, and nothing depends on them.
+func (s *Store) Hints() []byte { return s.hints }
+
+// KeepHints stores hints where the disk has nothing else to do, else it tells false and nothing happens. After, on the
+// disk's goroutine, is told how it went.
+func (s *Store) KeepHints(hints []byte, after func(error)) bool {
+	if len(s.work) > 0 {
+		return false
+	}
+	select {
+	case s.work <- func() {
+		after(s.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucket).Put(keyHints, hints) }))
+	}:
+		return true
+	default:
+		return false
+	}
+}
+
 // State is the state as found at the start. It may be called before the first Update only.
 func (s *Store) State() swarm.State { return s.state }
 
