--- a/brain/list.go
+++ b/brain/list.go
@@ -1,7 +1,5 @@
 package brain
 
-// The server list.
-
 import (
 	"maps"
 	"slices"
--- a/brain/moment.go
+++ b/brain/moment.go
@@ -1,6 +1,5 @@
 package brain
 
-// The moment to answer.
 import "slices"
 
 // review answers a search, sends what is due or gives it up, and sets the timer for the next look.
@@ -69,7 +68,8 @@
 			g.send(p, s)
 		case flying == 1 && trial >= 0: // it makes room for a copy: no more than two may be out
 			g.do(Cancel{p.id, SendNo(trial)})
-		case flying == 0 || !usable || g.now+g.predict(s, p) >= q.target || !g.affords(p, max(copyFloor, g.success)):
+		case flying == 0 || !usable || g.now+g.predict(s, p) >= q.target ||
+			!g.affords(p, max(copyFloor, g.success)):
 		case flying == 1 && g.mayCopy:
 			g.send(p, s)
 		case !g.mayCopy && g.mayCancel: // the next one goes once this one's end is known
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -179,7 +179,7 @@
 // fresh is how much news of a moment still counts: all at once, nothing when it is so old.
 func (g *Gatherer) fresh(at, age Time) float64 { return max(0, 1-float64(g.now-at)/float64(age)) }
 
-// nearer moves parts of the plan to servers of this gatherer's zone, each to the one an offset names there, if
+// nearer moves parts of the plan to servers of this gatherer's zone, each to the one an offset names, if
 // neither the part nor the plan ends later, or soon enough. What passes between zones is dear.
 func (g *Gatherer) nearer(q *search, best []placing, slowest Time) Time {
 	if !g.nears {
