--- /dev/null
+++ b/brain/front_test.go
@@ -0,0 +1,191 @@
+package brain
+
+import "testing"
+
+// frontBench is a gatherer as the system's data plane makes it: shards that come, three servers each, the first in its zone.
+func frontBench(shards int, t QueryTypeFacts) *bench {
+	b := &bench{Gatherer: New(Facts{Seed: 5, Gatherers: 1, Tick: Millisecond, Cells: 1, Reach: 1, MostSubRequests: 2, MayCopy: true,
+		HasBudget: true, BudgetEach: true, BudgetFree: 54, BudgetShare: 0.2, BudgetSpan: 10000 * Millisecond, AdviseRetry: 400 * Millisecond,
+		TimeoutSeen: true, AtClient: true, Nears: true, OverShareFactor: 1}), at: 1000000}
+	b.do(FleetChanged{Shards: shards, Gatherers: 1})
+	b.do(TypeChanged{Type: 0, Facts: t})
+	var list []Server
+	for s := range shards {
+		for i := range 3 {
+			list = append(list, Server{ID: ServerID(10*s + i + 1), Cell: CellNo(s), Zone: ZoneNo(i), State: Ready})
+		}
+	}
+	b.do(ServerList{ListChanges, list})
+	return b
+}
+
+var gatheredType = QueryTypeFacts{LatencyTarget: 120 * Millisecond, ClientTimeout: 1200 * Millisecond, LateValue: 0.3, LeastShare: 0.5,
+	WholeAt: 1, MostSubRequests: 2, Square: true}
+
+func (b *bench) gather(shards int) (sends []Send, acts []Action) {
+	b.next++
+	e := SearchArrived{Search: SearchID(b.next), Number: SearchNo(b.next), Patience: 1200 * Millisecond}
+	for s := range shards {
+		e.Parts = append(e.Parts, Part{ID: PartID(b.next*100 + uint64(s)), Shard: ShardNo(s), Weight: 1 / float64(shards)})
+	}
+	acts = b.do(e)
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			sends = append(sends, s)
+		}
+	}
+	return sends, acts
+}
+
+func hasShed(acts []Action) bool {
+	for _, a := range acts {
+		if _, ok := a.(Shed); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func TestNearServersAreAskedWhereTheyAreAsGood(t *testing.T) {
+	b := frontBench(4, gatheredType)
+	near, all := 0, 0
+	for range 200 {
+		sends, _ := b.gather(4)
+		b.at += 20 * Millisecond
+		for _, s := range sends {
+			if all++; s.Server%10 == 1 {
+				near++
+			}
+			b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+		}
+	}
+	deny(t, near*10 < all*9, "%d of %d parts went to servers of the gatherer's zone while all are idle", near, all)
+	// With the near ones busy, the plan holds.
+	for s := range 4 {
+		b.do(Told{[]Load{{Server: ServerID(10*s + 1), Parts: 50}}})
+	}
+	sends, _ := b.gather(4)
+	for _, s := range sends {
+		deny(t, s.Server%10 == 1, "a part went to a near server with fifty parts before it")
+	}
+}
+
+func TestAShardAllDownIsNotWaitedFor(t *testing.T) {
+	b := frontBench(4, gatheredType)
+	var lost []Send
+	for range 40 {
+		sends, acts := b.gather(4)
+		deny(t, hasShed(acts), "a search was shed although three of four shards are idle")
+		b.at += 20 * Millisecond
+		for _, s := range sends {
+			if s.Server > 30 {
+				lost = append(lost, s)
+				b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: ConnectFailed})
+			} else {
+				b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+			}
+		}
+	}
+	// Now the servers of shard 3 are known to be out: three parts make the answer at once.
+	sends, _ := b.gather(4)
+	b.at += 20 * Millisecond
+	answered := false
+	for _, s := range sends {
+		if s.Server > 30 {
+			continue // a trial
+		}
+		for _, a := range b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered}) {
+			if _, ok := a.(Answer); ok {
+				answered = true
+			}
+		}
+	}
+	deny(t, !answered, "the answer waits for a shard that is all down")
+	deny(t, len(lost) > 60, "%d parts were sent to a shard that is all down, by 40 searches", len(lost))
+}
+
+func TestEachShardHasItsOwnBudget(t *testing.T) {
+	b := frontBench(2, gatheredType)
+	b.at += 20000 * Millisecond
+	p := &part{q: &search{rules: b.types[0]}, shard: 0, size: 1}
+	q := &part{q: p.q, shard: 1, size: 1}
+	for range 200 {
+		b.budget(0).extra.add(b.at, 1)
+	}
+	b.now = b.at
+	deny(t, b.affords(p, 1), "a shard's spent budget is still there")
+	deny(t, !b.affords(q, 1), "another shard's spending took a shard's budget")
+	for n := 1; n <= 64; n *= 4 {
+		b.do(FleetChanged{Shards: 2, Gatherers: n})
+		free := 0.0
+		for b.affords(q, 1) {
+			b.budget(1).extra.add(b.at, 1)
+			free++
+		}
+		deny(t, free*float64(n) > 54, "%d gatherers may spend %v each", n, free)
+		b.at += 30000 * Millisecond
+		b.now = b.at
+	}
+}
+
+func TestAGathererThatStartsAgainHasNoFreeBudgetYet(t *testing.T) {
+	f := Facts{Gatherers: 1, Cells: 1, Reach: 1, MostSubRequests: 2, HasBudget: true, BudgetEach: true, BudgetFree: 54, BudgetSpan: 100000,
+		BudgetWaits: true, OverShareFactor: 1}
+	g := New(f)
+	g.Handle(1000, FleetChanged{Shards: 1, Gatherers: 2})
+	p := &part{q: &search{}, size: 1}
+	deny(t, g.affords(p, 1), "its life before may have spent its part in this window")
+	g.now = 1000 + 100001
+	deny(t, !g.affords(p, 1), "its part does not come back")
+}
+
+func TestWeightedShards(t *testing.T) {
+	one := QueryTypeFacts{LatencyTarget: 500 * Millisecond, ClientTimeout: 5000 * Millisecond, LateValue: 0.3, LeastShare: 1, WholeAt: 1, MostSubRequests: 2}
+	b := frontBench(3, one)
+	got := map[ServerID]int{}
+	ask := func() {
+		b.next++
+		e := SearchArrived{Search: SearchID(b.next), Number: SearchNo(b.next), Patience: 1200 * Millisecond, Parts: []Part{{ID: PartID(b.next), Weight: 1}},
+			Among: []Weighted{{0, 3}, {1, 1}, {2, 0}}}
+		for _, a := range b.do(e) {
+			if s, ok := a.(Send); ok {
+				got[s.Server/10]++
+				b.at += 20 * Millisecond
+				b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+			}
+		}
+	}
+	for range 400 {
+		ask()
+	}
+	deny(t, got[2] != 0 || got[0] < 250 || got[0] > 350 || got[0]+got[1] != 400, "of 400 with weights 3, 1 and 0 went %v", got)
+	b.do(ServerList{ListChanges, []Server{{ID: 1, State: Gone}, {ID: 2, State: Gone}, {ID: 3, State: Gone}}})
+	clear(got)
+	for range 20 {
+		ask()
+	}
+	deny(t, got[1] != 20, "a service without servers was chosen: %v", got)
+}
+
+// A type that changes holds for what comes from then on; what is open keeps what it came with.
+func TestATypeThatChanges(t *testing.T) {
+	b := frontBench(2, gatheredType)
+	sends, _ := b.gather(2)
+	open := b.open[SearchID(b.next)]
+	next := gatheredType
+	next.Effect, next.LatencyTarget = NonIdempotent, 60*Millisecond
+	b.do(TypeChanged{Type: 0, Facts: next})
+	deny(t, open.rules.effect != Idempotent || len(sends) != 2, "an open search changed its rules")
+	b.gather(2)
+	deny(t, b.open[SearchID(b.next)].rules.effect != NonIdempotent, "a new search has the old rules")
+}
+
+// Past the connections that a gatherer may hold, a server is not asked.
+func TestConnectionsBoundWhatIsSent(t *testing.T) {
+	b := frontBench(1, gatheredType)
+	b.do(ServerList{ListChanges, []Server{{ID: 1, State: Ready, Most: 2}, {ID: 2, State: Gone}, {ID: 3, State: Gone}}})
+	for range 6 {
+		b.gather(1)
+	}
+	deny(t, len(b.servers[1].out) > 2, "%d are out at a server that may have 2", len(b.servers[1].out))
+}
--- /dev/null
+++ b/forager/forager_test.go
@@ -0,0 +1,123 @@
+package forager
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"oxbowspan/brain"
+	"oxbowspan/comb"
+)
+
+const seal = "X-Server-Seal: s\r\n"
+
+// What servers send, and what it says of a sub-request. A wrong verdict is a rule broken: MIXED, TWICE or REFUSED.
+func TestAnswersOfServers(t *testing.T) {
+	single, gathered := &route{Route: &comb.Route{Service: "s"}}, &route{Route: &comb.Route{GatheredServices: []string{"s"}}}
+	for what, k := range map[string]struct {
+		text    string
+		to      *route
+		outcome brain.Outcome
+		broken  bool
+		keep    bool
+	}{
+		"whole":                 {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, true},
+		"in chunks":             {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", single, brain.Answered, false, true},
+		"cut off":               {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 9\r\n\r\nab", single, brain.Reset, true, false},
+		"chunks cut off":        {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", single, brain.Reset, true, false},
+		"without a length":      {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "\r\nab", single, brain.Reset, true, false},
+		"another's":             {"HTTP/1.1 200 OK\r\nX-Attempt-Id: p\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
+		"without an id":         {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Errored, false, true},
+		"a part without an id":  {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", gathered, brain.Answered, false, true},
+		"without a stamp":       {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nContent-Length: 2\r\n\r\nab", single, brain.Errored, false, true},
+		"encoded":               {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nab", single, brain.Errored, false, true},
+		"no answer at all":      {"\x00\x01garbage\r\n\r\n", single, brain.Reset, true, false},
+		"full":                  {"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", single, brain.TurnedAway, false, true},
+		"503 that may have run": {"HTTP/1.1 503 No\r\nX-Attempt-Id: q\r\nContent-Length: 0\r\n\r\n", single, brain.Errored, false, true},
+		"500":                   {"HTTP/1.1 500 No\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 0\r\n\r\n", single, brain.Errored, false, true},
+		"a failure as a part":   {"HTTP/1.1 404 No\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 0\r\n\r\n", gathered, brain.Errored, false, true},
+		"moved":                 {"HTTP/1.1 421 No\r\nX-Instance-Id: o\r\nContent-Length: 0\r\n\r\n", single, brain.TurnedAway, false, true},
+		"leaving":               {"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, false},
+		"soon idle":             {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, false},
+	} {
+		resp := fasthttp.AcquireResponse()
+		outcome, keep, err := readAnswer(bufio.NewReader(strings.NewReader(k.text)), &search{method: "GET", attempt: "q", route: k.to}, resp)
+		if (err != nil) != k.broken || outcome != k.outcome || (keep > 0) != k.keep {
+			t.Errorf("%s: outcome %d, kept %v, error %v", what, outcome, keep, err)
+		}
+		fasthttp.ReleaseResponse(resp)
+	}
+}
+
+// Requests in which two readers might find different bounds are refused.
+func TestDoubtfulRequests(t *testing.T) {
+	for what, k := range map[string]struct {
+		text string
+		fine bool
+	}{
+		"plain":                 {"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", true},
+		"a length":              {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab", true},
+		"chunked":               {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", true},
+		"two lengths":           {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc", false},
+		"length and chunked":    {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		"another coding":        {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n", false},
+		"a length with a sign":  {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: +2\r\n\r\nab", false},
+		"a space before colon":  {"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length : 2\r\n\r\nab", false},
+		"a folded line":         {"GET /x HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", false},
+		"a target with a space": {"GET /x y HTTP/1.1\r\nHost: h\r\n\r\n", false},
+		"no path":               {"GET http://h/x HTTP/1.1\r\nHost: h\r\n\r\n", false},
+	} {
+		var q fasthttp.Request
+		q.Header.DisableNormalizing()
+		err := q.Header.Read(bufio.NewReader(strings.NewReader(k.text)))
+		if fine := err == nil && doubtful(&q) == ""; fine != k.fine {
+			t.Errorf("%s: taken %v (%v, %q)", what, fine, err, doubtful(&q))
+		}
+	}
+}
+
+func TestWhatGoesAlong(t *testing.T) {
+	var q fasthttp.Request
+	q.Header.DisableNormalizing()
+	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\n" +
+		"X-Deadline-Remaining: 5\r\nX-Expected-Instance: z\r\nTE: trailers\r\nAccept: */*\r\n\r\n"
+	if err := q.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
+		t.Fatal(err)
+	}
+	got := string(passOn(&q))
+	for _, want := range []string{"Host: h.example:80\r\n", "X-Attempt-Id: q\r\n", "x-odd-Name: v\r\n", "Accept: */*\r\n"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q is missing in %q", want, got)
+		}
+	}
+	for _, not := range []string{"X-Mine", "Connection", "Deadline", "Expected", "TE:"} {
+		if strings.Contains(got, not) {
+			t.Errorf("%q goes along in %q", not, got)
+		}
+	}
+}
+
+func TestKeepAliveTimes(t *testing.T) {
+	for text, want := range map[string]time.Duration{"timeout=5": 4800 * time.Millisecond, "timeout=0": 0, "max=3, timeout=2": 1800 * time.Millisecond,
+		"max=3": idleLimit, "timeout=x": idleLimit} {
+		if got := keepAlive(text); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
+func FuzzAnswers(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab")
+	f.Fuzz(func(t *testing.T, text string) {
+		resp := fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseResponse(resp)
+		s := &search{method: "GET", attempt: "q", route: &route{Route: &comb.Route{Service: "s"}}}
+		outcome, _, err := readAnswer(bufio.NewReader(strings.NewReader(text)), s, resp)
+		if err == nil && outcome == brain.Answered && string(resp.Header.Peek("X-Attempt-Id")) != "q" {
+			t.Fatalf("%q was taken for the answer to q", text)
+		}
+	})
+}
--- /dev/null
+++ b/swarm/model_test.go
@@ -0,0 +1,357 @@
+package swarm
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// The model: machines with disks, rounds, and messages that are lost, doubled and reordered; machines crash and lose what
+// they had not stored; disks are wiped, as many as may be lost; wiped ones come back as strangers and take seats. After each
+// step: no two values are decided at one turn, and each follows the one before it.
+
+// mistake is a fault planted in the model's own part of the work, to see that the checks find it.
+type mistake int
+
+const (
+	none              mistake = iota
+	toldBeforeStored          // an answer is sent before it is on the disk
+	wipedKeepsName            // an emptied disk votes under its old identity
+	ballotsAgain              // a proposer that starts again uses the ballots of its life before
+	promisesForgotten         // an acceptor votes for ballots below what it promised
+	promisesLate              // a promise does not tell the vote that was cast
+	seatsAtOnce               // a set changes without a majority of the one before
+	twoSeatsAtOnce            // two members are exchanged in one turn, with no majority of the one before
+	votesAsDecided            // a vote that was cast is taken for decided
+	readUnproved              // what a majority promised is taken for decided without votes
+	strangerPromises          // an answer of another disk counts as that of the one asked
+	lowerVoteWins             // of two votes the one with the lower ballot is taken for the newest
+)
+
+type machine struct {
+	address string
+	disk    State // what is stored
+	state   State // what it acts on
+	up      bool
+	known   *Value
+	life    ProposerID
+	number  uint64
+	rounds  []*running
+}
+
+type running struct {
+	m *machine
+	r *Round
+}
+
+type note struct {
+	to      *machine
+	prepare *Prepare
+	accept  *Accept
+	back    *running
+	promise *Promise
+	answer  *Accepted
+}
+
+type world struct {
+	t        *testing.T
+	r        *rand.Rand
+	planted  mistake
+	machines []*machine
+	genesis  *Value
+	notes    []note
+	decided  map[Turn]*Value
+	newest   *Value
+	lives    uint64
+	version  Version
+	broken   string
+}
+
+func newWorld(seed uint64, n int, planted mistake) *world {
+	w := &world{r: rand.New(rand.NewPCG(seed, uint64(n))), planted: planted, decided: map[Turn]*Value{}}
+	var members []Member
+	for i := range n {
+		a := fmt.Sprint("m", i)
+		members = append(members, Member{AcceptorID(i + 1), a})
+		w.machines = append(w.machines, &machine{address: a, disk: State{ID: AcceptorID(i + 1)}})
+	}
+	w.genesis = Genesis(members)
+	w.newest = w.genesis
+	for _, m := range w.machines {
+		w.start(m)
+	}
+	return w
+}
+
+func (w *world) start(m *machine) {
+	m.state, m.up, m.known, m.rounds = m.disk, true, w.genesis, nil
+	if v := m.disk.Value; v != nil && v.Turn > 0 {
+		m.known = &Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
+	}
+	if w.planted != ballotsAgain {
+		w.lives++
+		m.life, m.number = ProposerID(w.lives), m.disk.Promised.Number
+	} else {
+		m.life, m.number = ProposerID(len(m.address)+int(m.address[1])), 0
+	}
+}
+
+func (w *world) at(address string) *machine {
+	for _, m := range w.machines {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+// whole tells whether another disk may be lost now.
+func (w *world) whole() bool {
+	return w.newest.Settled() && !slices.ContainsFunc(w.newest.Members, func(m Member) bool {
+		return w.at(m.Address).disk.ID != m.ID
+	})
+}
+
+func (w *world) step() {
+	m := w.machines[w.r.IntN(len(w.machines))]
+	switch k := w.r.IntN(100); {
+	case k < 6 && m.up:
+		w.begin(m)
+	case k < 8: // it crashes and starts again
+		w.start(m)
+	case k < 9 && w.whole(): // its disk is emptied
+		id := m.disk.ID
+		if w.planted != wipedKeepsName {
+			id = AcceptorID(1000 + w.r.IntN(1<<30))
+		}
+		m.disk = State{ID: id}
+		w.start(m)
+		m.known = w.newest // strangers learn from those that know
+	case k < 14 && len(w.notes) > 0: // a message is lost
+		w.notes = slices.Delete(w.notes, 0, 1)
+	default:
+		if len(w.notes) == 0 {
+			return
+		}
+		i := w.r.IntN(min(len(w.notes), 12))
+		n := w.notes[i]
+		if w.r.IntN(20) > 0 { // else it comes twice
+			w.notes = slices.Delete(w.notes, i, i+1)
+		}
+		w.deliver(n)
+	}
+}
+
+func (w *world) begin(m *machine) {
+	change := Change(func(v *Value) *Value { return v })
+	self := Member{m.disk.ID, m.address}
+	switch w.r.IntN(3) {
+	case 0:
+		w.version++
+		version := w.version
+		change = func(v *Value) *Value {
+			return v.WithConfig(max(version, v.Version+1), v.Version, fmt.Sprint("d", version), nil)
+		}
+	case 1:
+		change = func(v *Value) *Value {
+			if Has(v.Members, self.ID) {
+				return v
+			}
+			members := slices.Clone(v.Members)
+			for i := range members {
+				if members[i].Address == self.Address {
+					members[i] = self
+				}
+			}
+			next := v.WithMembers(members)
+			if w.planted == seatsAtOnce {
+				next.Prior = members
+			}
+			return next
+		}
+	case 2:
+		if w.planted == twoSeatsAtOnce {
+			change = func(v *Value) *Value {
+				next := v.WithMembers(v.Members[:1])
+				next.Prior = next.Members
+				return next
+			}
+		}
+	}
+	if w.planted == votesAsDecided && m.state.Value != nil && m.state.Value.Turn > m.known.Turn {
+		m.known = m.state.Value
+		w.decide(m.known)
+	}
+	m.number++
+	run := &running{m, NewRound(Ballot{m.number, m.life}, m.known, change)}
+	m.rounds = append(m.rounds, run)
+	w.ask(run)
+}
+
+func (w *world) ask(run *running) {
+	for _, to := range run.r.Ask() {
+		w.notes = append(w.notes, note{to: w.at(to.Address), prepare: &Prepare{to.ID, run.r.Ballot()}, back: run})
+	}
+}
+
+func (w *world) deliver(n note) {
+	switch {
+	case n.prepare != nil:
+		p := *n.prepare
+		if w.planted == strangerPromises {
+			p.To = n.to.state.ID
+		}
+		next, back := n.to.state.Prepare(p)
+		if w.planted == strangerPromises {
+			back.From = n.prepare.To
+		}
+		if w.planted == promisesLate && back.OK {
+			back.Value, back.Accepted = nil, Ballot{}
+		}
+		w.store(n.to, next)
+		w.notes = append(w.notes, note{promise: &back, back: n.back})
+	case n.accept != nil:
+		state := n.to.state
+		if w.planted == promisesForgotten {
+			state.Promised = Ballot{}
+		}
+		a := *n.accept
+		if w.planted == strangerPromises {
+			a.To = state.ID
+		}
+		next, back := state.Accept(a)
+		if w.planted == strangerPromises {
+			back.From = n.accept.To
+		}
+		if back.OK {
+			w.store(n.to, next)
+		}
+		w.notes = append(w.notes, note{answer: &back, back: n.back})
+	case !slices.Contains(n.back.m.rounds, n.back):
+	case n.promise != nil:
+		p := *n.promise
+		if w.planted == lowerVoteWins && p.OK && p.Value != nil {
+			p.Accepted = Ballot{1 << 40 >> min(p.Accepted.Number, 39), p.Accepted.By}
+		}
+		to := n.back.r.Promised(p)
+		if to == nil {
+			w.ask(n.back)
+		}
+		if w.planted == readUnproved && to != nil {
+			w.decide(n.back.r.Proposal())
+		}
+		for _, m := range to {
+			w.notes = append(w.notes, note{to: w.at(m.Address), accept: &Accept{m.ID, n.back.r.Ballot(), n.back.r.Proposal()}, back: n.back})
+		}
+		w.lost(n.back)
+	default:
+		if n.back.r.Accepted(*n.answer) {
+			v := n.back.r.Proposal()
+			w.decide(v)
+			for _, m := range w.machines { // some are told
+				if (m == n.back.m || w.r.IntN(2) == 0) && m.up && v.Turn >= m.known.Turn {
+					m.known = v
+				}
+			}
+			n.back.m.rounds = slices.DeleteFunc(n.back.m.rounds, func(o *running) bool { return o == n.back })
+		}
+		w.lost(n.back)
+	}
+}
+
+func (w *world) lost(run *running) {
+	if by, lost := run.r.Lost(); lost {
+		run.m.number = max(run.m.number, by.Number)
+	}
+}
+
+// store puts a state on a disk. With the planted mistake it does so only sometimes before the answer goes out.
+func (w *world) store(m *machine, next State) {
+	m.state = next
+	if w.planted != toldBeforeStored || w.r.IntN(2) == 0 {
+		m.disk = next
+	}
+}
+
+func (w *world) decide(v *Value) {
+	if old := w.decided[v.Turn]; old != nil {
+		if !old.Same(v) && w.broken == "" {
+			w.broken = fmt.Sprintf("turn %d: version %d with %v and version %d with %v are both decided", v.Turn, old.Version, old.Members, v.Version, v.Members)
+		}
+		return
+	}
+	if before := w.decided[v.Turn-1]; v.Turn > 1 && before != nil && w.broken == "" {
+		switch {
+		case !sameMembers(v.Prior, before.Members):
+			w.broken = fmt.Sprintf("turn %d follows another set than that of the turn before", v.Turn)
+		case v.Digest != before.Digest && v.BasedOn != before.Version:
+			w.broken = fmt.Sprintf("turn %d: version %d is based on %d, %d was in place", v.Turn, v.Version, v.BasedOn, before.Version)
+		case v.Digest != before.Digest && before.Digest != "" && !v.Fate(before.Version, before.BasedOn, before.Digest):
+			w.broken = fmt.Sprintf("turn %d has forgotten version %d", v.Turn, before.Version)
+		}
+	}
+	w.decided[v.Turn] = v
+	if v.Turn >= w.newest.Turn {
+		w.newest = v
+	}
+}
+
+// run plays a world and returns what broke, and how many turns were decided.
+func run(seed uint64, n, steps int, planted mistake) (string, Turn) {
+	w := newWorld(seed, n, planted)
+	for range steps {
+		if w.step(); w.broken != "" {
+			return w.broken, w.newest.Turn
+		}
+	}
+	return "", w.newest.Turn
+}
+
+func TestNoTwoValuesAreDecidedAtATurn(t *testing.T) {
+	turns := Turn(0)
+	for seed := range uint64(3000) {
+		broken, at := run(seed, 3+2*int(seed%2), 500, none)
+		if broken != "" {
+			t.Fatalf("seed %d: %s", seed, broken)
+		}
+		turns += at
+	}
+	if turns < 6000 {
+		t.Fatalf("3000 worlds decided %d values in all: too few to tell", turns)
+	}
+}
+
+func TestPlantedMistakesAreFound(t *testing.T) {
+	for name, m := range map[string]mistake{"told before stored": toldBeforeStored, "wiped disk keeps its name": wipedKeepsName,
+		"ballots used again": ballotsAgain, "promises forgotten": promisesForgotten, "promises hide votes": promisesLate,
+		"a seat without the old majority": seatsAtOnce, "a set cut down at once": twoSeatsAtOnce, "votes taken for decided": votesAsDecided,
+		"promises taken for decided": readUnproved, "strangers answer for the lost": strangerPromises, "the lower vote wins": lowerVoteWins} {
+		found := 0
+		for seed := range uint64(6000) {
+			if broken, _ := run(seed, 3+2*int(seed%2), 800, m); broken != "" {
+				found++
+				t.Logf("%s: seed %d: %s", name, seed, broken)
+				break
+			}
+		}
+		if found == 0 {
+			t.Errorf("%s: no check finds it", name)
+		}
+	}
+}
+
+// Rounds end: with no messages lost, each round decides or is ended by a higher ballot.
+func TestARoundAloneDecides(t *testing.T) {
+	w := newWorld(1, 3, none)
+	m := w.machines[0]
+	w.begin(m)
+	for len(w.notes) > 0 {
+		n := w.notes[0]
+		w.notes = w.notes[1:]
+		w.deliver(n)
+	}
+	if len(m.rounds) != 0 || w.decided[w.newest.Turn] == nil {
+		t.Fatal("a round that is alone does not decide")
+	}
+}
