--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,7 +55,8 @@
 	clientAway    = 10 * Millisecond // of a target that counts at the client, what the way takes
 	fleetSafety   = 0.8              // of the free budget of all: one that is cut off may still use its part
 	adviseShare   = 8                // a shed client is told to come back after target / adviseShare
-	nearShare     = 4                // a near server that ends a part within target / nearShare will do
+	nearShare     = 2                // a near server that ends a part within target / nearShare will do
+	sizeWeight    = 0.01             // smoothing of what a part of a type takes by itself
 	patienceFades = 200              // the longest patience seen is forgotten by a part in so many, per search
 
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
@@ -110,12 +111,12 @@
 	}
 	r := &typeRules{t.Effect, t.LatencyTarget, t.ClientTimeout, t.Window, t.LeastShare, t.WholeAt,
 		t.LateValue > 0, t.ShortValue*t.LeastShare >= t.LateValue, t.Square, t.SecondStep > 0,
-		cmp.Or(t.MostSubRequests, g.most), t.LeastShare, 0, -never}
+		cmp.Or(t.MostSubRequests, g.most), g.learns * float64(t.LatencyTarget/firstShare), t.LeastShare, 0, -never}
 	if t.Square {
 		r.shortAt, r.shortCounts = max(t.LeastShare, math.Sqrt(t.LateValue)), true
 	}
 	if old := g.types[at]; old != nil {
-		r.patience, r.gaveUpAt = old.patience, old.gaveUpAt
+		r.patience, r.gaveUpAt, r.size = old.patience, old.gaveUpAt, old.size
 	}
 	g.types[at] = r
 }
--- a/brain/further.go
+++ b/brain/further.go
@@ -69,6 +69,9 @@
 		s.size += (size - s.size) * rateWeight
 		s.rate, s.taughtAt = s.took/s.size, g.now
 	}
+	if e.Outcome == Answered && p.q.rules.size > 0 && r.ahead < p.size {
+		p.q.rules.size += (float64(e.Elapsed)*g.learns - p.q.rules.size) * sizeWeight
+	}
 	switch {
 	case lost && r.rested:
 		s.lostAt = r.sentAt
--- a/brain/limit.go
+++ b/brain/limit.go
@@ -2,7 +2,10 @@
 
 // The in-flight limit, and who is let in.
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 // arrived sets a search's moments and sheds what is past the in-flight limit.
 func (g *Gatherer) arrived(e SearchArrived) {
@@ -75,23 +78,16 @@
 
 // choose draws a shard by weight among those that have a ready server, or among all.
 func (g *Gatherer) choose(among []Weighted) (at ShardNo) {
-	for _, any := range []bool{false, true} {
-		sum := 0.0
-		for _, w := range among {
-			if any || len(g.holders[w.Shard]) > 0 {
-				sum += max(w.Weight, 0)
-			}
+	sum, held := 0.0, 0.0
+	for _, w := range among {
+		if sum += w.Weight; len(g.holders[w.Shard]) > 0 {
+			held += w.Weight
 		}
-		left := sum * float64(g.rand.below(1<<20)) / (1 << 20)
-		for _, w := range among {
-			if w.Weight > 0 && (any || len(g.holders[w.Shard]) > 0) {
-				if at, left = w.Shard, left-w.Weight; left < 0 {
-					return at
-				}
-			}
-		}
-		if sum > 0 {
-			return at
+	}
+	left := cmp.Or(held, sum) * float64(g.rand.below(1<<20)) / (1 << 20)
+	for _, w := range among {
+		if w.Weight > 0 && left >= 0 && (held == 0 || len(g.holders[w.Shard]) > 0) {
+			at, left = w.Shard, left-w.Weight
 		}
 	}
 	return at
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -13,7 +13,8 @@
 func (g *Gatherer) fanOut(q *search, parts []Part) {
 	for _, p := range parts {
 		g.budget(p.Shard).taken.add(g.now, 1)
-		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: cmp.Or(max(p.Size, 0), 1) + g.callCost}
+		size := cmp.Or(max(p.Size, 0), q.rules.size, 1) + g.callCost
+		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: size}
 		g.size += (own.size - g.size) * slowWeight
 		q.parts = append(q.parts, own)
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -27,6 +27,7 @@
 	waits, span, shrinkAt   Time    // nothing is free before waits; fewer gatherers count at shrinkAt
 	travel                  Time
 	timeoutSeen, nears      bool
+	learns                  float64 // 0, or milliseconds in a Time: sizes of parts are learned by type
 	near                    ZoneNo
 	callCost                float64 // in each size, as nearly every part is a call of its own
 
@@ -69,6 +70,9 @@
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
 	g.nears, g.near = f.Nears, f.Zone
 	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
+	if f.TimeoutSeen {
+		g.learns = 1 / float64(Millisecond)
+	}
 	if f.AtClient {
 		g.travel = clientAway
 	}
@@ -110,6 +114,7 @@
 	square                  bool // a short answer's value is the square of its share
 	second                  bool // a second step follows the first answer
 	most                    int
+	size                    float64 // what a part of it takes by itself, in milliseconds, as learned; 0 = not learned
 	shortAt                 float64 // share that is worth answering short at the target
 	patience                Time    // the longest of a first try, seen so far
 	gaveUpAt                Time    // when one was last given up
