--- a/hive/calls.go
+++ b/hive/calls.go
@@ -66,7 +66,7 @@
 	if b.State == comb.StateDraining {
 		state = waggle.Draining
 	}
-	c.take(w, r, b.Zone, func(now time.Duration) {
+	c.take(w, r, func(now time.Duration) {
 		c.h.table.Take(waggle.Report{Instance: id, Service: waggle.ServiceID(b.Service), Address: b.Address, Zone: b.Zone,
 			Version: b.Version, Slots: b.CapacitySlots, State: state, Sequence: waggle.Sequence(b.CallSequence), HeardAt: now,
 			WarmAt: now + time.Duration(b.ColdRemainingMS*float64(time.Millisecond))}, "")
@@ -76,19 +76,18 @@
 func (c *instanceCalls) signOff(w http.ResponseWriter, r *http.Request) {
 	io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, beatBytes))
 	id := waggle.InstanceID(r.PathValue("id"))
-	c.take(w, r, "", func(now time.Duration) { c.h.table.SignOff(id, now) })
+	c.take(w, r, func(now time.Duration) { c.h.table.SignOff(id, now) })
 }
 
 // take hands a report to the owner. What takes a server out is acknowledged only when a majority of the core holds it, so
 // that it is not lost with this machine.
-func (c *instanceCalls) take(w http.ResponseWriter, r *http.Request, zone string, report func(now time.Duration)) {
+func (c *instanceCalls) take(w http.ResponseWriter, r *http.Request, report func(now time.Duration)) {
 	h := c.h
 	var wait *spread
-	alone, beats := false, ""
+	alone := false
 	h.ask(func() {
 		now, before := h.now(), h.table.Cursor()
 		alone = now > settledFor && !h.settled(now)
-		beats = h.nearHive(zone, now)
 		report(now)
 		changed := h.table.Changed(before)
 		for _, o := range changed {
@@ -130,13 +129,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	text, _ := json.Marshal(beatAnswer{beats})
-	w.Write(text)
-}
-
-// beatAnswer is the answer to a heartbeat.
-type beatAnswer struct {
-	BeatAddress string `json:"beat_address,omitempty"`
+	w.Write([]byte("{}"))
 }
 
 // configurationCalls are what the operator wants.
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -255,21 +255,6 @@
 	p.heardAt, p.turn = max(now, 1), turn
 }
 
-// nearHive is where a server of another zone should send its later beats: to a hive of its own zone that is well heard; ""
-// = here is as good. What passes between zones is dear.
-func (h *Hive) nearHive(zone string, now time.Duration) string {
-	if zone == "" || zone == h.set.Zone {
-		return ""
-	}
-	best := ""
-	for _, p := range h.peers {
-		if p.zone == zone && p.heardAt > 0 && now-p.heardAt < settledFor && now-p.metAt > 2*settledFor && (best == "" || p.control < best) {
-			best = p.control
-		}
-	}
-	return best
-}
-
 // seat tells whether an acceptor votes at an address; seed, whether the settings name it.
 func (h *Hive) seat(address string) bool {
 	return slices.ContainsFunc(h.known.Members, func(m swarm.Member) bool { return m.Address == address })
