--- a/dance/link.go
+++ b/dance/link.go
@@ -29,8 +29,8 @@
 	MostBytes  = 8 << 20 // of one frame
 	deadAfter  = 2500 * time.Millisecond
 	writeLimit = 2500 * time.Millisecond
-	dialLimit  = 1000 * time.Millisecond
-	dialPause  = 250 * time.Millisecond // after a failure, the next caller is told so at once for so long
+	dialLimit  = 300 * time.Millisecond // the first packet to a machine without power is lost, and sent again only after a second
+	dialPause  = 100 * time.Millisecond // after a failure, the next caller is told so at once for so long
 )
 
 // Errors of a call.
@@ -171,7 +171,7 @@
 	}()
 	r := bufio.NewReader(c.c)
 	var preface [len(Preface)]byte
-	c.c.SetReadDeadline(time.Now().Add(dialLimit * 2))
+	c.c.SetReadDeadline(time.Now().Add(2 * time.Second))
 	if _, err := io.ReadFull(r, preface[:]); err != nil || string(preface[:]) != Preface {
 		s.Strangers.Add(1)
 		return
--- a/forager/links.go
+++ b/forager/links.go
@@ -16,7 +16,7 @@
 
 // Bounds on what passes between this gatherer and servers.
 const (
-	connectLimit = 1000 * time.Millisecond
+	connectLimit = 400 * time.Millisecond
 	answerBytes  = 16 << 20 // of one answer's body
 	idleLimit    = 14 * time.Second
 	smallRequest = 8 << 10 // a request so short is written at once: nothing else is in its connection's buffers
--- a/internal/colony/colony_test.go
+++ b/internal/colony/colony_test.go
@@ -378,3 +378,27 @@
 	}
 	return 0
 }
+
+// A gatherer that starts while the hive that it would ask first is dark asks another soon: the first packet to a dark machine
+// is lost, and a dial that waited a second for it kept the gatherer without a configuration.
+func TestADarkHiveIsLeftSoon(t *testing.T) {
+	play(t, 3, 3, 3, func(c *Colony) {
+		if got := agree(c, 0, Example(1, FirstCut), 30); got != http.StatusOK {
+			t.Fatal(got)
+		}
+		await(t, c, 1, 3*time.Second)
+		for i, f := range c.Gather {
+			c.Hives[i].Kill(true)
+			f.Kill(false)
+			f.Start()
+			time.Sleep(900 * time.Millisecond)
+			if f.Now.InForce() != 1 {
+				t.Errorf("%s has no configuration 0.9 s after its start beside a dark hive", f.IP)
+			}
+			if err := c.Hives[i].Start(); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(4 * time.Second)
+		}
+	})
+}
