State file: checked whole at the start, hive state check, dump and config

Cause: a file cut short opened as if whole where its first pages were there. Ruled out: a sum of our own over the file.

--- a/hive/calls.go
+++ b/hive/calls.go
@@ -160,6 +160,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
 	defer cancel()
 	var fate int
+	began := time.Now()
 	var why string
 	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
 		switch fate, why = http.StatusOK, ""; {
@@ -179,7 +180,7 @@
 	case fate != http.StatusOK:
 		refuse(w, fate, why)
 	default:
-		c.h.log.Info().Uint64("version", conf.Version).Uint64("turn", uint64(v.Turn)).Msg("config: acknowledged")
+		c.h.log.Info().Uint64("version", conf.Version).Uint64("turn", uint64(v.Turn)).Dur("took", time.Since(began)).Msg("config: acknowledged")
 		w.Header().Set("Content-Type", "application/json")
 		w.Write([]byte(`{"version":` + strconv.FormatUint(conf.Version, 10) + `}`))
 	}
--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -22,6 +23,7 @@
 	"oxbowspan/hive"
 	"oxbowspan/internal/boot"
 	"oxbowspan/internal/ground"
+	"oxbowspan/internal/wax"
 )
 
 // Exit codes.
@@ -80,10 +82,14 @@
 		}}
 	check := &ffcli.Command{Name: "check", ShortUsage: p.name + " check boot|config FILE", ShortHelp: "check the settings file or a configuration",
 		Subcommands: []*ffcli.Command{checkBoot, checkConfig}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+	subcommands := []*ffcli.Command{}
+	if p.control {
+		subcommands = append(subcommands, stateCommand(path, out))
+	}
 	version := &ffcli.Command{Name: "version", ShortUsage: p.name + " version", ShortHelp: "say which version this is",
 		Exec: func(context.Context, []string) error { fmt.Fprintln(out, p.name, Version); return nil }}
 	root := &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] serve|check|version", FlagSet: set, Options: options,
-		Subcommands: []*ffcli.Command{serve, check, version}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+		Subcommands: append([]*ffcli.Command{serve, check, version}, subcommands...), Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 	err := root.ParseAndRun(context.Background(), args)
 	switch {
 	case err == nil:
@@ -95,6 +101,52 @@
 	return exitFailed
 }
 
+// stateCommand reads a stopped machine's file.
+func stateCommand(path *string, out io.Writer) *ffcli.Command {
+	var dir *string
+	with := func(name, help string, do func(c *wax.Contents) error) *ffcli.Command {
+		return &ffcli.Command{Name: name, ShortUsage: "hive state " + name, ShortHelp: help, Exec: func(context.Context, []string) error {
+			at := *dir
+			if at == "" {
+				s, err := boot.Read(boot.Path(*path))
+				if err != nil {
+					return err
+				}
+				at = s.DataDirectory
+			}
+			c, err := wax.Inspect(at)
+			if err != nil {
+				return err
+			}
+			return do(c)
+		}}
+	}
+	set := flag.NewFlagSet("state", flag.ContinueOnError)
+	dir = set.String("dir", "", "the data `directory`; else the settings file names it")
+	return &ffcli.Command{Name: "state", ShortUsage: "hive state [--dir DIR] check|dump|config", ShortHelp: "read the state file of a machine that does not run",
+		FlagSet: set, Subcommands: []*ffcli.Command{
+			with("check", "say whether the file is whole", func(c *wax.Contents) error {
+				fmt.Fprintf(out, "the state file is whole: %d bytes, turn %d, version %d\n", c.Bytes, c.Turn, c.Version)
+				return nil
+			}),
+			with("dump", "print what the file holds as JSON, without the configuration", func(c *wax.Contents) error {
+				text, err := json.MarshalIndent(c, "", "  ")
+				if err != nil {
+					return err
+				}
+				fmt.Fprintln(out, string(text))
+				return nil
+			}),
+			with("config", "print the configuration that was voted for", func(c *wax.Contents) error {
+				if len(c.Body) == 0 {
+					return errors.New("the state file holds no configuration")
+				}
+				_, err := out.Write(c.Body)
+				return err
+			}),
+		}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+}
+
 func (p program) read(path string) (*boot.Settings, []string, error) {
 	s, err := boot.Read(path)
 	if err != nil {
--- /dev/null
+++ b/internal/wax/inspect.go
@@ -0,0 +1,96 @@
+package wax
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.etcd.io/bbolt"
+	"google.golang.org/protobuf/proto"
+
+	"oxbowspan/dance"
+	"oxbowspan/swarm"
+)
+
+// Contents is what a stopped machine's file holds, for people.
+type Contents struct {
+	Format   uint64           `json:"format"`
+	Identity swarm.AcceptorID `json:"identity"`
+	Promised swarm.Ballot     `json:"promised"`
+	Accepted swarm.Ballot     `json:"accepted"`
+	Turn     swarm.Turn       `json:"turn"`    // of the vote, which may not have been decided
+	Version  swarm.Version    `json:"version"` // of its configuration
+	BasedOn  swarm.Version    `json:"based_on"`
+	Digest   string           `json:"digest"` // SHA-256, in hexadecimal
+	Members  []swarm.Member   `json:"members"`
+	Prior    []swarm.Member   `json:"prior"`
+	Past     []swarm.Version  `json:"past"`
+	Servers  int              `json:"servers"` // kept as hints
+	Bytes    int64            `json:"bytes"`   // of the file
+
+	Body []byte `json:"-"` // the configuration
+}
+
+// Inspect reads the file in a directory of a machine that does not run. It changes nothing.
+func Inspect(dir string) (c *Contents, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if r := recover(); r != nil {
+			c, err = nil, eris.Errorf("the state file is damaged: %v", r)
+		}
+	}()
+	path := filepath.Join(dir, fileName)
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, eris.Errorf("there is no state file: %v", err)
+	}
+	db, err := bbolt.Open(path, 0o644, &bbolt.Options{ReadOnly: true, Timeout: time.Second})
+	if err != nil {
+		return nil, eris.Errorf("the state file can't be opened, or its machine runs: %v", err)
+	}
+	defer db.Close()
+	c = &Contents{Bytes: info.Size()}
+	if err := whole(db, path); err != nil {
+		return nil, err
+	}
+	err = db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(bucket)
+		if b == nil {
+			return eris.New("the state file was never used")
+		}
+		if form := b.Get(keyForm); len(form) == 8 {
+			c.Format = binary.BigEndian.Uint64(form)
+		}
+		if c.Format != Format {
+			return eris.Errorf("the state file has form %d, this program reads %d", c.Format, Format)
+		}
+		if id := b.Get(keyID); len(id) == 8 {
+			c.Identity = swarm.AcceptorID(binary.BigEndian.Uint64(id))
+		}
+		s := &Store{}
+		if err := s.read(b); err != nil {
+			return err
+		}
+		c.Promised, c.Accepted = s.state.Promised, s.state.Accepted
+		if v := s.state.Value; v != nil {
+			c.Turn, c.Version, c.BasedOn, c.Digest = v.Turn, v.Version, v.BasedOn, hex.EncodeToString([]byte(v.Digest))
+			c.Members, c.Prior, c.Body = v.Members, v.Prior, v.Body
+			for _, p := range v.Past {
+				c.Past = append(c.Past, p.Version)
+			}
+		}
+		hints := &dance.Pulse{}
+		if proto.Unmarshal(b.Get(keyHints), hints) == nil {
+			c.Servers = len(hints.Reports)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
--- a/internal/wax/wax.go
+++ b/internal/wax/wax.go
@@ -9,6 +9,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,15 +69,20 @@
 }
 
 func openFile(path string, genesis swarm.AcceptorID) (s *Store, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a page that is not in the file any more
 	defer func() {
 		if r := recover(); r != nil { // the library panics on pages that are not as they should be
 			s, err = nil, eris.Errorf("the state file is damaged: %v", r)
 		}
 	}()
-	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: time.Second, InitialMmapSize: 16 << 20})
+	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: time.Second, InitialMmapSize: 4 << 20})
 	if err != nil {
 		return nil, err
 	}
+	if err = whole(db, path); err != nil {
+		db.Close()
+		return nil, err
+	}
 	s = &Store{db: db, work: make(chan func(), 64), done: make(chan struct{})}
 	if err = db.Update(func(tx *bbolt.Tx) error { return s.load(tx, genesis) }); err != nil {
 		db.Close()
@@ -86,6 +92,19 @@
 	return s, nil
 }
 
+// whole tells what is wrong with a file's pages.
+func whole(db *bbolt.DB, path string) error {
+	return db.View(func(tx *bbolt.Tx) error {
+		if info, err := os.Stat(path); err != nil || info.Size() < tx.Size() {
+			return eris.New("the state file is shorter than it says")
+		}
+		for fault := range tx.Check() {
+			return eris.Wrap(fault, "the state file is damaged")
+		}
+		return nil
+	})
+}
+
 func (s *Store) load(tx *bbolt.Tx, genesis swarm.AcceptorID) error {
 	b, err := tx.CreateBucketIfNotExists(bucket)
 	if err != nil {
