--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,7 +55,7 @@
 	clientAway    = 10 * Millisecond // of a target that counts at the client, what the way takes
 	fleetSafety   = 0.8              // of the free budget of all: one that is cut off may still use its part
 	adviseShare   = 8                // a shed client is told to come back after target / adviseShare
-	nearShare     = 2                // a near server that ends a part within target / nearShare will do
+	nearShare     = 0.7              // a near server that ends a part within so much of the target will do
 	sizeWeight    = 0.01             // smoothing of what a part of a type takes by itself
 	patienceFades = 200              // the longest patience seen is forgotten by a part in so many, per search
 
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -203,7 +203,7 @@
 		}
 		s := near[(offset+int(b.p.shard))%len(near)]
 		g.planned[b.s] -= b.p.size
-		if end := g.predict(s, b.p); end <= max(slowest, b.finish, q.rules.target/nearShare) {
+		if end := g.predict(s, b.p); end <= max(slowest, b.finish, Time(nearShare*float64(q.rules.target))) {
 			b.s, b.finish = s, end
 		}
 		g.planned[b.s] += b.p.size
