Foragers are told of a changed core at once; the core's hard cases, each by a test

Cause: the list of hives went to foragers only with a change of the list of foragers: with every machine of the core replaced in turn a gatherer lost them all (TestTheCoreIsReplacedOneByOne, TestFiveWithTwoGone). Ruled out: seeds asked again by name (they had moved). Change: who is heard of the core counts as news. Tests: replaced one by one, five with two gone, a wiped disk back first, two operators through a cut, a hive that lags, stalled disks, 256 KiB, a storm, a draining whose hive dies.

--- a/hive/hive.go
+++ b/hive/hive.go
@@ -211,6 +211,11 @@
 // Kill has Run return at once, in no order, as a kill of the process would. It must be called once at most.
 func (h *Hive) Kill() { close(h.killed) }
 
+// HoldDisk has the disk answer nothing for a time, as one that stalls. For tests and the emulator.
+func (h *Hive) HoldDisk(d time.Duration) {
+	h.store.Update(func(s swarm.State) swarm.State { time.Sleep(d); return s }, func(swarm.State, error) {})
+}
+
 // Agreed is the newest turn and version that this hive knows to be agreed.
 func (h *Hive) Agreed() (turn swarm.Turn, version swarm.Version) {
 	h.ask(func() {
@@ -281,6 +286,14 @@
 			h.news(false)
 		}
 	}
+	// Foragers are told whom they may ask: also when no forager has come or gone.
+	for _, p := range h.peers {
+		if heard := p.heardAt > 0 && now-p.heardAt < settledFor; heard != p.listed {
+			p.listed = heard
+			h.crowd++
+			h.news(false)
+		}
+	}
 	for a, p := range h.peers {
 		if now-p.heardAt > peerLost && !h.seat(a) && !h.seed(a) {
 			delete(h.peers, a)
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -23,6 +23,7 @@
 	life    uint64                   // of its process
 	metAt   time.Duration            // when this hive first tried to reach it
 	heardAt time.Duration            // 0 = never
+	listed  bool                     // among those that foragers are told of
 	turn    swarm.Turn               // that it knows
 	has     waggle.Cursor            // up to which it has this hive's reports
 	differ  []int                    // ranges of reports in which it differs
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -173,6 +173,21 @@
 	return nil
 }
 
+// AddHive adds a machine of the core, at an address of its own. Later ones name the seeds that are there then.
+func (c *Colony) AddHive() *HiveMachine {
+	m := &HiveMachine{c: c, IP: fmt.Sprintf("%d.%d.1.%d", c.net, len(c.Hives)%3, len(c.Hives)+1)}
+	c.Hives = append(c.Hives, m)
+	return m
+}
+
+// Seeds turns over the seeds that later starts are told.
+func (c *Colony) Seeds(of ...*HiveMachine) {
+	c.seeds = nil
+	for _, m := range of {
+		c.seeds = append(c.seeds, m.Control())
+	}
+}
+
 // Kill kills the process; with power, the machine goes dark. The disk stays.
 func (m *HiveMachine) Kill(power bool) {
 	if m.Now == nil {
