--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -45,6 +45,7 @@
 	Ledger  *Ledger
 	rand    *rand.Rand
 	seeds   []string
+	mu      sync.Mutex // over the list of hives, which grows
 	first   bool
 	counted int
 	net     int // the first byte of all addresses
@@ -176,7 +177,9 @@
 // AddHive adds a machine of the core, at an address of its own. Later ones name the seeds that are there then.
 func (c *Colony) AddHive() *HiveMachine {
 	m := &HiveMachine{c: c, IP: fmt.Sprintf("%d.%d.1.%d", c.net, len(c.Hives)%3, len(c.Hives)+1)}
+	c.mu.Lock()
 	c.Hives = append(c.Hives, m)
+	c.mu.Unlock()
 	return m
 }
 
@@ -427,7 +430,11 @@
 	}
 }
 
-func (s *Server) anyHive() string { return s.c.Hives[rand.IntN(len(s.c.Hives))].Control() }
+func (s *Server) anyHive() string {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	return s.c.Hives[rand.IntN(len(s.c.Hives))].Control()
+}
 
 // Crash ends its life without a word; dark, its machine answers nothing any more.
 func (s *Server) Crash(dark bool) {
