News by way of another gatherer; fewer system calls a connection

Ruled out: news through the watched always (it would double the talk). Change: without a hive in contact with a majority for 2 s another gatherer is asked; connections to servers and of clients probe nothing.

--- a/brain/health.go
+++ b/brain/health.go
@@ -17,7 +17,7 @@
 			s.probing = true
 			g.do(Probe{s.id})
 		}
-		if g.warmth(s) >= 1 {
+		if g.coldFor > 0 && g.warmth(s) >= 1 {
 			load, warm = load+s.sent.least(g.now), warm+1
 		}
 	}
--- a/forager/front.go
+++ b/forager/front.go
@@ -15,7 +15,6 @@
 	"github.com/valyala/fasthttp"
 
 	"oxbowspan/comb"
-	"oxbowspan/dance"
 	"oxbowspan/nectar"
 )
 
@@ -92,7 +91,6 @@
 			time.Sleep(20 * time.Millisecond) // no descriptors: the listener goes on
 			continue
 		}
-		dance.Tune(nc)
 		k := &client{c: nc, wait: make(chan reply, 1)}
 		f.clients.mu.Lock()
 		f.clients.open[k] = true
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -23,6 +23,9 @@
 
 // heard takes a frame of another gatherer.
 func (f *Forager) heard(c *dance.Conn, q *dance.Frame) {
+	if a := q.GetAsk(); a != nil {
+		f.do(func() { f.tellKin(c, q.Id, a) })
+	}
 	if q.GetWatch() != nil {
 		f.do(func() {
 			f.watchers[c] = true
--- a/forager/links.go
+++ b/forager/links.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"oxbowspan/brain"
-	"oxbowspan/dance"
 	"oxbowspan/waggle"
 )
 
@@ -78,9 +77,6 @@
 
 func (f *Forager) connect(s *flower, address string, c *call) {
 	nc, err := f.net.Dial(address, connectLimit)
-	if err == nil {
-		dance.Tune(nc)
-	}
 	if !f.do(func() { f.connected(s, nc, err, c) }) && err == nil {
 		nc.Close()
 	}
--- a/forager/news.go
+++ b/forager/news.go
@@ -19,6 +19,7 @@
 	hiveLate  = 700 * time.Millisecond  // and is held to be gone after so much more
 	nextPause = 120 * time.Millisecond  // between hives that don't answer or are cut off
 	bareWait  = 3 * time.Second         // what a cut-off hive says is followed after so long without a better one
+	kinEvery  = 2 * time.Second         // without a hive in contact with a majority, another gatherer is asked so often
 )
 
 // place is a hive that may be asked.
@@ -35,7 +36,9 @@
 	}
 	var order []place
 	var turn, life, cursor, crowd uint64
-	at, began := 0, time.Now()
+	at, asked, began := 0, 0, time.Now()
+	good, kinAt := began, began         // when a hive that is in contact with a majority last answered; when a gatherer was last asked
+	var others []string                 // gatherers, as last told
 	calls := map[string]*dance.Caller{} // kept to those in places
 	defer func() {
 		for _, c := range calls {
@@ -57,6 +60,10 @@
 	}
 	arrange()
 	for ctx.Err() == nil {
+		if now := time.Now(); len(others) > 0 && now.Sub(good) > kinEvery && now.Sub(kinAt) > kinEvery {
+			kinAt, asked = now, asked+1
+			turn = f.askKin(ctx, others[asked%len(others)], turn)
+		}
 		p := order[at%len(order)]
 		c := calls[p.address]
 		if c == nil {
@@ -84,9 +91,17 @@
 			wait(ctx, nextPause)
 			continue
 		}
+		if n.Settled {
+			good = time.Now()
+		}
 		life, cursor = n.HiveLife, n.Cursor
 		if n.HasForagers {
-			crowd = n.Crowd
+			crowd, others = n.Crowd, others[:0]
+			for _, o := range n.Foragers {
+				if o.Address != f.set.Internal(boot.ForagerPort) {
+					others = append(others, o.Address)
+				}
+			}
 		}
 		if n.Turn > turn {
 			turn = n.Turn
@@ -126,6 +141,40 @@
 	}
 }
 
+// askKin asks another gatherer what it knows, while no hive that is in contact with the core answers: this gatherer may be cut
+// off from the core and the other not. What a gatherer has in force was agreed on. It returns the turn that is now had.
+func (f *Forager) askKin(ctx context.Context, address string, turn uint64) uint64 {
+	c := &dance.Caller{Address: address, Net: f.net}
+	defer c.Close()
+	limit, cancel := context.WithTimeout(ctx, hiveLate)
+	defer cancel()
+	answer, err := c.Call(limit, &dance.Frame{Body: &dance.Frame_Ask{Ask: &dance.Ask{Turn: turn}}})
+	n := answer.GetNews()
+	if err != nil || n == nil {
+		return turn
+	}
+	f.do(func() { f.takeReports(n) })
+	if n.Turn > turn && n.HasConfig {
+		f.log.Info().Str("from", address).Uint64("version", n.Version).Msg("news: no hive answers, another gatherer did")
+		f.takeConfig(n)
+		turn = n.Turn
+	}
+	return turn
+}
+
+// tellKin answers another gatherer that hears no hive.
+func (f *Forager) tellKin(c *dance.Conn, id uint64, a *dance.Ask) {
+	n := &dance.News{Turn: f.turnNow}
+	if f.config != nil && f.turnNow > a.Turn {
+		n.Version, n.HasConfig, n.Config = f.config.Version, true, f.text
+	}
+	for _, s := range f.flowers {
+		n.Reports = append(n.Reports, &dance.Report{Instance: s.instance, Service: s.service, Address: s.address, Zone: s.zone,
+			State: uint32(s.state), Sequence: s.sequence, Silent: s.silent})
+	}
+	c.Answer(id, &dance.Frame{Body: &dance.Frame_News{News: n}})
+}
+
 func samePlaces(a, b map[string]place) bool {
 	for k, v := range a {
 		if b[k] != v {
@@ -163,5 +212,10 @@
 		f.log.Error().Err(err).Uint64("version", n.Version).Msg("config: an agreed version can't be read, the last one stays")
 		return
 	}
-	f.do(func() { f.putInForce(c, n.Turn) })
+	f.do(func() {
+		if n.Turn > f.turnNow {
+			f.text = n.Config
+		}
+		f.putInForce(c, n.Turn)
+	})
 }
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -107,6 +107,7 @@
 	zones     map[string]brain.ZoneNo // as many as servers named
 	limits    map[string]int          // connection limits, by service
 	config    *comb.Configuration
+	text      []byte // its text, for gatherers that hear no hive
 	turnNow   uint64
 	timers    alarm.Heap[due] // emptied as they fire
 	pending   []brain.Event
--- a/internal/colony/core_test.go
+++ b/internal/colony/core_test.go
@@ -295,3 +295,23 @@
 		}
 	})
 }
+
+// A gatherer that is cut off from the whole core takes news from the gatherers that it knows.
+func TestNewsByWayOfAnotherGatherer(t *testing.T) {
+	play(t, 21, 3, 3, func(c *Colony) {
+		settle(t, c)
+		time.Sleep(2 * time.Second)
+		for _, m := range c.Hives {
+			c.Meadow.Cut(m.IP, c.Gather[0].IP, true)
+			c.Meadow.Cut(c.Gather[0].IP, m.IP, true)
+		}
+		if got := c.Replace(c.Hives[0], 1, Example(2, SecondCut)); got != http.StatusOK {
+			t.Fatal(got)
+		}
+		await(t, c, 2, 8*time.Second)
+		a := c.Ask(c.Gather[0], "GET", "h.example", "/all/x", "k", time.Second)
+		if fault := CheckGathered(a, "k", [][]string{SecondCut}, ExampleRecords, exampleTop, exampleLeast); a.Status != http.StatusOK || fault != "" {
+			t.Fatal(a.Status, fault)
+		}
+	})
+}
--- a/internal/ground/ground.go
+++ b/internal/ground/ground.go
@@ -2,6 +2,7 @@
 package ground
 
 import (
+	"context"
 	"net"
 	"time"
 )
@@ -12,13 +13,17 @@
 	Dial(address string, limit time.Duration) (net.Conn, error)
 }
 
-// TCP is the machine's own network.
+// TCP is the machine's own network. Its connections probe nothing by themselves: who wants a dead peer to show asks for it.
 type TCP struct{}
 
 // Listen listens on an address.
-func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (TCP) Listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{KeepAlive: -1}
+	return c.Listen(context.Background(), "tcp", address)
+}
 
 // Dial connects to an address, within a limit.
 func (TCP) Dial(address string, limit time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, limit)
+	d := net.Dialer{Timeout: limit, KeepAlive: -1}
+	return d.Dial("tcp", address)
 }
