--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -87,7 +87,7 @@
 		c.Hives = append(c.Hives, &HiveMachine{c: c, IP: fmt.Sprintf("%d.%d.1.%d", c.net, i%3, i+1)})
 	}
 	for i := range foragers {
-		c.Gather = append(c.Gather, &ForagerMachine{c: c, IP: fmt.Sprintf("%d.%d.2.%d", c.net, i%3, i+1)})
+		c.Gather = append(c.Gather, &ForagerMachine{c: c, IP: fmt.Sprintf("%d.%d.%d.%d", c.net, i%3, 100+i/200, i%200+1)})
 	}
 	for _, h := range c.Hives[:min(3, hives)] {
 		c.seeds = append(c.seeds, h.Control())
