Requests without a body end with their head; nothing is acknowledged after the end

Cause: a POST or DELETE without length was read to the end of the connection (TestRequestsOnOneConnection, found while looking for smuggled requests); a heartbeat that came while a hive ended was answered 200 though nobody wrote it down. Ruled out: smuggling by bodies of GETs (they are read). Change: a body needs a length or chunks; an owner that has ended makes 503.

--- a/forager/front.go
+++ b/forager/front.go
@@ -186,7 +186,7 @@
 		k.refuse(fasthttp.StatusRequestEntityTooLarge, "the body is too long", 0, false)
 		return false
 	}
-	if n := q.Header.ContentLength(); n != 0 && !q.Header.IsGet() && !q.Header.IsHead() || n > 0 || n == -1 {
+	if n := q.Header.ContentLength(); n > 0 || n == -1 { // a length, or chunks; without either there is no body
 		if bytes.EqualFold(q.Header.Peek("Expect"), []byte("100-continue")) {
 			if _, err := k.c.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
 				return false
--- a/hive/calls.go
+++ b/hive/calls.go
@@ -85,7 +85,7 @@
 	h := c.h
 	var wait *spread
 	alone := false
-	h.ask(func() {
+	written := h.ask(func() {
 		now, before := h.now(), h.table.Cursor()
 		alone = now > settledFor && !h.settled(now)
 		report(now)
@@ -113,6 +113,10 @@
 			}
 		}
 	})
+	if !written {
+		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+		return
+	}
 	if wait != nil {
 		select {
 		case <-wait.done:
--- /dev/null
+++ b/internal/colony/front_test.go
@@ -0,0 +1,56 @@
+package colony
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Requests one behind the other on one connection: without a body, with a body on a GET that looks like a request, in chunks.
+// Each has its own answer, in order, and what only stands in a body is never run.
+func TestRequestsOnOneConnection(t *testing.T) {
+	play(t, 40, 3, 1, func(c *Colony) {
+		settle(t, c)
+		time.Sleep(3 * time.Second)
+		conn, err := c.Meadow.Host("10.0.9.6").Dial(c.Gather[0].Front(), time.Second)
+		must(t, err)
+		defer conn.Close()
+		hidden := "POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+		head := func(method, path, id string) string {
+			return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Deadline-Remaining: 900\r\nX-Attempt-Id: " + id + "\r\n"
+		}
+		ids := []string{"p1", "p2", "p3", "p4", "p5"}
+		_, err = conn.Write([]byte(head("POST", "/once/a", ids[0]) + "\r\n" +
+			head("GET", "/one/b", ids[1]) + "Content-Length: " + "83" + "\r\n\r\n" + hidden +
+			head("POST", "/once/c", ids[2]) + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n" +
+			head("DELETE", "/once/d", ids[3]) + "\r\n" +
+			head("GET", "/one/e", ids[4]) + "\r\n"))
+		must(t, err)
+		if len(hidden) != 83 {
+			t.Fatalf("the hidden request has %d bytes", len(hidden))
+		}
+		r := bufio.NewReader(conn)
+		for _, id := range ids {
+			conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				t.Fatalf("%s: %v", id, err)
+			}
+			seal := resp.Header.Get("X-Server-Seal")
+			if resp.StatusCode != http.StatusOK || !strings.HasSuffix(seal, "."+id) {
+				t.Fatalf("%s is answered %d with stamp %q", id, resp.StatusCode, seal)
+			}
+			resp.Write(discard{})
+			resp.Body.Close()
+		}
+		if c.Ledger.Runs("once", "hidden")+c.Ledger.Runs("one", "hidden") != 0 {
+			t.Fatal("UNASKED: a request that stood in another's body was run")
+		}
+	})
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
