Clients' idle connections make room past half of the descriptors

Cause: nothing bounded clients' connections but the process's descriptors; a flood of idle ones would have kept servers' out. Ruled out: refusing new ones first. Change: an idle one is closed, a new one only where none is idle; a test with forty descriptors.

--- a/forager/front.go
+++ b/forager/front.go
@@ -35,6 +35,30 @@
 	open map[*client]bool // emptied as they end
 }
 
+// add takes a connection in. Past the most, one that is idle makes room; where none is, it tells false.
+func (c *crowd) add(k *client, most int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if most > 0 && len(c.open) >= most {
+		room := false
+		for o := range c.open {
+			if room = !o.busy.Load() && !o.leaving; room {
+				o.leaving = true
+				o.c.SetReadDeadline(time.Unix(1, 0))
+				break
+			}
+		}
+		if !room {
+			return false
+		}
+	}
+	c.open[k] = true
+	return true
+}
+
+// mostClients is how many connections clients may hold: half of the descriptors, as servers and the talk need the rest.
+func (f *Forager) mostClients() int { return f.set.Limits.FileDescriptors / 2 }
+
 func (c *crowd) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,13 +79,14 @@
 
 // client is one connection of a client.
 type client struct {
-	c    net.Conn
-	r    *bufio.Reader
-	req  fasthttp.Request
-	out  []byte
-	top  nectar.Greatest
-	busy atomic.Bool // a request is being read or answered
-	wait chan reply
+	c       net.Conn
+	r       *bufio.Reader
+	req     fasthttp.Request
+	out     []byte
+	top     nectar.Greatest
+	busy    atomic.Bool // a request is being read or answered
+	leaving bool        // it was told to make room; under the crowd's lock
+	wait    chan reply
 }
 
 // reply is a request's final answer.
@@ -92,9 +117,10 @@
 			continue
 		}
 		k := &client{c: nc, wait: make(chan reply, 1)}
-		f.clients.mu.Lock()
-		f.clients.open[k] = true
-		f.clients.mu.Unlock()
+		if !f.clients.add(k, f.mostClients()) {
+			nc.Close() // unread: its client goes elsewhere
+			continue
+		}
 		f.wg.Go(func() {
 			f.converse(k)
 			nc.Close()
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -35,20 +35,21 @@
 
 // Colony is one system and its surroundings.
 type Colony struct {
-	Meadow  *meadow.Meadow // nil = the machine's own network
-	Dir     string         // holds the hives' disks
-	Log     zerolog.Logger
-	Beat    time.Duration
-	Hives   []*HiveMachine
-	Gather  []*ForagerMachine
-	Servers []*Server
-	Ledger  *Ledger
-	rand    *rand.Rand
-	seeds   []string
-	mu      sync.Mutex // over the list of hives, which grows
-	first   bool
-	counted int
-	net     int // the first byte of all addresses
+	Meadow      *meadow.Meadow // nil = the machine's own network
+	Dir         string         // holds the hives' disks
+	Log         zerolog.Logger
+	Beat        time.Duration
+	Hives       []*HiveMachine
+	Gather      []*ForagerMachine
+	Servers     []*Server
+	Ledger      *Ledger
+	rand        *rand.Rand
+	seeds       []string
+	descriptors int        // of each process; 0 = no limit is told
+	mu          sync.Mutex // over the list of hives, which grows
+	first       bool
+	counted     int
+	net         int // the first byte of all addresses
 }
 
 const (
@@ -135,7 +136,7 @@
 	s := &boot.Settings{NodeName: ip, IPAddress: ip, Zone: zoneOf(ip), Region: "r", InternalPorts: []int{innerPort, innerPort + 9},
 		SeedAddresses: c.seeds, FirstStart: c.first, BeatIntervalMS: float64(c.Beat / time.Millisecond),
 		Zones: map[string]string{"zone-0": "r", "zone-1": "r", "zone-2": "r"}}
-	s.Tolerated.Machines = c.counted
+	s.Tolerated.Machines, s.Limits.FileDescriptors = c.counted, c.descriptors
 	s.Bounds.GracePeriodS, s.Bounds.BudgetWindowS, s.Bounds.BudgetExtraTries, s.Bounds.RetryBudgetRatio = 6, 10, 54, 0.2
 	s.Bounds.HasRetryBudget = true
 	return s
--- a/internal/colony/front_test.go
+++ b/internal/colony/front_test.go
@@ -54,3 +54,24 @@
 type discard struct{}
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// Idle connections past half of the descriptors make room for new ones, and requests are served all the while.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	play(t, 41, 3, 1, func(c *Colony) {
+		c.Gather[0].Kill(false)
+		c.descriptors = 40
+		c.Gather[0].Start()
+		settle(t, c)
+		time.Sleep(3 * time.Second)
+		for i := range 100 {
+			conn, err := c.Meadow.Host("10.0.9.6").Dial(c.Gather[0].Front(), time.Second)
+			must(t, err)
+			defer conn.Close()
+			if i%10 == 9 {
+				if a := c.Ask(c.Gather[0], "GET", "h.example", "/one/x", "room", time.Second); a.Status != http.StatusOK {
+					t.Fatalf("beside %d idle connections a request is answered %d", i+1, a.Status)
+				}
+			}
+		}
+	})
+}
