--- a/forager/owner.go
+++ b/forager/owner.go
@@ -91,7 +91,6 @@
 	out              int     // sub-requests that have not ended
 	area             float64 // of out over time, since it was last told
 	since, countedAt brain.Time
-	missedAt         brain.Time
 }
 
 // owner is the state of the goroutine that alone calls brain.
@@ -493,8 +492,5 @@
 // most is this gatherer's part of the connections that a server of a service takes from all callers together.
 func (f *Forager) most(service string) int {
 	limit := f.limits[service]
-	if limit <= 0 {
-		return 0
-	}
-	return max(1, limit*9/10/max(f.fleet, 1))
+	return kin.Share(limit, f.fleet)
 }
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -142,15 +142,31 @@
 	return s
 }
 
-// HiveMachine is a machine of the core.
-type HiveMachine struct {
-	c    *Colony
-	IP   string
-	Now  *hive.Hive // nil = it does not run
+// life is one run of a machine's process, if there is one.
+type life struct {
 	stop context.CancelFunc
 	done chan struct{}
 }
 
+func (l *life) begin(run func(context.Context) error) {
+	ctx, stop := context.WithCancel(context.Background())
+	l.stop, l.done = stop, make(chan struct{})
+	go func(done chan struct{}) { run(ctx); close(done) }(l.done)
+}
+
+func (l *life) end() {
+	l.stop()
+	<-l.done
+}
+
+// HiveMachine is a machine of the core.
+type HiveMachine struct {
+	c   *Colony
+	IP  string
+	Now *hive.Hive // nil = it does not run
+	life
+}
+
 // Control is where servers and the operator call it.
 func (m *HiveMachine) Control() string { return net.JoinHostPort(m.IP, strconv.Itoa(controlPort)) }
 
@@ -169,9 +185,8 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	m.Now, m.stop, m.done = h, stop, make(chan struct{})
-	go func() { h.Run(ctx); close(m.done) }()
+	m.Now = h
+	m.begin(h.Run)
 	return nil
 }
 
@@ -192,37 +207,15 @@
 	}
 }
 
-// Kill kills the process; with power, the machine goes dark. The disk stays.
-func (m *HiveMachine) Kill(power bool) {
-	if m.Now == nil {
-		return
-	}
-	m.c.Meadow.Kill(m.IP, power)
-	m.Now.Kill()
-	<-m.done
-	m.stop()
-	m.Now = nil
-}
-
-// Leave ends the process in order.
-func (m *HiveMachine) Leave() {
-	if m.Now != nil {
-		m.stop()
-		<-m.done
-		m.Now = nil
-	}
-}
-
 // Wipe empties the disk of a machine that does not run.
 func (m *HiveMachine) Wipe() { os.RemoveAll(m.disk()) }
 
 // ForagerMachine is a machine that takes clients.
 type ForagerMachine struct {
-	c    *Colony
-	IP   string
-	Now  *forager.Forager
-	stop context.CancelFunc
-	done chan struct{}
+	c   *Colony
+	IP  string
+	Now *forager.Forager
+	life
 }
 
 // Front is where clients reach it.
@@ -238,28 +231,42 @@
 func (m *ForagerMachine) Start() {
 	m.c.Meadow.Light(m.IP)
 	f := forager.New(m.settings(), m.c.Meadow.Host(m.IP), m.c.Log.With().Str("node", m.IP).Logger())
-	ctx, stop := context.WithCancel(context.Background())
-	m.Now, m.stop, m.done = f, stop, make(chan struct{})
-	go func() { f.Run(ctx); close(m.done) }()
+	m.Now = f
+	m.begin(f.Run)
+}
+
+// Kill kills the process; with power, the machine goes dark. A disk stays.
+func (m *HiveMachine) Kill(power bool) {
+	if m.Now != nil {
+		m.c.Meadow.Kill(m.IP, power)
+		m.Now.Kill()
+		<-m.done // before its end in order is asked for: a kill has none
+		m.Leave()
+	}
+}
+
+// Leave ends the process in order.
+func (m *HiveMachine) Leave() {
+	if m.Now != nil {
+		m.end()
+		m.Now = nil
+	}
 }
 
-// Kill kills the process; with power, the machine goes dark.
+// Kill kills the process; with power, the machine goes dark. A disk stays.
 func (m *ForagerMachine) Kill(power bool) {
-	if m.Now == nil {
-		return
+	if m.Now != nil {
+		m.c.Meadow.Kill(m.IP, power)
+		m.Now.Kill()
+		<-m.done // before its end in order is asked for: a kill has none
+		m.Leave()
 	}
-	m.c.Meadow.Kill(m.IP, power)
-	m.Now.Kill()
-	<-m.done
-	m.stop()
-	m.Now = nil
 }
 
 // Leave ends the process in order.
 func (m *ForagerMachine) Leave() {
 	if m.Now != nil {
-		m.stop()
-		<-m.done
+		m.end()
 		m.Now = nil
 	}
 }
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -43,3 +43,14 @@
 	}
 	return first[0]
 }
+
+// shareSpare is what is left of a server's connections for a gatherer that comes before all others know of it.
+const shareSpare = 0.1
+
+// Share is one gatherer's part of the connections that a server takes from a fleet together, at least one; 0 = no limit.
+func Share(limit, fleet int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, int(float64(limit)*(1-shareSpare))/max(fleet, 1))
+}
