--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -29,7 +29,7 @@
 	if q.GetWatch() != nil {
 		f.do(func() {
 			f.watchers[c] = true
-			c.Answer(q.Id, &dance.Frame{Body: &dance.Frame_Loads{Loads: &dance.Loads{Life: f.life}}})
+			go c.Answer(q.Id, &dance.Frame{Body: &dance.Frame_Loads{Loads: &dance.Loads{Life: f.life}}})
 		})
 	}
 }
@@ -133,7 +133,7 @@
 		if n := len(m.GetLoads().Loads); n > 0 || f.toldLoads {
 			f.toldLoads = n > 0
 			for c := range f.watchers {
-				c.Send(m)
+				go c.Send(m) // the owner waits for no peer
 			}
 		}
 	}
--- a/forager/news.go
+++ b/forager/news.go
@@ -172,7 +172,7 @@
 		n.Reports = append(n.Reports, &dance.Report{Instance: s.instance, Service: s.service, Address: s.address, Zone: s.zone,
 			State: uint32(s.state), Sequence: s.sequence, Silent: s.silent})
 	}
-	c.Answer(id, &dance.Frame{Body: &dance.Frame_News{News: n}})
+	go c.Answer(id, &dance.Frame{Body: &dance.Frame_News{News: n}})
 }
 
 func samePlaces(a, b map[string]place) bool {
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -419,7 +419,8 @@
 			}
 		}
 	}
-	w.conn.Answer(w.id, &dance.Frame{Body: &dance.Frame_News{News: n}})
+	// The owner waits for no peer: one that does not read holds up its own answer only, until its connection is closed.
+	go w.conn.Answer(w.id, &dance.Frame{Body: &dance.Frame_News{News: n}})
 }
 
 // leftBy drops the questions of a connection that has ended.
@@ -439,10 +440,10 @@
 	case *dance.Frame_Accept:
 		h.accept(b.Accept, func(a *dance.Accepted) { c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_Accepted{Accepted: a}}) })
 	case *dance.Frame_Pulse:
-		h.ask(func() {
-			back := h.pulsed(b.Pulse, h.now())
+		var back *dance.PulseBack
+		if h.ask(func() { back = h.pulsed(b.Pulse, h.now()) }) {
 			c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_PulseBack{PulseBack: back}})
-		})
+		}
 	case *dance.Frame_Ask:
 		h.do(func() { h.asked(c, f.Id, b.Ask, h.now()) })
 	}
