A hive's claim to a seat is made by the owner

Cause: the race detector (TestFiveWithTwoGone) found a claim read from the owner's tables in another goroutine, which can end the process. Ruled out: a lock. Change: the claim is made before the round's goroutine begins.

--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -210,13 +210,13 @@
 		return
 	}
 	h.trying = true
+	change := swarm.Change(func(v *swarm.Value) *swarm.Value { return v })
+	if seatless {
+		change = h.claim(now).change // made here: it reads the owner's tables
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*callLimit)
 		defer cancel()
-		change := func(v *swarm.Value) *swarm.Value { return v }
-		if seatless {
-			change = h.takeSeat()
-		}
 		_, err := h.propose(ctx, change)
 		h.do(func() {
 			h.trying = false
--- a/hive/seats.go
+++ b/hive/seats.go
@@ -89,11 +89,6 @@
 	return h.claim(now).change(h.known) != h.known
 }
 
-func (h *Hive) takeSeat() swarm.Change {
-	c := h.claim(h.now())
-	return c.change
-}
-
 // giveSeat hands this hive's seat to one that lives and has none, before this hive ends: it may end for good.
 func (h *Hive) giveSeat() {
 	var to *swarm.Member
