Queues held at the shortest latency target of a shard, so that brief searches are served

Change: past half of the in-flight limit a search is shed that would end after the shortest target among the types that share its shards. Where shards have budgets of their own only.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -102,9 +102,7 @@
 
 // setType puts the figures of a query type in force for the searches to come.
 func (g *Gatherer) setType(at QueryType, t QueryTypeFacts) {
-	if t.LatencyTarget -= g.travel; t.LatencyTarget < g.travel {
-		t.LatencyTarget += g.travel
-	}
+	t.LatencyTarget -= min(g.travel, t.LatencyTarget/2)
 	g.pause = min(g.pause, max(t.LatencyTarget/pauseShare, Millisecond))
 	for len(g.types) <= int(at) {
 		g.types = append(g.types, nil)
--- a/brain/front_test.go
+++ b/brain/front_test.go
@@ -1,6 +1,11 @@
 package brain
 
-import "testing"
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
 
 // frontBench is a gatherer as the system's data plane makes it: shards that come, three servers each, the first in its zone.
 func frontBench(shards int, t QueryTypeFacts) *bench {
@@ -189,3 +194,116 @@
 	}
 	deny(t, len(b.servers[1].out) > 2, "%d are out at a server that may have 2", len(b.servers[1].out))
 }
+
+// overload plays a shard of three servers with three slots each, calm at first and then at twice what they bear: three long
+// searches to one brief one.
+// It returns, of each type, how many came once it is so and how many were answered in time.
+func overload(seconds int) (came, inTime [2]int) {
+	b := frontBench(1, gatheredType)
+	brief := gatheredType
+	brief.LatencyTarget, brief.ClientTimeout = 60*Millisecond, 600*Millisecond
+	b.do(TypeChanged{Type: 1, Facts: brief})
+	b.do(FleetChanged{Shards: 2, Gatherers: 1})
+	idle := ServerList{Kind: ListChanges} // another shard's servers: the in-flight limit is one over all
+	for i := range 9 {
+		idle.Servers = append(idle.Servers, Server{ID: ServerID(100 + i), Cell: 1, State: Ready})
+	}
+	b.do(idle)
+	type job struct {
+		s    Send
+		no   SendNo
+		typ  QueryType
+		sent Time
+	}
+	type event struct {
+		at    Time
+		seq   int
+		what  Event
+		ended *job
+	}
+	var queue []event
+	seq := 0
+	push := func(e event) {
+		seq++
+		e.seq = seq
+		i, _ := slices.BinarySearchFunc(queue, e, func(a, b event) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.seq, b.seq)) })
+		queue = slices.Insert(queue, i, e)
+	}
+	busy, waiting := map[ServerID]int{}, map[ServerID][]job{}
+	work := [2]Time{20 * Millisecond, 7 * Millisecond}
+	start := func(j job) {
+		busy[j.s.Server]++
+		push(event{at: b.at + work[j.typ], ended: &j})
+	}
+	began, typeOf := map[SearchID]Time{}, map[PartID]QueryType{}
+	tries := map[PartID]SendNo{}
+	first := b.at
+	calm := first + 3000*Millisecond
+	perform := func(acts []Action) {
+		for _, a := range acts {
+			switch a := a.(type) {
+			case Send:
+				j := job{a, tries[a.Part], typeOf[a.Part], b.at}
+				tries[a.Part]++
+				if busy[a.Server] < 3 {
+					start(j)
+				} else {
+					waiting[a.Server] = append(waiting[a.Server], j)
+				}
+			case Wake:
+				push(event{at: a.At, what: TimerFired{a.Timer}})
+			case Answer:
+				typ := typeOf[PartID(a.Search)]
+				if began[a.Search] >= calm && b.at-began[a.Search] <= []Time{120 * Millisecond, 60 * Millisecond}[typ] {
+					inTime[typ]++
+				}
+			}
+		}
+	}
+	r := rand.New(rand.NewPCG(3, 4))
+	for at := first; at < calm+Time(seconds)*1000*Millisecond; at += Time(1 + r.IntN(22)) { // about 870 a second
+		if at < calm {
+			at += Time(r.IntN(40))
+		}
+		seq++
+		id := SearchID(seq)
+		typ := QueryType(0)
+		if r.IntN(4) == 0 {
+			typ = 1
+		}
+		if at >= calm {
+			came[typ]++
+		}
+		typeOf[PartID(id)] = typ
+		push(event{at: at, what: SearchArrived{Search: id, Number: SearchNo(id), Type: typ, Patience: []Time{12000, 6000}[typ],
+			Parts: []Part{{ID: PartID(id), Weight: 1}}}})
+	}
+	for len(queue) > 0 {
+		e := queue[0]
+		queue = queue[1:]
+		b.at = max(b.at, e.at)
+		if j := e.ended; j != nil {
+			if busy[j.s.Server]--; len(waiting[j.s.Server]) > 0 {
+				start(waiting[j.s.Server][0])
+				waiting[j.s.Server] = waiting[j.s.Server][1:]
+			}
+			perform(b.do(SubRequestEnded{Part: j.s.Part, Send: j.no, Server: j.s.Server, Elapsed: b.at - j.sent, Outcome: Answered}))
+			continue
+		}
+		if a, ok := e.what.(SearchArrived); ok {
+			began[a.Search] = b.at
+		}
+		perform(b.do(e.what))
+	}
+	return came, inTime
+}
+
+// At twice the load, what waits is held so short that the brief searches are still answered in time. Held at the long ones'
+// own target, the queue refuses the brief ones alone, and serves no more of the long.
+func TestALongQueueDoesNotRefuseTheBrief(t *testing.T) {
+	came, inTime := overload(8)
+	long, brief := float64(inTime[0])/float64(came[0]), float64(inTime[1])/float64(came[1])
+	t.Logf("in time: %.2f of %d long, %.2f of %d brief", long, came[0], brief, came[1])
+	deny(t, brief < 0.4, "of the brief searches only %.2f are answered in time", brief)
+	deny(t, float64(inTime[0])*20+float64(inTime[1])*7 < 0.7*9*8000, "the servers work for %d ms of what is in time", inTime[0]*20+inTime[1]*7)
+}
--- a/brain/further.go
+++ b/brain/further.go
@@ -130,8 +130,7 @@
 func (g *Gatherer) affords(p *part, share float64) bool {
 	b, free := g.budget(p.shard), g.free
 	if g.freeAll > 0 {
-		free = 0
-		if g.now >= g.waits {
+		if free = 0; g.now >= g.waits {
 			free = g.freeAll * fleetSafety / g.fleetMost
 		}
 		if g.now >= g.shrinkAt {
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -11,12 +11,12 @@
 // fanOut is the ordinary path of a search: two plans are drawn, each part predicted in both, and the plan
 // whose slowest part ends first is sent.
 func (g *Gatherer) fanOut(q *search, parts []Part) {
+	brief := q.rules.target // the shortest target among those that share its shards
 	for _, p := range parts {
-		g.budget(p.Shard).taken.add(g.now, 1)
+		brief = min(brief, g.budget(p.Shard).took(q.rules.target, g.now, g.now+rateAge))
 		size := cmp.Or(max(p.Size, 0), q.rules.size, 1) + g.callCost
-		own := &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: size}
-		g.size += (own.size - g.size) * slowWeight
-		q.parts = append(q.parts, own)
+		g.size += (size - g.size) * slowWeight
+		q.parts = append(q.parts, &part{q: q, id: p.ID, shard: p.Shard, weight: p.Weight, size: size})
 	}
 	var best []placing
 	slowest := Time(math.MaxInt64)
@@ -43,7 +43,9 @@
 	late := q.end // but while places are short its target counts: the sooner, the longer answers take
 	falling := min(1, limitSlack*cmp.Or(g.short, 1)/cmp.Or(g.present, 1))
 	if float64(len(g.out)) >= pressed*g.limit*math.Pow(falling, longPower) {
-		late = q.target
+		if late = q.target; g.freeAll > 0 { // a longer queue refuses the brief ones alone, and serves no more
+			late = min(late, g.now+brief-g.margin)
+		}
 	}
 	// A part far behind the fastest, or too late for its search, moves once, to its earliest replica.
 	slowest, idle := Time(0), false // idle: the slowest part would have its server to itself
--- a/brain/state.go
+++ b/brain/state.go
@@ -197,9 +197,24 @@
 }
 
 // budget is what a shard's further sub-requests are paid from. It is emptied by time.
-type budget struct{ extra, taken tally } // further sub-requests; searches and parts
+type budget struct {
+	extra, taken tally // further sub-requests; searches and parts
+	brief        Time  // the shortest latency target of those that were for this shard,
+	briefUntil   Time  // until then
+}
+
+func (g *Gatherer) newBudget() *budget {
+	return &budget{extra: newTally(g.span), taken: newTally(g.span)}
+}
 
-func (g *Gatherer) newBudget() *budget { return &budget{newTally(g.span), newTally(g.span)} }
+// took notes a search or part with its latency target and returns the shortest of those noted of late.
+func (b *budget) took(target, now, until Time) Time {
+	b.taken.add(now, 1)
+	if target <= b.brief || now >= b.briefUntil {
+		b.brief, b.briefUntil = target, until
+	}
+	return b.brief
+}
 
 func (g *Gatherer) budget(at ShardNo) *budget {
 	if g.freeAll == 0 {
