--- a/brain/front_test.go
+++ b/brain/front_test.go
@@ -307,3 +307,36 @@
 	deny(t, brief < 0.4, "of the brief searches only %.2f are answered in time", brief)
 	deny(t, float64(inTime[0])*20+float64(inTime[1])*7 < 0.7*9*8000, "the servers work for %d ms of what is in time", inTime[0]*20+inTime[1]*7)
 }
+
+// A near server that is busy is no reason to go elsewhere while the next near one is free; further tries hold to it too.
+func TestTheNextNearServerIsTried(t *testing.T) {
+	b := frontBench(1, gatheredType)
+	var list []Server
+	for i := range 6 { // 1, 2 and 3 stand in the gatherer's zone
+		list = append(list, Server{ID: ServerID(i + 1), Zone: ZoneNo(i / 3), State: Ready})
+	}
+	b.do(ServerList{ListChanges, list})
+	for range 200 { // all are known to take 20 ms
+		sends, _ := b.gather(1)
+		b.at += 20 * Millisecond
+		for _, s := range sends {
+			b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+		}
+	}
+	away := 0
+	for range 60 {
+		b.do(Told{[]Load{{Server: 1, Parts: 20}, {Server: 2, Parts: 20}}})
+		sends, _ := b.gather(1)
+		b.at += 20 * Millisecond
+		for _, s := range sends {
+			if s.Server > 3 {
+				away++
+			}
+			b.do(SubRequestEnded{Part: s.Part, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+		}
+	}
+	deny(t, away > 0, "%d of 60 parts went to another zone beside a near server that is free", away)
+	q := &search{rules: b.types[0], target: b.at + 100*Millisecond, end: b.at + 1000*Millisecond}
+	s, usable := b.pick(&part{q: q, size: 1})
+	deny(t, !usable || !s.near, "the earliest replica is sought elsewhere though near ones are as good")
+}
--- a/dance/link.go
+++ b/dance/link.go
@@ -30,7 +30,7 @@
 	deadAfter  = 2500 * time.Millisecond
 	writeLimit = 2500 * time.Millisecond
 	dialLimit  = 300 * time.Millisecond // the first packet to a machine without power is lost, and sent again only after a second
-	dialPause  = 100 * time.Millisecond // after a failure, the next caller is told so at once for so long
+	dialPause  = 40 * time.Millisecond  // after a failure, the next caller is told so at once for so long
 )
 
 // Errors of a call.
--- a/forager/news.go
+++ b/forager/news.go
@@ -17,7 +17,8 @@
 const (
 	holdFor   = 1000 * time.Millisecond // a hive may hold a question so long
 	hiveLate  = 700 * time.Millisecond  // and is held to be gone after so much more
-	nextPause = 120 * time.Millisecond  // between hives that don't answer or are cut off
+	nextPause = 120 * time.Millisecond  // between hives that don't answer or are cut off,
+	barePause = 40 * time.Millisecond   // and while nothing is known at all: each such moment refuses whatever comes
 	bareWait  = 3 * time.Second         // what a cut-off hive says is followed after so long without a better one
 	kinEvery  = 2 * time.Second         // without a hive in contact with a majority, another gatherer is asked so often
 )
@@ -86,14 +87,14 @@
 				c.Drop()
 			}
 			at, life = at+1, 0
-			wait(ctx, nextPause)
+			wait(ctx, pauseAt(turn))
 			continue
 		}
 		if !n.Settled && time.Since(began) < bareWait && turn == 0 || !n.Settled && turn > n.Turn {
 			// Cut off or just started: what it knows may be old.
 			f.do(func() { f.takeReports(n) })
 			at, life = at+1, 0
-			wait(ctx, nextPause)
+			wait(ctx, pauseAt(turn))
 			continue
 		}
 		if n.Settled {
@@ -152,6 +153,14 @@
 	}
 }
 
+// pauseAt is how long to wait before the next hive is asked.
+func pauseAt(turn uint64) time.Duration {
+	if turn == 0 {
+		return barePause
+	}
+	return nextPause
+}
+
 // askKin asks another gatherer what it knows, while no hive that is in contact with the core answers: this gatherer may be cut
 // off from the core and the other not. What a gatherer has in force was agreed on. It returns the turn that is now had.
 func (f *Forager) askKin(ctx context.Context, address string, turn uint64) uint64 {
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -394,8 +394,9 @@
 	beating  sync.WaitGroup
 	slots    chan struct{}
 	draining bool
-	Probed   int       // how often its health was asked for
-	LastAt   time.Time // when a request last came
+	Probed   int             // how often its health was asked for
+	LastAt   time.Time       // when a request last came
+	Arrivals func(time.Time) // nil, or told of each request; set before Start
 	mu       sync.Mutex
 }
 
@@ -438,6 +439,9 @@
 	instance, slots := s.Instance, s.slots // of this life
 	if r.URL.Path != "/health" {
 		s.LastAt = time.Now()
+		if s.Arrivals != nil {
+			s.Arrivals(s.LastAt)
+		}
 		s.c.Ledger.arrived(s.Service, id)
 	}
 	s.mu.Unlock()
--- a/internal/colony/scale_test.go
+++ b/internal/colony/scale_test.go
@@ -1,8 +1,13 @@
 package colony
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -43,3 +48,91 @@
 		}
 	})
 }
+
+// Ninety gatherers that see few requests each, twelve servers that are two thirds busy, and a thirteenth that begins, free: it
+// must not be taken for the best by all at once. So must one that comes back from being dark.
+func TestNinetyDoNotRushToAFreeServer(t *testing.T) {
+	play(t, 33, 3, 90, func(c *Colony) {
+		var servers []*Server
+		var mu sync.Mutex
+		came := map[*Server][]time.Time{}
+		add := func() *Server {
+			s := c.AddServer("one", 60*time.Millisecond)
+			s.Arrivals = func(at time.Time) {
+				mu.Lock()
+				came[s] = append(came[s], at)
+				mu.Unlock()
+			}
+			must(t, s.Start())
+			return s
+		}
+		for _, s := range c.Servers { // the three of the example make room for twelve of one kind
+			if s.Service == "one" {
+				s.Crash(false)
+			}
+		}
+		for range 12 {
+			servers = append(servers, add())
+		}
+		settle(t, c)
+		time.Sleep(5 * time.Second)
+		ctx, stop := context.WithCancel(context.Background())
+		var clients sync.WaitGroup
+		const perSecond = 400
+		var served, asked atomic.Int64
+		clients.Go(func() {
+			r := rand.New(rand.NewPCG(5, 6))
+			for n := 0; ctx.Err() == nil; n++ {
+				clients.Go(func() {
+					asked.Add(1)
+					if a := c.Ask(c.Gather[n%len(c.Gather)], "GET", "h.example", "/one/x", fmt.Sprint("h", n), time.Second); a.Status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+				time.Sleep(time.Duration(r.ExpFloat64() * float64(time.Second) / perSecond))
+			}
+		})
+		// rush is the most that came to a server in any quarter of a second since a moment, over what each server bears then.
+		rush := func(of *Server, since time.Time, alive int) float64 {
+			mu.Lock()
+			defer mu.Unlock()
+			most := 0
+			for i, from := range came[of] {
+				if n := 0; !from.Before(since) {
+					for _, at := range came[of][i:] {
+						if at.Sub(from) < 250*time.Millisecond {
+							n++
+						}
+					}
+					most = max(most, n)
+				}
+			}
+			return float64(most) / (perSecond / 4 / float64(alive))
+		}
+		time.Sleep(6 * time.Second)
+		began := time.Now()
+		fresh := add()
+		time.Sleep(6 * time.Second)
+		first := rush(fresh, began, 13)
+		servers[0].Crash(true)
+		time.Sleep(6 * time.Second)
+		began = time.Now()
+		must(t, servers[0].Start())
+		time.Sleep(6 * time.Second)
+		second := rush(servers[0], began, 13)
+		usual := rush(servers[5], began, 13)
+		stop()
+		clients.Wait()
+		t.Logf("in the worst quarter of a second a server that begins gets %.1f of its part, one that comes back %.1f, any other %.1f; %d of %d served",
+			first, second, usual, served.Load(), asked.Load())
+		if first > 2*usual+1 || second > 2*usual+1 {
+			t.Error("ninety gatherers rush to a server that is free")
+		}
+		if first == 0 || second == 0 {
+			t.Error("a server that is free gets nothing")
+		}
+		if 100*served.Load() < 97*asked.Load() {
+			t.Errorf("%d of %d are served", served.Load(), asked.Load())
+		}
+	})
+}
