Seats at servers that take fewer connections than there are gatherers

Cause: each gatherer held at least one connection to every server; with a limit below their number servers ended those beyond, each end counted as a failure and took the server out. Change: kin.Seated; a gatherer uses the servers where it has a seat.

--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -71,6 +71,7 @@
 			}
 		}
 	}
+	f.gatherers = all
 	f.duties.Told(all, span(f.now()))
 	f.fleet, f.company = len(all), len(zone)-1
 	if len(zone) == 1 {
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -119,8 +120,10 @@
 	watchers  map[*dance.Conn]bool
 	watching  map[kin.Name]*watched
 	duties    *kin.Duties
-	fleet     int // gatherers, this one too
-	company   int // others that those watched stand for
+	gatherers []kin.Name        // all, as last told, this one too
+	seats     map[string]*seats // by service, as many as the configuration names
+	fleet     int               // how many
+	company   int               // others that those watched stand for
 	shareAt   brain.Time
 	lastID    uint64
 	lastNo    brain.SearchNo
@@ -157,7 +160,7 @@
 	o.shards, o.types, o.zones = map[string]brain.ShardNo{}, map[string]brain.QueryType{}, map[string]brain.ZoneNo{}
 	o.limits, o.watchers, o.watching = map[string]int{}, map[*dance.Conn]bool{}, map[kin.Name]*watched{}
 	o.duties = kin.NewDuties(kin.Name(f.set.Internal(boot.ForagerPort)))
-	o.fleet = 1
+	o.fleet, o.seats = 1, map[string]*seats{}
 	o.zones[f.set.Zone] = 0
 }
 
@@ -351,6 +354,7 @@
 	}
 	f.turnNow, f.config = turn, c
 	f.limits = map[string]int{}
+	clear(f.seats)
 	for _, s := range c.Services {
 		f.limits[s.Name] = s.ConnectionLimit
 		f.shard(s.Name)
@@ -474,10 +478,11 @@
 		f.shard(s.service)
 	}
 	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	seated := f.seated()
 	ev := brain.ServerList{Kind: brain.ListChanges}
 	for i, s := range f.flowers {
 		entry := brain.Server{ID: s.id, Zone: f.zone(s.zone), Cell: brain.CellNo(f.shard(s.service)), Most: f.most(s.service)}
-		if !s.silent && !s.replaced {
+		if own, few := seated[s.service]; !s.silent && !s.replaced && (!few || own[s.instance]) {
 			switch s.state {
 			case waggle.Ready:
 				entry.State = brain.Ready
@@ -501,6 +506,43 @@
 	}
 }
 
+// seats are the servers of one service that this gatherer may use, and what they were found from.
+type seats struct {
+	from []kin.Name // the servers, in order
+	all  []kin.Name // the gatherers
+	n    int
+	own  map[string]bool
+}
+
+// seated names, for each service whose servers take fewer connections than there are gatherers, those that this one may use.
+func (f *Forager) seated() map[string]map[string]bool {
+	few := map[string]map[string]bool{}
+	for service, limit := range f.limits {
+		n := kin.Seats(limit)
+		if n <= 0 || n >= f.fleet {
+			delete(f.seats, service)
+			continue
+		}
+		var servers []kin.Name
+		for _, s := range f.flowers {
+			if s.service == service && s.state == waggle.Ready && !s.silent && !s.replaced {
+				servers = append(servers, kin.Name(s.instance))
+			}
+		}
+		slices.Sort(servers)
+		at := f.seats[service]
+		if at == nil || at.n != n || !slices.Equal(at.from, servers) || !slices.Equal(at.all, f.gatherers) {
+			at = &seats{servers, f.gatherers, n, map[string]bool{}}
+			for _, name := range kin.Seated(kin.Name(f.set.Internal(boot.ForagerPort)), f.gatherers, servers, n) {
+				at.own[string(name)] = true
+			}
+			f.seats[service] = at
+		}
+		few[service] = at.own
+	}
+	return few
+}
+
 // most is this gatherer's part of the connections that a server of a service takes from all callers together.
 func (f *Forager) most(service string) int {
 	limit := f.limits[service]
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -396,6 +396,8 @@
 	draining bool
 	Probed   int             // how often its health was asked for
 	LastAt   time.Time       // when a request last came
+	Limit    int             // connections that it takes together, 0 = any number; it ends those beyond
+	Refused  int             // so many
 	Arrivals func(time.Time) // nil, or told of each request; set before Start
 	mu       sync.Mutex
 }
@@ -424,6 +426,9 @@
 	if err != nil {
 		return err
 	}
+	if s.Limit > 0 {
+		l = &limited{Listener: l, s: s}
+	}
 	s.web = &http.Server{Handler: http.HandlerFunc(s.serve)}
 	ctx, quit := context.WithCancel(context.Background())
 	s.quit = quit
@@ -433,6 +438,49 @@
 	return nil
 }
 
+// limited ends connections beyond a server's limit as soon as they come.
+type limited struct {
+	net.Listener
+	s    *Server
+	open int // under the server's lock
+}
+
+type counted struct {
+	net.Conn
+	l    *limited
+	once sync.Once
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.s.mu.Lock()
+		over := l.open >= l.s.Limit
+		if over {
+			l.s.Refused++
+		} else {
+			l.open++
+		}
+		l.s.mu.Unlock()
+		if !over {
+			return &counted{Conn: c, l: l}, nil
+		}
+		c.Close()
+	}
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() {
+		c.l.s.mu.Lock()
+		c.l.open--
+		c.l.s.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	s.mu.Lock()
--- /dev/null
+++ b/internal/colony/limit_test.go
@@ -0,0 +1,82 @@
+package colony
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oxbowspan/comb"
+)
+
+// Servers take fewer connections together than there are gatherers, and end those beyond. Each gatherer uses a few servers only,
+// so that hardly any is ended, though gatherers come and go; everything is served.
+func TestFewerConnectionsThanGatherers(t *testing.T) {
+	play(t, 93, 3, 30, func(c *Colony) {
+		var servers []*Server
+		for _, s := range c.Servers {
+			if s.Service == "one" {
+				s.Crash(false)
+			}
+		}
+		for range 6 {
+			s := c.AddServer("one", 10*time.Millisecond)
+			s.Limit = 6
+			must(t, s.Start())
+			servers = append(servers, s)
+		}
+		var conf comb.Configuration
+		must(t, json.Unmarshal(Example(1, FirstCut), &conf))
+		for i := range conf.Services {
+			if conf.Services[i].Name == "one" {
+				conf.Services[i].ConnectionLimit = 6
+			}
+		}
+		text, _ := json.Marshal(conf)
+		if got := agree(c, 0, text, 30); got != http.StatusOK {
+			t.Fatalf("the configuration: %d", got)
+		}
+		await(t, c, 1, 3*time.Second)
+		time.Sleep(6 * time.Second)
+		refused := func() (n int) {
+			for _, s := range servers {
+				s.mu.Lock()
+				n += s.Refused
+				s.mu.Unlock()
+			}
+			return n
+		}
+		var asked, served atomic.Int64
+		load := func(seconds int) {
+			var all sync.WaitGroup
+			for n := range seconds * 200 {
+				all.Go(func() {
+					asked.Add(1)
+					if a := c.Ask(c.Gather[n%len(c.Gather)], "GET", "h.example", "/one/x", fmt.Sprint("f", asked.Load(), "-", n), time.Second); a.Status == http.StatusOK {
+						served.Add(1)
+					}
+				})
+				time.Sleep(5 * time.Millisecond)
+			}
+			all.Wait()
+		}
+		load(10)
+		calm := refused()
+		for i := range 5 { // gatherers that die and begin anew
+			c.Gather[i].Kill(false)
+			c.Gather[i].Start()
+		}
+		time.Sleep(2 * time.Second)
+		load(10)
+		t.Logf("%d of %d served; connections ended beyond the limit: %d in calm, %d in all", served.Load(), asked.Load(), calm, refused())
+		if calm > 40 || refused() > 120 {
+			t.Errorf("%d connections were ended beyond the servers' limit in calm, %d in all", calm, refused())
+		}
+		if 100*served.Load() < 97*asked.Load() {
+			t.Errorf("%d of %d are served", served.Load(), asked.Load())
+		}
+	})
+}
--- a/kin/kin_test.go
+++ b/kin/kin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -37,3 +38,42 @@
 		}
 	}
 }
+
+// Where a server has fewer seats than there are gatherers, few use it, each gatherer has some server, and one that goes moves
+// little.
+func TestSeatsAreKept(t *testing.T) {
+	var all, servers []Name
+	for i := range 90 {
+		all = append(all, Name(fmt.Sprint("g", i)))
+	}
+	for i := range 8 {
+		servers = append(servers, Name(fmt.Sprint("s", i)))
+	}
+	for _, limit := range []int{2, 10, 30, 60, 99} {
+		seats := Seats(limit)
+		users, moved := map[Name]int{}, 0
+		for _, g := range all[1:] {
+			own := Seated(g, all, servers, seats)
+			if len(own) == 0 {
+				t.Fatalf("limit %d: %s has no server", limit, g)
+			}
+			for _, s := range own {
+				users[s]++
+			}
+			for _, s := range Seated(g, all[1:], servers, seats) {
+				if !slices.Contains(own, s) {
+					moved++
+				}
+			}
+		}
+		if moved > 2*len(servers) {
+			t.Errorf("limit %d: one that goes moves %d", limit, moved)
+		}
+		for s, n := range users {
+			if n > limit && seats*len(servers) >= len(all) { // else there are not enough for one each
+				t.Errorf("limit %d: %d gatherers use %s", limit, n, s)
+			}
+		}
+		t.Logf("limit %d: %v", limit, users)
+	}
+}
