A hive that ends beside a call on its way does not break off

Cause: the disk's queue was closed at the end; a round of a call still on its way sent into it and the process ended by a panic. Ruled out: the owner's own use (it has ended by then). Change: the queue stays open and what comes after the end is refused; what was taken is done.

--- a/internal/wax/wax.go
+++ b/internal/wax/wax.go
@@ -41,6 +41,7 @@
 type Store struct {
 	db    *bbolt.DB
 	work  chan func()
+	quit  chan struct{}
 	done  chan struct{}
 	state swarm.State // the last that is known to be on the disk; the disk's goroutine's
 	torn  bool        // a write failed: what the file holds beyond state is not known; the disk's goroutine's
@@ -86,7 +87,7 @@
 		db.Close()
 		return nil, err
 	}
-	s = &Store{db: db, commit: db.Update, work: make(chan func(), 64), done: make(chan struct{})}
+	s = &Store{db: db, commit: db.Update, work: make(chan func(), 64), quit: make(chan struct{}), done: make(chan struct{})}
 	if err = db.Update(func(tx *bbolt.Tx) error { return s.load(tx, genesis) }); err != nil {
 		db.Close()
 		return nil, err
@@ -157,8 +158,16 @@
 
 func (s *Store) run() {
 	defer close(s.done)
-	for f := range s.work {
-		f()
+	for {
+		select {
+		case f := <-s.work:
+			f()
+		case <-s.quit:
+			for range len(s.work) { // what was taken is done
+				(<-s.work)()
+			}
+			return
+		}
 	}
 }
 
@@ -166,6 +175,11 @@
 // with an error where it could not be stored. Both run on the disk's goroutine: they must not wait. ErrBusy is returned
 // at once where too much waits already.
 func (s *Store) Update(step func(swarm.State) swarm.State, after func(swarm.State, error)) error {
+	select {
+	case <-s.quit:
+		return ErrBusy // a round that is still on its way at the end
+	default:
+	}
 	select {
 	case s.work <- func() {
 		next := step(s.state)
@@ -237,9 +251,9 @@
 // State is the state as found at the start. It may be called before the first Update only.
 func (s *Store) State() swarm.State { return s.state }
 
-// Close ends the goroutine and closes the file. It must be called once, after the last Update.
+// Close ends the goroutine and closes the file. It must be called once. Updates that come later are refused.
 func (s *Store) Close() error {
-	close(s.work)
+	close(s.quit)
 	<-s.done
 	return s.db.Close()
 }
--- a/internal/wax/wax_test.go
+++ b/internal/wax/wax_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 
 	"go.etcd.io/bbolt"
@@ -221,3 +222,28 @@
 		t.Fatalf("%d came back before the vote and %d after it: too few to tell", olds, news)
 	}
 }
+
+// A call that is still on its way when the program ends finds the disk closed, and nothing breaks.
+func TestWhatComesAfterTheEndIsRefused(t *testing.T) {
+	for range 20 {
+		s, _, err := Open(t.TempDir(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var late sync.WaitGroup
+		for range 4 {
+			late.Go(func() {
+				for range 200 {
+					s.Update(func(st swarm.State) swarm.State { return st }, func(swarm.State, error) {})
+				}
+			})
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		late.Wait()
+		if err := s.Update(vote(1), func(swarm.State, error) {}); !errors.Is(err, ErrBusy) {
+			t.Fatalf("an update after the end gives %v", err)
+		}
+	}
+}
