A probe ends with its gatherer; the size of the fleet is its list's length

Change: probes are waited for at the end and not begun while leaving; the number is derived. The schedule of probes stands in the forager yet and belongs into kin.

--- a/forager/duties.go
+++ b/forager/duties.go
@@ -24,6 +24,9 @@
 
 // lookAfter probes the servers whose duty this gatherer holds.
 func (f *Forager) lookAfter(now brain.Time) {
+	if f.draining.Load() {
+		return // what it begins must end with it
+	}
 	for _, s := range f.flowers {
 		if !s.unheard {
 			s.probePause = 0
@@ -37,11 +40,11 @@
 		}
 		s.probeAt = now + s.probePause
 		s.probePause = min(2*s.probePause, ticks(lastProbe))
-		path := f.healthPath(s.service)
-		go func(address, instance string) {
+		path, address, instance := f.healthPath(s.service), s.address, s.instance
+		f.wg.Go(func() {
 			well := f.healthy(address, instance, path)
 			f.do(func() { f.looked(instance, well) })
-		}(s.address, s.instance)
+		})
 	}
 }
 
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -73,11 +73,11 @@
 	}
 	f.gatherers = all
 	f.duties.Told(all, span(f.now()))
-	f.fleet, f.company = len(all), len(zone)-1
+	f.company = len(zone) - 1
 	if len(zone) == 1 {
 		zone, f.company = all, len(all)-1
 	}
-	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: len(all)})
 	f.relist()
 	few := map[kin.Name]bool{}
 	for _, name := range kin.Watched(self, zone, kin.Few) {
@@ -155,7 +155,7 @@
 	told := brain.Told{}
 	for _, s := range f.flowers {
 		// Of servers elsewhere, silence of this zone's gatherers says nothing: those of their own zones ask them.
-		if s.listed && (s.zone == f.set.Zone || f.company == f.fleet-1) {
+		if s.listed && (s.zone == f.set.Zone || f.company == len(f.gatherers)-1) {
 			told.Loads = append(told.Loads, brain.Load{Server: s.id, Parts: sums[s.instance] * scale})
 		}
 	}
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -122,7 +122,6 @@
 	duties    *kin.Duties
 	gatherers []kin.Name        // all, as last told, this one too
 	seats     map[string]*seats // by service, as many as the configuration names
-	fleet     int               // how many
 	company   int               // others that those watched stand for
 	shareAt   brain.Time
 	lastID    uint64
@@ -160,7 +159,7 @@
 	o.shards, o.types, o.zones = map[string]brain.ShardNo{}, map[string]brain.QueryType{}, map[string]brain.ZoneNo{}
 	o.limits, o.watchers, o.watching = map[string]int{}, map[*dance.Conn]bool{}, map[kin.Name]*watched{}
 	o.duties = kin.NewDuties(kin.Name(f.set.Internal(boot.ForagerPort)))
-	o.fleet, o.seats = 1, map[string]*seats{}
+	o.gatherers, o.seats = []kin.Name{kin.Name(f.set.Internal(boot.ForagerPort))}, map[string]*seats{}
 	o.zones[f.set.Zone] = 0
 }
 
@@ -359,7 +358,7 @@
 		f.limits[s.Name] = s.ConnectionLimit
 		f.shard(s.Name)
 	}
-	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: len(f.gatherers)})
 	next := &follows{turn: turn, version: c.Version, table: comb.NewTable(c), routes: map[*comb.Route]*route{}}
 	had := f.types
 	f.types = map[string]brain.QueryType{}
@@ -477,7 +476,7 @@
 	for _, s := range f.flowers {
 		f.shard(s.service)
 	}
-	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: f.fleet})
+	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: len(f.gatherers)})
 	seated := f.seated()
 	ev := brain.ServerList{Kind: brain.ListChanges}
 	for i, s := range f.flowers {
@@ -519,7 +518,7 @@
 	few := map[string]map[string]bool{}
 	for service, limit := range f.limits {
 		n := kin.Seats(limit)
-		if n <= 0 || n >= f.fleet {
+		if n <= 0 || n >= len(f.gatherers) {
 			delete(f.seats, service)
 			continue
 		}
@@ -546,5 +545,5 @@
 // most is this gatherer's part of the connections that a server of a service takes from all callers together.
 func (f *Forager) most(service string) int {
 	limit := f.limits[service]
-	return kin.Share(limit, f.fleet)
+	return kin.Share(limit, len(f.gatherers))
 }
