--- a/brain/brain.go
+++ b/brain/brain.go
@@ -62,7 +62,7 @@
 	weightSlack = 5e-5 // sums of weights may fall so short by rounding
 	lookShare   = 25   // of the first pause, until a part that waits or is late is looked at again
 
-	never     = Time(math.MaxInt64 / 4)
+	never     = Never
 	listTimer = TimerID(math.MaxUint32) // the others bear their search's number
 )
 
--- a/brain/limit.go
+++ b/brain/limit.go
@@ -14,7 +14,7 @@
 		g.do(Fail{e.Search}) // sent again it might run twice; shed it would be called harmless
 		return
 	}
-	q := &search{id: e.Search, number: e.Number, rules: r}
+	q := &search{id: e.Search, number: e.Number, typ: e.Type, rules: r}
 	q.end = g.now + max(min(e.Patience-g.travel/2, r.timeout)-g.margin, 0)
 	q.target = g.now + r.target - g.margin
 	r.patience = max(r.patience-r.patience/patienceFades, e.Patience)
@@ -49,7 +49,7 @@
 	if c.perSpan > 0 && took >= c.perSpan && took*all.perSpan > all.took.least(g.now)*c.perSpan {
 		allowed *= pressed // over its share of the quota, and of this gatherer's own searches
 	}
-	if len(e.Parts) == 0 || g.busy() >= allowed {
+	if len(e.Parts) == 0 || g.busy() >= allowed*g.press(q) {
 		g.giveUp(q)
 		return
 	}
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -25,7 +25,7 @@
 		clear(g.planned)
 		plan := make([]placing, 0, len(q.parts))
 		for _, p := range q.parts {
-			b := placing{p: p, finish: never}
+			b := placing{p: p, finish: g.waitFor(p)}
 			if b.s, b.tried = g.replica(p, offset); b.s != nil {
 				b.finish = g.predict(b.s, p)
 				g.planned[b.s] += p.size
@@ -143,7 +143,7 @@
 // trial. One that is long in coming is made with any part.
 func (g *Gatherer) allowed(s *server, p *part) bool {
 	out := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s && !r.ended })
-	return !out && (s.most == 0 || len(s.out) < s.most) && g.room(s, p.size)
+	return !out && g.vacant(s, p) && g.room(s, p.size)
 }
 
 func (g *Gatherer) usable(s *server, p *part) bool {
--- a/brain/state.go
+++ b/brain/state.go
@@ -29,6 +29,7 @@
 	timeoutSeen, nears      bool
 	learns                  float64 // 0, or milliseconds in a Time: sizes of parts are learned by type
 	near                    ZoneNo
+	shares                  Shares  // nil = none
 	callCost                float64 // in each size, as nearly every part is a call of its own
 
 	now     Time
@@ -68,7 +69,7 @@
 		numbers: map[SearchNo]*search{}, out: map[PartID]*part{}, planned: map[*server]float64{},
 		zones:   map[ZoneNo]*zone{},
 		nextAsk: firstPause, pause: firstPause, size: 1, success: 1, gatherers: float64(max(f.Gatherers, 1))}
-	g.nears, g.near = f.Nears, f.Zone
+	g.nears, g.near, g.shares = f.Nears, f.Zone, f.Shares
 	g.span, g.timeoutSeen = f.BudgetSpan, f.TimeoutSeen
 	if f.TimeoutSeen {
 		g.learns = 1 / float64(Millisecond)
@@ -149,6 +150,7 @@
 type search struct {
 	id            SearchID
 	number        SearchNo
+	typ           QueryType
 	rules         *typeRules
 	parts         []*part // of the present step
 	second, whole bool    // the second step is on; the first step's answer was whole
@@ -260,6 +262,28 @@
 	s.state = state
 }
 
+// vacant tells whether what bounds the parts at a server leaves room for one more.
+func (g *Gatherer) vacant(s *server, p *part) bool {
+	room := g.shares == nil || g.shares.Room(s.id, p.q.typ, g.now) // asked in any case: who is refused is remembered there
+	return room && (s.most == 0 || len(s.out) < s.most)
+}
+
+// press is how much of the in-flight limit a search may fill.
+func (g *Gatherer) press(q *search) float64 {
+	if g.shares == nil {
+		return 1
+	}
+	return g.shares.Press(q.typ, g.now)
+}
+
+// waitFor is what is told of the wait of a part that no server has room for; never = nothing is.
+func (g *Gatherer) waitFor(p *part) Time {
+	if g.shares == nil || len(g.holders[p.shard]) == 0 {
+		return never
+	}
+	return g.shares.Wait(p.shard, p.q.typ, g.now)
+}
+
 func (g *Gatherer) close(q *search) {
 	delete(g.open, q.id)
 	delete(g.numbers, q.number)
--- a/brain/types.go
+++ b/brain/types.go
@@ -2,9 +2,14 @@
 // This file is its interface; the others hold every decision, by concern.
 package brain
 
+import "math"
+
 // Time is a moment or a span in whole tenths of a millisecond.
 type Time int64
 
+// Never comes after every moment.
+const Never = Time(math.MaxInt64 / 4)
+
 // Millisecond is the Time that one millisecond takes.
 const Millisecond Time = 10
 
@@ -67,6 +72,8 @@
 	Nears       bool // servers of the gatherer's own zone are better where they are as good
 	Zone        ZoneNo
 	AtClient    bool // latency targets and time-outs count at the client, not at this gatherer
+
+	Shares Shares // nil = nothing else bounds them
 }
 
 // QueryTypeFacts describes one query type.
@@ -96,6 +103,16 @@
 	InFlight float64 // parts in hand
 }
 
+// Shares tells what else bounds the parts at a server, beside Server.Most. It is asked while an event is handled.
+type Shares interface {
+	// Room tells whether one more part of a query type may be sent to a server now.
+	Room(at ServerID, of QueryType, now Time) bool
+	// Press is how much of the in-flight limit a search of a query type may fill, 1 = all.
+	Press(of QueryType, now Time) float64
+	// Wait is how long a part for which no server has room is likely to wait for it.
+	Wait(at ShardNo, of QueryType, now Time) Time
+}
+
 // Event is something that happened to this gatherer.
 type Event interface{ event() }
 
--- a/forager/duties.go
+++ b/forager/duties.go
@@ -61,27 +61,29 @@
 	s.seenAt, s.probeAt, s.probePause = now, now+ticks(firstProbe), ticks(firstProbe)
 }
 
-// witnessed is what the core is to be told, with the next question.
-func (f *Forager) witnessed() (out []*dance.Report) {
+// fill puts into a question what the core is to be told: servers that it does not hear, and what operators ask for.
+func (f *Forager) fill(a *dance.Ask) {
+	var known []*dance.Report
+	var figures *dance.Figures
 	done := make(chan struct{})
 	if !f.do(func() {
 		defer close(done)
 		now := f.now()
+		figures = f.figures(now)
 		for _, s := range f.flowers {
 			if s.seenAt > 0 && now-s.seenAt < ticks(witnessFor) && s.claim.Holder == f.life && s.unheard {
-				out = append(out, &dance.Report{Instance: s.instance, WitnessAgeMs: uint32(span(now-s.seenAt) / time.Millisecond),
+				known = append(known, &dance.Report{Instance: s.instance, WitnessAgeMs: uint32(span(now-s.seenAt) / time.Millisecond),
 					Fence: s.claim.Fence, Holder: s.claim.Holder})
 			}
 		}
 	}) {
-		return nil
+		return
 	}
 	select {
 	case <-done:
+		a.Known, a.Figures = known, figures
 	case <-f.stopped:
-		return nil
 	}
-	return out
 }
 
 func (f *Forager) healthPath(service string) string {
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -26,6 +26,9 @@
 	if a := q.GetAsk(); a != nil {
 		f.do(func() { f.tellKin(c, q.Id, a) })
 	}
+	if m := q.GetNeed(); m != nil {
+		f.do(func() { f.needed(c, q.Id, m) })
+	}
 	if q.GetWatch() != nil {
 		f.do(func() {
 			f.watchers[c] = true
--- a/forager/links.go
+++ b/forager/links.go
@@ -60,6 +60,7 @@
 		return
 	}
 	s.count(now, 1)
+	f.took(c, now)
 	f.timers.Push(int64(c.until), due{call: c})
 	for len(s.idle) > 0 {
 		l := s.idle[len(s.idle)-1]
@@ -239,6 +240,7 @@
 	p.calls[c.no] = nil
 	p.out--
 	c.f.count(f.now(), -1)
+	f.gave(c, f.now())
 	if c.link != nil && resp == nil {
 		f.drop(c.link)
 	}
@@ -267,5 +269,6 @@
 	if s.state == waggle.Gone && s.out == 0 && s.links == 0 && f.flowers[s.instance] == s {
 		delete(f.flowers, s.instance)
 		delete(f.servers, s.id)
+		f.tenancy.leave(s)
 	}
 }
--- a/forager/news.go
+++ b/forager/news.go
@@ -72,7 +72,8 @@
 			calls[p.address] = c
 		}
 		ask := &dance.Ask{From: &dance.Forager{Life: f.life, Address: f.set.Internal(boot.ForagerPort), Zone: f.set.Zone, Left: f.draining.Load()},
-			Turn: turn, HiveLife: life, Cursor: cursor, Crowd: crowd, HoldMs: uint32(holdFor / time.Millisecond), Known: f.witnessed()}
+			Turn: turn, HiveLife: life, Cursor: cursor, Crowd: crowd, HoldMs: uint32(holdFor / time.Millisecond)}
+		f.fill(ask)
 		askedAt := span(f.now())
 		patience := holdFor + hiveLate
 		if life == 0 { // all is news to one that begins: no question is held
@@ -114,6 +115,7 @@
 			f.takeConfig(n)
 		}
 		f.do(func() {
+			f.takeNotes(n.Notes)
 			f.takeReports(n)
 			f.takeCrowd(n)
 			if now := span(f.now()); n.Settled {
@@ -173,7 +175,7 @@
 	if err != nil || n == nil {
 		return turn
 	}
-	f.do(func() { f.takeReports(n) })
+	f.do(func() { f.takeNotes(n.Notes); f.takeReports(n) })
 	if n.Turn > turn && n.HasConfig {
 		f.log.Info().Str("from", address).Uint64("version", n.Version).Msg("news: no hive answers, another gatherer did")
 		f.takeConfig(n)
@@ -187,6 +189,7 @@
 	n := &dance.News{Turn: f.turnNow}
 	if f.config != nil && f.turnNow > a.Turn {
 		n.Version, n.HasConfig, n.Config = f.config.Version, true, f.text
+		n.Notes = f.notes()
 	}
 	for _, s := range f.flowers {
 		n.Reports = append(n.Reports, &dance.Report{Instance: s.instance, Service: s.service, Address: s.address, Zone: s.zone,
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -14,6 +14,7 @@
 	"oxbowspan/internal/alarm"
 	"oxbowspan/internal/boot"
 	"oxbowspan/kin"
+	"oxbowspan/pollen"
 	"oxbowspan/waggle"
 )
 
@@ -31,7 +32,8 @@
 	typ    brain.QueryType
 	shards []brain.ShardNo // a gathered route's
 	among  []brain.Weighted
-	names  int // parts of an answer, with those shards that stand twice counted once
+	tenant pollen.Tenant // the owner's, where tenants are in force
+	shared bool
 }
 
 // search is one request on its way through the program.
@@ -62,6 +64,9 @@
 	calls []*call // by number of the sub-request; nil = ended
 	out   int
 	in    *fasthttp.Response
+
+	awaits brain.Time // since when it waits for a connection, 0 = it does not
+	tenant pollen.Tenant
 }
 
 // call is one sub-request.
@@ -74,6 +79,8 @@
 	until  brain.Time
 	rested bool
 	over   bool
+	shared bool // its connection counts for a tenant
+	tenant pollen.Tenant
 }
 
 // flower is a server as this gatherer sees it.
@@ -126,6 +133,7 @@
 	shareAt   brain.Time
 	lastID    uint64
 	lastNo    brain.SearchNo
+	tenancy   tenancy
 	room      []byte // for the text of a request
 	toldLoads bool
 }
@@ -149,7 +157,7 @@
 		MayCopy: true, AdviseRetry: ticks(mostAdvice), HasBudget: b.HasRetryBudget, BudgetEach: true,
 		BudgetFree: b.BudgetExtraTries, BudgetShare: b.RetryBudgetRatio,
 		BudgetSpan:  ticks(time.Duration((b.BudgetWindowS + 1) * float64(time.Second))),
-		BudgetWaits: !f.set.FirstStart, TimeoutSeen: true, AtClient: true, Nears: true, Zone: 0, OverShareFactor: 1}
+		BudgetWaits: !f.set.FirstStart, TimeoutSeen: true, AtClient: true, Nears: true, Zone: 0, OverShareFactor: 1, Shares: &f.tenancy}
 }
 
 func (o *owner) init(f *Forager) {
@@ -173,6 +181,7 @@
 			f.shareAt = now + ticks(loadsEvery)
 			f.share(now)
 			f.lookAfter(now)
+			f.tend(now)
 		}
 		f.fire(now)
 		next := f.shareAt
@@ -204,6 +213,9 @@
 			l.c.Close()
 		}
 	}
+	for _, c := range f.tenancy.holders {
+		c.Close()
+	}
 	for _, p := range f.partsOf {
 		for _, c := range p.calls {
 			if c != nil && c.link != nil {
@@ -281,6 +293,7 @@
 		ev.Parts = append(ev.Parts, brain.Part{ID: p.id, Shard: at, Weight: 1 / float64(len(shards))})
 	}
 	f.handle(ev)
+	f.awaits(s, f.now())
 }
 
 // answer gives a search what is in.
@@ -331,6 +344,7 @@
 			fasthttp.ReleaseResponse(p.in)
 			p.in = nil
 		}
+		f.waitsNoMore(p, f.now())
 		f.forget(p)
 	}
 	if s.last != nil {
@@ -407,6 +421,7 @@
 		f.free = append(f.free, typ)
 	}
 	f.follows.Store(next)
+	f.retenant()
 	f.relist()
 	f.log.Info().Uint64("version", c.Version).Uint64("turn", turn).Int("routes", len(c.Routes)).Msg("config: in force")
 }
@@ -492,10 +507,16 @@
 		if s.listed = entry.State == brain.Ready; !s.listed {
 			f.closeIdle(s)
 		}
+		for entry.Most > 0 && s.links > entry.Most && len(s.idle) > 0 { // its part grew smaller
+			f.drop(s.idle[0])
+			s.idle = s.idle[1:]
+		}
+		f.tenancy.serve(s, entry.Most, kin.Seats(f.limits[s.service]))
 		ev.Servers = append(ev.Servers, entry)
 		if s.state == waggle.Gone && s.out == 0 && s.links == 0 {
 			delete(f.flowers, i)
 			delete(f.servers, s.id)
+			f.tenancy.leave(s)
 		}
 	}
 	f.handle(ev)
@@ -544,6 +565,10 @@
 
 // most is this gatherer's part of the connections that a server of a service takes from all callers together.
 func (f *Forager) most(service string) int {
-	limit := f.limits[service]
-	return kin.Share(limit, len(f.gatherers))
+	if f.tenancy.node != nil {
+		if base, pool := pollen.Split(kin.Seats(f.limits[service]), len(f.gatherers)); pool > 0 {
+			return base + f.tenancy.granted[service].parts
+		}
+	}
+	return kin.Share(f.limits[service], len(f.gatherers))
 }
--- /dev/null
+++ b/forager/tenants.go
@@ -0,0 +1,482 @@
+package forager
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"oxbowspan/brain"
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/kin"
+	"oxbowspan/pollen"
+)
+
+// Connections shared among tenants (package pollen decides), where a document of tenants is in force. Without one nothing here
+// does anything.
+
+// Rhythm of what is told of it.
+const (
+	needEvery  = 500 * time.Millisecond // between two askings for a part of a service's connections
+	needWait   = 400 * time.Millisecond // for the answer
+	calmAfter  = 5 * time.Second        // a tenant that did not wait for so long waits no longer
+	figureTerm = time.Minute            // over which waits are summed up
+	steady     = 0.6                    // of what was wanted half a second before, in what is
+	enough     = 0.75                   // of what is had without asking: below it nothing is asked for
+)
+
+// tenancy is what the owner keeps of tenants.
+type tenancy struct {
+	document *comb.Tenants // nil = none is in force
+	text     []byte        // of the document, as agreed
+	version  uint64
+	node     *pollen.Node
+	numbers  map[brain.QueryType]pollen.Tenant
+	services map[brain.ShardNo]pollen.Service
+	names    map[pollen.Tenant]*tenant
+	wanted   map[string]map[string]float64 // by service and tenant, smoothed
+	granted  map[string]grant              // by service; kept to those of the configuration
+	keepers  map[string]*pollen.Keeper     // of the services whose duty is held here
+	holders  map[kin.Name]*dance.Caller    // emptied of gatherers that are gone
+	needAt   brain.Time
+}
+
+// tenant is one as operators are told of it.
+type tenant struct {
+	pollen.Terms
+	requests, waited uint64
+	waiting          int
+	lastWait         brain.Time              // 0 = it does not wait
+	waits            *hdrhistogram.Histogram // nil until it first waits
+	since            brain.Time
+}
+
+// grant is a part of a service's connections beyond the base.
+type grant struct {
+	parts int
+	until brain.Time
+	out   bool // asked for again, not answered yet
+}
+
+// Room, Press and Wait are what brain asks.
+func (t *tenancy) Room(at brain.ServerID, of brain.QueryType, now brain.Time) bool {
+	return t.node == nil || t.node.Room(pollen.Server(at), t.numbers[of], span(now))
+}
+
+func (t *tenancy) Press(of brain.QueryType, now brain.Time) float64 {
+	if t.node == nil {
+		return 1
+	}
+	return t.node.Press(t.numbers[of], span(now))
+}
+
+func (t *tenancy) Wait(at brain.ShardNo, of brain.QueryType, now brain.Time) brain.Time {
+	if t.node == nil {
+		return brain.Never
+	}
+	return ticks(t.node.Wait(t.services[at], t.numbers[of], span(now)))
+}
+
+// takeNotes takes what is agreed beside the configuration.
+func (f *Forager) takeNotes(notes []*dance.Note) {
+	for _, n := range notes {
+		if n.Name != comb.TenantsNote || n.Version <= f.tenancy.version {
+			continue
+		}
+		doc, err := comb.ReadTenants(n.Body)
+		if err != nil {
+			f.log.Error().Err(err).Uint64("version", n.Version).Msg("tenants: an agreed document can't be read, the last one stays")
+			continue
+		}
+		f.tenancy.version, f.tenancy.document, f.tenancy.text = n.Version, doc, n.Body
+		f.log.Info().Uint64("version", n.Version).Int("tenants", len(doc.Tenants)).Msg("tenants: in force")
+		f.retenant()
+		f.relist()
+	}
+}
+
+// notes are what is told to a gatherer that hears no hive.
+func (f *Forager) notes() []*dance.Note {
+	if f.tenancy.document == nil {
+		return nil
+	}
+	return []*dance.Note{{Name: comb.TenantsNote, Version: f.tenancy.version, Body: f.tenancy.text}}
+}
+
+// retenant finds the tenants of the routes in force.
+func (f *Forager) retenant() {
+	t, now := &f.tenancy, f.follows.Load()
+	if t.document == nil || now == nil {
+		return
+	}
+	if t.node == nil {
+		t.node, t.names = pollen.NewNode(f.life), map[pollen.Tenant]*tenant{}
+		t.wanted, t.granted, t.keepers, t.holders = map[string]map[string]float64{}, map[string]grant{}, map[string]*pollen.Keeper{}, map[kin.Name]*dance.Caller{}
+	}
+	of := t.document.Table()
+	var all []pollen.Terms
+	for _, n := range t.document.Tenants {
+		terms := pollen.Terms{Name: n.Name, Weight: n.Weight, Floor: float64(n.Floor), Most: float64(n.Most), Borrow: -1}
+		if terms.Weight == 0 {
+			terms.Weight = 1
+		}
+		if n.Borrow != nil {
+			terms.Borrow = float64(*n.Borrow)
+		}
+		all = append(all, terms)
+	}
+	places := map[*route]int{}
+	for _, r := range now.routes {
+		at, named := of.Of(r.Route)
+		if !named {
+			at = len(all)
+			all = append(all, pollen.Terms{Name: r.Hostname + r.PathPrefix, Weight: 1, Borrow: -1})
+		}
+		places[r] = at
+	}
+	numbers := t.node.Put(all)
+	kept := map[pollen.Tenant]*tenant{}
+	for i, no := range numbers {
+		if kept[no] = t.names[no]; kept[no] == nil || kept[no].Name != all[i].Name {
+			kept[no] = &tenant{since: f.now()}
+		}
+		kept[no].Terms = all[i]
+	}
+	t.names = kept
+	t.numbers, t.services = map[brain.QueryType]pollen.Tenant{}, map[brain.ShardNo]pollen.Service{}
+	floors := map[pollen.Service][]pollen.Tenant{}
+	for r, at := range places {
+		no := numbers[at]
+		t.numbers[r.typ] = no
+		r.tenant, r.shared = no, true
+		if all[at].Floor <= 0 {
+			continue
+		}
+		for _, s := range r.Services() {
+			floors[pollen.Service(s)] = append(floors[pollen.Service(s)], no)
+		}
+	}
+	for service, shard := range f.shards {
+		t.services[shard] = pollen.Service(service)
+		t.node.Floors(pollen.Service(service), distinct(floors[pollen.Service(service)]))
+	}
+	for service := range t.granted {
+		if _, named := f.limits[service]; !named {
+			delete(t.granted, service)
+			delete(t.wanted, service)
+		}
+	}
+}
+
+func distinct(in []pollen.Tenant) (out []pollen.Tenant) {
+	seen := map[pollen.Tenant]bool{}
+	for _, t := range in {
+		if !seen[t] {
+			seen[t] = true
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// serve tells the sharing of a server, leave that it is gone.
+func (t *tenancy) serve(s *flower, part, whole int) {
+	if t.node != nil {
+		t.node.Serve(pollen.Server(s.id), pollen.Service(s.service), part, whole)
+	}
+}
+
+func (t *tenancy) leave(s *flower) {
+	if t.node != nil {
+		t.node.Leave(pollen.Server(s.id))
+	}
+}
+
+// took notes a sub-request's connection for its tenant, gave its end.
+func (f *Forager) took(c *call, now brain.Time) {
+	t := &f.tenancy
+	no := c.p.s.route.tenant
+	if t.node == nil || !c.p.s.route.shared {
+		return
+	}
+	c.shared, c.tenant = true, no
+	t.node.Took(pollen.Server(c.f.id), no, span(now))
+	f.waitsNoMore(c.p, now)
+}
+
+func (f *Forager) gave(c *call, now brain.Time) {
+	if c.shared {
+		c.shared = false
+		f.tenancy.node.Back(pollen.Server(c.f.id), c.tenant, span(now-c.sentAt), span(now))
+	}
+}
+
+// awaits notes which parts of a search that was just taken wait for a connection.
+func (f *Forager) awaits(s *search, now brain.Time) {
+	t := &f.tenancy
+	no := s.route.tenant
+	if t.node == nil || !s.route.shared {
+		return
+	}
+	who := t.names[no]
+	if who == nil {
+		return
+	}
+	who.requests++
+	waits := false
+	for _, p := range s.parts {
+		if len(p.calls) > 0 || s.over {
+			continue
+		}
+		waits = true
+		p.awaits, p.tenant = now, no
+		t.node.Waits(t.services[p.shard], no, 1)
+		who.waiting++
+	}
+	if !waits {
+		return
+	}
+	if who.waited++; who.lastWait == 0 {
+		f.log.Info().Str("tenant", who.Name).Int("parts", who.waiting).Msg("tenants: one waits for connections")
+	}
+	who.lastWait = now
+	if who.waits == nil {
+		who.waits = hdrhistogram.New(1, time.Minute.Microseconds(), 2)
+	}
+}
+
+// waitsNoMore notes that a part was sent, or is over.
+func (f *Forager) waitsNoMore(p *part, now brain.Time) {
+	if p.awaits == 0 {
+		return
+	}
+	t := &f.tenancy
+	t.node.Waits(t.services[p.shard], p.tenant, -1)
+	if who := t.names[p.tenant]; who != nil {
+		who.waiting = max(who.waiting-1, 0)
+		who.lastWait = now
+		if who.waits != nil {
+			who.waits.RecordValue(span(now - p.awaits).Microseconds())
+		}
+	}
+	p.awaits = 0
+}
+
+// tend asks for parts of the services' connections, tells who waits no longer, and gives up keepers whose duty is another's.
+func (f *Forager) tend(now brain.Time) {
+	t := &f.tenancy
+	if t.node == nil {
+		return
+	}
+	for _, who := range t.names {
+		if who.waiting == 0 && who.lastWait > 0 && now-who.lastWait > ticks(calmAfter) {
+			who.lastWait = 0
+			f.log.Info().Str("tenant", who.Name).Msg("tenants: one waits no longer")
+		}
+		if now-who.since > ticks(figureTerm) {
+			who.since, who.requests, who.waited = now, 0, 0
+			if who.waits != nil {
+				who.waits.Reset()
+			}
+		}
+	}
+	for service := range t.keepers {
+		if !f.duties.May(connections(service), span(now)) {
+			delete(t.keepers, service)
+		}
+	}
+	for name, c := range t.holders {
+		gone := true
+		for _, g := range f.gatherers {
+			gone = gone && g != name
+		}
+		if gone {
+			c.Close()
+			delete(t.holders, name)
+		}
+	}
+	ended := false
+	for service, g := range t.granted {
+		if g.parts > 0 && now >= g.until {
+			ended = true
+			t.granted[service] = grant{out: g.out}
+		}
+	}
+	if now >= t.needAt {
+		t.needAt = now + ticks(needEvery)
+		for service, wants := range f.wants(now) {
+			f.need(service, wants, now)
+		}
+	}
+	if ended {
+		f.relist()
+	}
+}
+
+// connections is the key of the duty to divide a service's connections.
+func connections(service string) kin.Name { return kin.Name("connections " + service) }
+
+// wants are, by service, what tenants would use beyond the base that is had without asking.
+func (f *Forager) wants(now brain.Time) map[string][]pollen.Want {
+	t := &f.tenancy
+	type use struct{ sum, most map[string]float64 }
+	uses := map[string]*use{}
+	servers := map[string]float64{}
+	for _, s := range f.flowers {
+		if s.listed {
+			servers[s.service]++
+		}
+	}
+	for _, h := range t.node.Holdings(span(now)) {
+		s := f.servers[brain.ServerID(h.Server)]
+		if s == nil || !s.listed {
+			continue
+		}
+		u := uses[s.service]
+		if u == nil {
+			u = &use{map[string]float64{}, map[string]float64{}}
+			uses[s.service] = u
+		}
+		u.most[h.Tenant] = max(u.most[h.Tenant], float64(h.Held))
+	}
+	out := map[string][]pollen.Want{}
+	for service, limit := range f.limits {
+		base, pool := pollen.Split(kin.Seats(limit), len(f.gatherers))
+		if pool == 0 || servers[service] == 0 {
+			continue
+		}
+		var wants []pollen.Want
+		all := 0.0
+		was := t.wanted[service]
+		t.wanted[service] = map[string]float64{}
+		for no, who := range t.names {
+			n := float64(t.node.Waiting(pollen.Service(service), no)) / servers[service]
+			if u := uses[service]; u != nil {
+				n += u.most[who.Name]
+			}
+			if n += (was[who.Name] - n) * steady; n > 0.1 {
+				t.wanted[service][who.Name] = n
+				wants = append(wants, pollen.Want{Tenant: who.Name, Connections: n, Weight: who.Weight})
+				all += n
+			}
+		}
+		if all <= enough*float64(base) {
+			continue
+		}
+		for i := range wants { // and as much again as is in use, so that what grows finds room
+			wants[i].Connections *= (all + max(all/4, 1) - enough*float64(base)) / all
+		}
+		out[service] = wants
+	}
+	return out
+}
+
+// need asks the holder of a service's duty for a part.
+func (f *Forager) need(service string, wants []pollen.Want, now brain.Time) {
+	t := &f.tenancy
+	g := t.granted[service]
+	if g.out {
+		return
+	}
+	self := kin.Name(f.set.Internal(boot.ForagerPort))
+	holder := kin.Holder(connections(service), f.gatherers)
+	if holder == self {
+		if parts, may := f.keep(service, f.life, wants, g.parts, now); may {
+			f.grant(service, parts, now)
+		}
+		return
+	}
+	c := t.holders[holder]
+	if c == nil {
+		c = &dance.Caller{Address: string(holder), Net: f.net}
+		t.holders[holder] = c
+	}
+	m := &dance.Need{Service: service, From: string(self), Life: f.life, Held: uint32(g.parts)}
+	for _, w := range wants {
+		m.Wants = append(m.Wants, &dance.Want{Tenant: w.Tenant, Milli: uint32(1000 * w.Connections), WeightMilli: uint32(1000 * w.Weight)})
+	}
+	g.out = true
+	t.granted[service] = g
+	go func() {
+		limit, cancel := context.WithTimeout(context.Background(), needWait)
+		defer cancel()
+		a, err := c.Call(limit, &dance.Frame{Body: &dance.Frame_Need{Need: m}})
+		f.do(func() {
+			g := t.granted[service]
+			g.out = false
+			t.granted[service] = g
+			if p := a.GetPart(); err == nil && p != nil && p.Granted {
+				f.grant(service, int(p.Connections), now)
+			}
+		})
+	}()
+}
+
+// grant takes a part that was asked for at a moment.
+func (f *Forager) grant(service string, parts int, asked brain.Time) {
+	g := grant{parts: parts, until: asked + ticks(pollen.LeaseFor)}
+	if f.now() >= g.until {
+		return // it was on its way for too long
+	}
+	changed := f.tenancy.granted[service].parts != parts
+	if f.tenancy.granted[service] = g; changed {
+		f.relist()
+	}
+}
+
+// keep answers for a service whose duty is held here. It tells whether it is.
+func (f *Forager) keep(service string, life uint64, wants []pollen.Want, used int, now brain.Time) (parts int, may bool) {
+	t := &f.tenancy
+	limit, known := f.limits[service]
+	if t.node == nil || !known || !f.duties.May(connections(service), span(now)) {
+		return 0, false
+	}
+	k := t.keepers[service]
+	if k == nil {
+		k = pollen.NewKeeper()
+		t.keepers[service] = k
+	}
+	_, pool := pollen.Split(kin.Seats(limit), len(f.gatherers))
+	return k.Ask(life, wants, used, pool, span(now)), true
+}
+
+// needed answers another gatherer's asking.
+func (f *Forager) needed(c *dance.Conn, id uint64, m *dance.Need) {
+	var wants []pollen.Want
+	for _, w := range m.Wants {
+		wants = append(wants, pollen.Want{Tenant: w.Tenant, Connections: float64(w.Milli) / 1000, Weight: float64(w.WeightMilli) / 1000})
+	}
+	parts, may := f.keep(m.Service, m.Life, wants, int(m.Held), f.now())
+	go c.Answer(id, &dance.Frame{Body: &dance.Frame_Part{Part: &dance.Part{Connections: uint32(parts), Granted: may}}})
+}
+
+// figures are what operators are told; nil = there is nothing to tell.
+func (f *Forager) figures(now brain.Time) *dance.Figures {
+	t := &f.tenancy
+	if t.node == nil {
+		return nil
+	}
+	m := &dance.Figures{TenantsVersion: t.version}
+	if f.config != nil {
+		m.Version = f.config.Version
+	}
+	for _, h := range t.node.Holdings(span(now)) {
+		if s := f.servers[brain.ServerID(h.Server)]; s != nil {
+			m.Figures = append(m.Figures, &dance.Figure{Tenant: h.Tenant, Instance: s.instance, Service: s.service, Held: uint32(h.Held), Lent: uint32(h.Lent),
+				Part: uint32(h.Part), OwnMilli: uint32(1000 * min(h.Own, 1e6)), Wants: h.WantsAnother})
+		}
+	}
+	for _, who := range t.names {
+		if who.requests == 0 && who.waiting == 0 {
+			continue
+		}
+		w := &dance.Waits{Tenant: who.Name, Requests: who.requests, Waited: who.waited, Waiting: uint32(who.waiting)}
+		if who.waits != nil {
+			w.P50Us, w.P99Us, w.MostUs = uint32(who.waits.ValueAtQuantile(50)), uint32(who.waits.ValueAtQuantile(99)), uint32(who.waits.Max())
+		}
+		m.Waits = append(m.Waits, w)
+	}
+	return m
+}
--- a/hive/calls.go
+++ b/hive/calls.go
@@ -33,6 +33,10 @@
 	mux.HandleFunc("POST /-/instances/{id}/sign-off", instances.signOff)
 	mux.HandleFunc("POST /-/configuration/replace", configuration.replace)
 	mux.HandleFunc("GET /-/configuration/read", configuration.read)
+	tenants := &noteCalls{h, comb.TenantsNote, checkTenants}
+	mux.HandleFunc("POST /-/tenants/replace", tenants.replace)
+	mux.HandleFunc("GET /-/tenants/read", tenants.read)
+	mux.HandleFunc("GET /-/tenants/explain", (&figureCalls{h}).tenants)
 	return mux
 }
 
@@ -145,9 +149,8 @@
 		refuse(w, http.StatusBadRequest, "the configuration's body can't be read whole")
 		return
 	}
-	basedOn, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
+	basedOn, ok := basedOnVersion(w, r)
+	if !ok {
 		return
 	}
 	conf, err := comb.Read(body)
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -84,6 +84,7 @@
 	heardAt time.Duration
 	told    bool   // heard by this hive itself
 	no      uint64 // in the order in which this hive had something to tell the others of
+	figures *dance.Figures
 }
 
 // spread waits until a report is held by enough of the core.
@@ -400,6 +401,9 @@
 		Warm: now > 3*h.set.Beat(), Crowd: h.crowd}
 	if h.confirmed && uint64(h.known.Turn) > a.Turn {
 		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
+		for _, note := range h.known.Notes {
+			n.Notes = append(n.Notes, dance.FromNote(note))
+		}
 	}
 	after := waggle.Cursor(a.Cursor)
 	if a.HiveLife != h.life {
@@ -454,6 +458,9 @@
 func (h *Hive) asked(c *dance.Conn, id uint64, a *dance.Ask, now time.Duration) {
 	if f := a.From; f != nil && f.Life != 0 {
 		h.foragerHeard(f, now, true)
+		if known := h.foragers[f.Life]; known != nil {
+			known.figures = a.Figures
+		}
 	}
 	for _, r := range a.Known {
 		in := toReport(r, now)
@@ -501,7 +508,7 @@
 	}
 	h.crowd++
 	h.names++
-	h.foragers[f.Life] = &forager{f.Life, f.Address, f.Zone, at, told, h.names}
+	h.foragers[f.Life] = &forager{f.Life, f.Address, f.Zone, at, told, h.names, nil}
 	h.news(false)
 }
 
--- /dev/null
+++ b/hive/notes.go
@@ -0,0 +1,176 @@
+package hive
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/swarm"
+)
+
+// noteBytes is how long a document beside the configuration may be: it goes along in every ballot.
+const noteBytes = 256 << 10
+
+// versionField tells which version of a note was read.
+const versionField = "X-Version"
+
+// noteCalls are an operator's, of one document that stands beside the configuration.
+type noteCalls struct {
+	h     *Hive
+	name  string
+	check func(body []byte, c *comb.Configuration) []string // all that is wrong with it, a sentence each; c nil = there is none yet
+}
+
+func basedOnVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
+	basedOn, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
+	}
+	return basedOn, err == nil
+}
+
+func (c *noteCalls) replace(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noteBytes))
+	if err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "the document can't be read whole, or is longer than "+strconv.Itoa(noteBytes)+" bytes")
+		return
+	}
+	basedOn, ok := basedOnVersion(w, r)
+	if !ok {
+		return
+	}
+	var conf *comb.Configuration
+	c.h.ask(func() {
+		if c.h.confirmed && c.h.known.Digest != "" {
+			conf, _ = comb.Read(c.h.known.Body)
+		}
+	})
+	if faults := c.check(body, conf); len(faults) > 0 {
+		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
+		return
+	}
+	sum := sha256.Sum256(body)
+	call := swarm.NoteCall{Name: c.name, BasedOn: swarm.Version(basedOn), Digest: string(sum[:]), Body: body}
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
+	defer cancel()
+	var fate swarm.Fate
+	var at swarm.Version
+	_, err = c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
+		var next *swarm.Value
+		next, at, fate = call.Meet(v)
+		return next
+	})
+	text := strconv.FormatUint(uint64(at), 10)
+	switch {
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
+	case fate != swarm.Taken:
+		refuse(w, http.StatusPreconditionFailed, "version "+text+" is in place")
+	default:
+		c.h.log.Info().Str("name", c.name).Uint64("version", uint64(at)).Msg("notes: acknowledged")
+		w.Header().Set("Content-Type", "application/json")
+		w.Write([]byte(`{"version":` + text + `}`))
+	}
+}
+
+func (c *noteCalls) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit)
+	defer cancel()
+	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value { return v })
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the core could not make sure of the newest version in time")
+		return
+	}
+	n := v.Note(c.name)
+	w.Header().Set(versionField, strconv.FormatUint(uint64(n.Version), 10))
+	if n.Version == 0 {
+		refuse(w, http.StatusNotFound, "there is none yet")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(n.Body)
+}
+
+func checkTenants(body []byte, c *comb.Configuration) []string {
+	t, err := comb.ReadTenants(body)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	faults := t.Check()
+	if len(faults) == 0 && c != nil {
+		faults = t.Against(c)
+	}
+	return faults
+}
+
+// figureCalls tell operators what gatherers say of themselves. Each hive tells of those that ask it; whoever wants all asks all.
+type figureCalls struct{ h *Hive }
+
+// NodeTenants is what tenants have at one gatherer.
+type NodeTenants struct {
+	Node           string       `json:"node"`
+	Zone           string       `json:"zone"`
+	Version        uint64       `json:"version"`
+	TenantsVersion uint64       `json:"tenants_version"`
+	Holdings       []Holding    `json:"holdings"`
+	Waits          []TenantWait `json:"waits"`
+}
+
+// Holding is what a tenant has at one server.
+type Holding struct {
+	Tenant   string  `json:"tenant"`
+	Service  string  `json:"service"`
+	Instance string  `json:"instance"`
+	Held     uint32  `json:"held"`
+	Lent     uint32  `json:"lent"`
+	Part     uint32  `json:"part"` // of the gatherer's; 0 = no limit
+	Own      float64 `json:"own"`
+	Wants    bool    `json:"wants"`
+}
+
+// TenantWait is how long a tenant's parts waited for connections in the last minute.
+type TenantWait struct {
+	Tenant   string  `json:"tenant"`
+	Requests uint64  `json:"requests"`
+	Waited   uint64  `json:"waited"`
+	Waiting  uint32  `json:"waiting"`
+	P50MS    float64 `json:"p50_ms"`
+	P99MS    float64 `json:"p99_ms"`
+	MostMS   float64 `json:"most_ms"`
+}
+
+func (c *figureCalls) tenants(w http.ResponseWriter, _ *http.Request) {
+	out := []NodeTenants{}
+	c.h.ask(func() {
+		for _, f := range c.h.foragers {
+			if f.told && f.figures != nil && c.h.now()-f.heardAt < foragerLost {
+				out = append(out, nodeTenants(f.address, f.zone, f.figures))
+			}
+		}
+	})
+	text, err := json.Marshal(out)
+	if err != nil {
+		refuse(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text)
+}
+
+func nodeTenants(address, zone string, m *dance.Figures) NodeTenants {
+	n := NodeTenants{Node: address, Zone: zone, Version: m.Version, TenantsVersion: m.TenantsVersion, Holdings: []Holding{}, Waits: []TenantWait{}}
+	for _, h := range m.Figures {
+		n.Holdings = append(n.Holdings, Holding{h.Tenant, h.Service, h.Instance, h.Held, h.Lent, h.Part, float64(h.OwnMilli) / 1000, h.Wants})
+	}
+	for _, t := range m.Waits {
+		n.Waits = append(n.Waits, TenantWait{t.Tenant, t.Requests, t.Waited, t.Waiting, float64(t.P50Us) / 1000, float64(t.P99Us) / 1000, float64(t.MostUs) / 1000})
+	}
+	return n
+}
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"encoding/json"
@@ -396,6 +397,7 @@
 	draining bool
 	Probed   int             // how often its health was asked for
 	LastAt   time.Time       // when a request last came
+	Slots    int             // requests that it works on at once; 0 = 3
 	Limit    int             // connections that it takes together, 0 = any number; it ends those beyond
 	Refused  int             // so many
 	Arrivals func(time.Time) // nil, or told of each request; set before Start
@@ -417,7 +419,7 @@
 func (s *Server) Start() error {
 	s.mu.Lock()
 	s.Instance = fmt.Sprintf("i-%08x", s.c.rand.Uint32())
-	s.slots, s.draining = make(chan struct{}, 3), false
+	s.slots, s.draining = make(chan struct{}, cmp.Or(s.Slots, 3)), false
 	s.mu.Unlock()
 	if s.c.Meadow != nil {
 		s.c.Meadow.Light(s.IP)
@@ -631,11 +633,19 @@
 		"X-Based-On-Version", strconv.FormatUint(basedOn, 10))
 }
 
-// ReadConfig asks one hive for the newest configuration. nil = no answer.
-func (c *Colony) ReadConfig(from *HiveMachine) []byte {
+// ReplaceNote sends a document that stands beside the configuration to one hive. 0 = no clear answer.
+func (c *Colony) ReplaceNote(to *HiveMachine, name string, basedOn uint64, body []byte) int {
+	client := c.client("10.0.9.9")
+	defer client.CloseIdleConnections()
+	return c.post(context.Background(), client, to.Control(), "/-/"+name+"/replace", string(body),
+		"X-Based-On-Version", strconv.FormatUint(basedOn, 10))
+}
+
+// Read asks one hive for a resource. nil = no answer.
+func (c *Colony) Read(from *HiveMachine, path string) []byte {
 	client := c.client("10.0.9.9")
 	defer client.CloseIdleConnections()
-	resp, err := client.Get("http://" + from.Control() + "/-/configuration/read")
+	resp, err := client.Get("http://" + from.Control() + path)
 	if err != nil {
 		return nil
 	}
@@ -647,6 +657,9 @@
 	return body
 }
 
+// ReadConfig asks one hive for the newest configuration. nil = no answer.
+func (c *Colony) ReadConfig(from *HiveMachine) []byte { return c.Read(from, "/-/configuration/read") }
+
 // Answer is what a client got.
 type Answer struct {
 	Status  int // 0 = none
--- /dev/null
+++ b/internal/colony/tenants_test.go
@@ -0,0 +1,206 @@
+package colony
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"oxbowspan/comb"
+	"oxbowspan/hive"
+)
+
+// letterConfig has a gathered letter run, counter look-ups and posts that must not run twice, all over the same servers.
+func letterConfig(version uint64, limit int) []byte {
+	var c comb.Configuration
+	json.Unmarshal(Example(version, FirstCut), &c)
+	for i := range c.Services {
+		c.Services[i].ConnectionLimit = limit
+	}
+	c.Routes = append(c.Routes,
+		comb.Route{Name: "letters", Hostname: "h.example", PathPrefix: "/letters/", RouteKind: comb.Retryable, TimeoutMS: 4000, TargetMS: 2000, GatheredServices: FirstCut, Attempts: 1, TopRecords: exampleTop, MinimumShare: 1},
+		comb.Route{Name: "counter", Hostname: "h.example", PathPrefix: "/counter/", RouteKind: comb.Retryable, TimeoutMS: 2000, TargetMS: 200, Service: "a0", Attempts: 2},
+		comb.Route{Name: "post", Hostname: "h.example", PathPrefix: "/post/", RouteKind: comb.NonRetryable, TimeoutMS: 3000, TargetMS: 500, Service: "a1", Attempts: 2})
+	text, _ := json.Marshal(c)
+	return text
+}
+
+const letterTenants = `{"tenants":[
+ {"name":"letters","weight":1,"routes":[{"hostname":"h.example","path_prefix":"/letters/"}]},
+ {"name":"counter","weight":2,"routes":[{"hostname":"h.example","path_prefix":"/counter/"},{"hostname":"h.example","path_prefix":"/post/"}]}]}`
+
+// run plays counter look-ups and posts for a time, beside a letter run or not, and returns the look-ups' times, sorted, those that
+// were not served, and the letters served.
+func letterRun(c *Colony, name string, letters bool, last time.Duration) (times []time.Duration, lost, served int64) {
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var letter, failed atomic.Int64
+	until := time.Now().Add(last)
+	if letters {
+		for i := range 40 * len(c.Gather) { // all at once, in one tick
+			all.Go(func() {
+				for n := 0; time.Now().Before(until); n++ {
+					a := c.Ask(c.Gather[i%len(c.Gather)], "GET", "h.example", "/letters/x", fmt.Sprint(name, "l", i, "-", n), 4*time.Second)
+					if a.Status == http.StatusOK {
+						letter.Add(1)
+					} else {
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	for n := 0; time.Now().Before(until); n++ {
+		time.Sleep(time.Duration(5+rand.IntN(10)) * time.Millisecond)
+		all.Go(func() {
+			f, id := c.Gather[n%len(c.Gather)], fmt.Sprint(name, "c", n)
+			if n%5 == 0 {
+				c.Ask(f, "POST", "h.example", "/post/x", id, 3*time.Second)
+				if c.Ledger.Runs("a1", id) > 1 {
+					failed.Add(1000)
+				}
+				return
+			}
+			a := c.Ask(f, "GET", "h.example", "/counter/x", id, 2*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.Status != http.StatusOK {
+				failed.Add(1)
+			}
+			times = append(times, a.Elapsed)
+		})
+	}
+	all.Wait()
+	slices.Sort(times)
+	return times, failed.Load(), letter.Load()
+}
+
+func quantile(times []time.Duration, q float64) time.Duration {
+	return times[min(int(q*float64(len(times))), len(times)-1)]
+}
+
+// A letter run takes what is idle; the counter's look-ups are served as on a quiet morning, and the run reaches nearly what it
+// reaches alone.
+func TestALetterRunLeavesTheCounterItsConnections(t *testing.T) {
+	play(t, 17, 3, 4, func(c *Colony) {
+		for _, s := range c.Servers {
+			if slices.Contains(FirstCut, s.Service) {
+				s.Crash(false)
+				s.Slots, s.Limit, s.Work = 1000, 40, 30*time.Millisecond
+				must(t, s.Start())
+			}
+		}
+		if got := agree(c, 0, letterConfig(1, 40), 30); got != http.StatusOK {
+			t.Fatalf("the configuration: %d", got)
+		}
+		await(t, c, 1, 3*time.Second)
+		time.Sleep(8 * time.Second)
+		quiet, lost, _ := letterRun(c, "q", false, 6*time.Second)
+		if lost > 0 {
+			t.Fatalf("%d lost on a quiet morning", lost)
+		}
+		open, _, openLetters := letterRun(c, "o", true, 6*time.Second)
+		if got := c.ReplaceNote(c.Hives[1], "tenants", 0, []byte(letterTenants)); got != http.StatusOK {
+			t.Fatalf("the tenants: %d", got)
+		}
+		time.Sleep(6 * time.Second)
+		shared, lost, letters := letterRun(c, "s", true, 6*time.Second)
+		refused := 0
+		for _, s := range c.Servers {
+			s.mu.Lock()
+			refused += s.Refused
+			s.mu.Unlock()
+		}
+		t.Logf("p50, p99, most of look-ups: quiet %v %v %v; a run without shares %v %v %v, %d letters; with %v %v %v, %d letters, %d lost; %d connections ended",
+			quantile(quiet, 0.5), quantile(quiet, 0.99), quantile(quiet, 1), quantile(open, 0.5), quantile(open, 0.99), quantile(open, 1), openLetters,
+			quantile(shared, 0.5), quantile(shared, 0.99), quantile(shared, 1), letters, lost, refused)
+		if lost > 0 {
+			t.Errorf("%d look-ups were lost, or posts ran twice", lost)
+		}
+		if got, bound := quantile(shared, 0.99), quantile(quiet, 0.99)*4/3; got > bound {
+			t.Errorf("p99 of look-ups beside the run is %v, at most %v is wanted", got, bound)
+		}
+		if float64(letters) < 0.8*float64(openLetters) {
+			t.Errorf("the run sends %d letters, %d without shares", letters, openLetters)
+		}
+		if refused > 20 {
+			t.Errorf("%d connections were ended beyond the servers' limit", refused)
+		}
+	})
+}
+
+// Documents of tenants are agreed like configurations: two on the same base, one wins; one sent again finds its fate; an invalid one
+// is refused with all that is wrong; a configuration and a change of the acceptors leave it as it is; all gatherers have it, also
+// one that begins later.
+func TestTenantsAreAgreedOn(t *testing.T) {
+	play(t, 18, 3, 2, func(c *Colony) {
+		if got := agree(c, 0, letterConfig(1, 40), 30); got != http.StatusOK {
+			t.Fatalf("the configuration: %d", got)
+		}
+		await(t, c, 1, 3*time.Second)
+		put := func(h int, basedOn uint64, text string) int {
+			return c.ReplaceNote(c.Hives[h], "tenants", basedOn, []byte(text))
+		}
+		if got := put(0, 0, `{"tenants":[{"name":"","weight":-1},{"name":"a/b","routes":[{"hostname":"h","path_prefix":"x"}]}]}`); got != http.StatusBadRequest {
+			t.Errorf("an invalid document: %d", got)
+		}
+		if got := put(0, 0, `{"tenants":[{"name":"a","floor":50,"routes":[{"hostname":"h.example","path_prefix":"/"}]}]}`); got != http.StatusBadRequest {
+			t.Errorf("a floor beyond the servers' connections: %d", got)
+		}
+		other := `{"tenants":[{"name":"others","routes":[{"hostname":"h.example","path_prefix":"/"}]}]}`
+		var one, two int
+		var both sync.WaitGroup
+		both.Go(func() { one = put(0, 0, letterTenants) })
+		both.Go(func() { two = put(1, 0, other) })
+		both.Wait()
+		if one+two != http.StatusOK+http.StatusPreconditionFailed {
+			t.Fatalf("two on the same base: %d and %d", one, two)
+		}
+		won, lost := letterTenants, other
+		if two == http.StatusOK {
+			won, lost = other, letterTenants
+		}
+		if again, outrun := put(2, 0, won), put(2, 0, lost); again != http.StatusOK || outrun != http.StatusPreconditionFailed {
+			t.Errorf("sent again: %d for the one that won, %d for the other", again, outrun)
+		}
+		if got := put(2, 1, lost); got != http.StatusOK {
+			t.Errorf("on top of the first: %d", got)
+		}
+		if got := agree(c, 1, letterConfig(2, 30), 10); got != http.StatusOK {
+			t.Fatalf("the next configuration: %d", got)
+		}
+		if got := put(1, 0, won); got != http.StatusOK {
+			t.Errorf("the first, sent again behind another: %d", got)
+		}
+		c.Hives[2].Kill(false)
+		c.Hives[2].Wipe()
+		must(t, c.Hives[2].Start())
+		time.Sleep(6 * time.Second) // it takes its seat
+		c.Gather[1].Kill(false)
+		c.Gather[1].Start()
+		await(t, c, 2, 5*time.Second)
+		for i, h := range c.Hives {
+			if got := string(c.Read(h, "/-/tenants/read")); got != lost {
+				t.Errorf("hive %d reads %q", i, got)
+			}
+		}
+		letterRun(c, "x", true, time.Second) // so that there is something to tell
+		time.Sleep(1500 * time.Millisecond)
+		versions := map[uint64]int{}
+		for _, h := range c.Hives {
+			var nodes []hive.NodeTenants
+			must(t, json.Unmarshal(c.Read(h, "/-/tenants/explain"), &nodes))
+			for _, n := range nodes {
+				versions[n.TenantsVersion]++
+			}
+		}
+		if versions[2] != 2 || len(versions) != 1 {
+			t.Errorf("gatherers by the version that they have: %v", versions)
+		}
+	})
+}
--- a/swarm/call.go
+++ b/swarm/call.go
@@ -1,5 +1,7 @@
 package swarm
 
+import "slices"
+
 // Call is what an operator wants agreed: a configuration on top of the version that it builds on.
 type Call struct {
 	Version, BasedOn Version
@@ -31,3 +33,24 @@
 	}
 	return v.WithConfig(c.Version, c.BasedOn, c.Digest, c.Body), Taken
 }
+
+// NoteCall is what an operator wants agreed beside the configuration: a note on top of the version of it that it builds on.
+type NoteCall struct {
+	Name    string
+	BasedOn Version // of the note; 0 = there is none yet
+	Digest  string  // of Body
+	Body    []byte
+}
+
+// Meet tells a note's fate as Call.Meet does a configuration's, and the version that it has where it is taken.
+func (c NoteCall) Meet(v *Value) (next *Value, at Version, fate Fate) {
+	n := v.Note(c.Name)
+	took := Past{c.BasedOn + 1, c.BasedOn, c.Digest}
+	switch {
+	case n.Version == took.Version && n.Digest == c.Digest || slices.Contains(n.Past, took):
+		return v, took.Version, Taken
+	case n.Version != c.BasedOn:
+		return v, n.Version, Outrun
+	}
+	return v.WithNote(c.Name, c.Digest, c.Body), took.Version, Taken
+}
--- a/swarm/types.go
+++ b/swarm/types.go
@@ -55,6 +55,44 @@
 	Digest         string // of Body; "" = no configuration yet
 	Body           []byte
 	Past           []Past // the oldest first, without this one
+	Notes          []Note // by name
+}
+
+// Note is a document that stands beside the configuration: it has versions of its own, and neither changes the other.
+type Note struct {
+	Name    string
+	Version Version // 1 at first, one more with each change
+	Digest  string  // of Body
+	Body    []byte
+	Past    []Past // those before it, the oldest first
+}
+
+// KeptNotes is how many versions of a note are remembered besides its own.
+const KeptNotes = 16
+
+// Note is the note of a name; the zero Note where there is none yet.
+func (v *Value) Note(name string) Note {
+	for _, n := range v.Notes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return Note{Name: name}
+}
+
+// WithNote returns the value of the next turn with a note changed. The value must be settled.
+func (v *Value) WithNote(name, digest string, body []byte) *Value {
+	old := v.Note(name)
+	note := Note{name, old.Version + 1, digest, body, old.Past}
+	if old.Version > 0 {
+		note.Past = append(slices.Clone(old.Past), Past{old.Version, old.Version - 1, old.Digest})
+		note.Past = note.Past[max(0, len(note.Past)-KeptNotes):]
+	}
+	next := v.Settle()
+	next.Notes = slices.DeleteFunc(slices.Clone(v.Notes), func(n Note) bool { return n.Name == name })
+	next.Notes = append(next.Notes, note)
+	slices.SortFunc(next.Notes, func(a, b Note) int { return cmp.Compare(a.Name, b.Name) })
+	return next
 }
 
 // Settled tells whether the value's acceptors are those of the turn before: only then may another follow it.
@@ -63,7 +101,9 @@
 // Same tells whether two values are one.
 func (v *Value) Same(o *Value) bool {
 	return v.Turn == o.Turn && v.Version == o.Version && v.Digest == o.Digest && sameMembers(v.Members, o.Members) &&
-		sameMembers(v.Prior, o.Prior)
+		sameMembers(v.Prior, o.Prior) && slices.EqualFunc(v.Notes, o.Notes, func(a, b Note) bool {
+		return a.Name == b.Name && a.Version == b.Version && a.Digest == b.Digest
+	})
 }
 
 // Fate tells whether a configuration is this value's or was agreed on before it.
@@ -74,7 +114,7 @@
 
 // WithConfig returns the value of the next turn with another configuration. The value must be settled.
 func (v *Value) WithConfig(version, basedOn Version, digest string, body []byte) *Value {
-	next := &Value{v.Turn + 1, v.Members, v.Members, version, basedOn, digest, body, v.Past}
+	next := &Value{v.Turn + 1, v.Members, v.Members, version, basedOn, digest, body, v.Past, v.Notes}
 	if v.Digest != "" {
 		next.Past = append(slices.Clone(v.Past), Past{v.Version, v.BasedOn, v.Digest})
 		next.Past = next.Past[max(0, len(next.Past)-KeptPasts):]
@@ -84,7 +124,7 @@
 
 // WithMembers returns the value of the next turn with another set of acceptors. The value must be settled.
 func (v *Value) WithMembers(members []Member) *Value {
-	return &Value{v.Turn + 1, members, v.Members, v.Version, v.BasedOn, v.Digest, v.Body, v.Past}
+	return &Value{v.Turn + 1, members, v.Members, v.Version, v.BasedOn, v.Digest, v.Body, v.Past, v.Notes}
 }
 
 // Settle returns the value of the next turn, which confirms a change of the acceptors.
