--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -80,15 +80,25 @@
 			}
 			return checkConfiguration(args[0], out)
 		}}
-	check := &ffcli.Command{Name: "check", ShortUsage: p.name + " check boot|config FILE", ShortHelp: "check the settings file or a configuration",
-		Subcommands: []*ffcli.Command{checkBoot, checkConfig}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+	checkTenants := &ffcli.Command{Name: "tenants", ShortUsage: p.name + " check tenants FILE", ShortHelp: "say all that is wrong with a document of tenants",
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) != 1 {
+				return flag.ErrHelp
+			}
+			if _, _, err := readTenantsFile(args[0]); err != nil {
+				return err
+			}
+			return tell(nil, "the document of tenants is as it should be", out)
+		}}
+	check := &ffcli.Command{Name: "check", ShortUsage: p.name + " check boot|config FILE|tenants FILE", ShortHelp: "check the settings file, a configuration or a document of tenants",
+		Subcommands: []*ffcli.Command{checkBoot, checkConfig, checkTenants}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 	subcommands := []*ffcli.Command{}
 	if p.control {
-		subcommands = append(subcommands, stateCommand(path, out))
+		subcommands = append(subcommands, stateCommand(path, out), tenantCommand(path, out))
 	}
 	version := &ffcli.Command{Name: "version", ShortUsage: p.name + " version", ShortHelp: "say which version this is",
 		Exec: func(context.Context, []string) error { fmt.Fprintln(out, p.name, Version); return nil }}
-	root := &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] serve|check|version", FlagSet: set, Options: options,
+	root := &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] COMMAND", FlagSet: set, Options: options,
 		Subcommands: append([]*ffcli.Command{serve, check, version}, subcommands...), Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 	err := root.ParseAndRun(context.Background(), args)
 	switch {
--- /dev/null
+++ b/internal/entrance/tenant.go
@@ -0,0 +1,337 @@
+package entrance
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"oxbowspan/comb"
+	"oxbowspan/hive"
+	"oxbowspan/internal/beekeeper"
+	"oxbowspan/internal/boot"
+	"oxbowspan/kin"
+	"oxbowspan/pollen"
+)
+
+// operator is what the commands that call hives share.
+type operator struct {
+	path    *string // of the settings file, whose seeds are called where no address is given
+	control string
+	json    bool
+	out     io.Writer
+}
+
+// flags are those of every such command.
+func (o *operator) flags(name string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.StringVar(&o.control, "control", "", "control `addresses` of hives, with commas; else the settings file's seeds")
+	set.BoolVar(&o.json, "json", false, "print JSON")
+	return set
+}
+
+func (o *operator) keeper() (*beekeeper.Keeper, error) {
+	addresses := beekeeper.Split(o.control)
+	if len(addresses) == 0 {
+		s, err := boot.Read(boot.Path(*o.path))
+		if err != nil {
+			return nil, eris.Errorf("no hive is named by --control, and %v", err)
+		}
+		addresses = s.SeedAddresses
+	}
+	return beekeeper.New(addresses), nil
+}
+
+// print writes a value as JSON, or by lines.
+func (o *operator) print(v any, lines func(w io.Writer)) error {
+	if o.json {
+		text, err := json.MarshalIndent(v, "", "  ")
+		if err == nil {
+			fmt.Fprintln(o.out, string(text))
+		}
+		return err
+	}
+	w := tabwriter.NewWriter(o.out, 2, 8, 2, ' ', 0)
+	lines(w)
+	return w.Flush()
+}
+
+func (o *operator) silent(addresses []string) {
+	if len(addresses) > 0 && !o.json {
+		fmt.Fprintf(o.out, "no answer from %s: what its gatherers say is not here\n", strings.Join(addresses, ", "))
+	}
+}
+
+// tenantCommand is what operators do with tenants.
+func tenantCommand(path *string, out io.Writer) *ffcli.Command {
+	o := &operator{path: path, out: out}
+	with := func(name, usage, help string, words int, do func(ctx context.Context, k *beekeeper.Keeper, args []string) error) *ffcli.Command {
+		return &ffcli.Command{Name: name, ShortUsage: "hive tenant " + name + " " + usage, ShortHelp: help, FlagSet: o.flags(name),
+			Exec: func(ctx context.Context, args []string) error {
+				if len(args) > words || words == 1 && len(args) == 0 && strings.HasPrefix(usage, "FILE") {
+					return flag.ErrHelp
+				}
+				k, err := o.keeper()
+				if err != nil {
+					return err
+				}
+				return do(ctx, k, args)
+			}}
+	}
+	set := with("set", "FILE", "have a document of tenants agreed on, in place of the newest", 1, o.tenantSet)
+	var basedOn int64
+	set.FlagSet.Int64Var(&basedOn, "based-on", -1, "the `version` that it replaces; else the newest")
+	set.Exec = func(inner func(context.Context, []string) error) func(context.Context, []string) error {
+		return func(ctx context.Context, args []string) error {
+			return inner(context.WithValue(ctx, basedOnKey{}, basedOn), args)
+		}
+	}(set.Exec)
+	return &ffcli.Command{Name: "tenant", ShortUsage: "hive tenant list|explain|set|dry-run", ShortHelp: "see and set who shares the servers' connections",
+		FlagSet: flag.NewFlagSet("tenant", flag.ContinueOnError), Subcommands: []*ffcli.Command{
+			with("list", "", "list the tenants and what each has now", 0, o.tenantList),
+			with("explain", "[TENANT]", "say who has what on which node and server, lent or its own, and who waited how long", 1, o.tenantExplain),
+			set,
+			with("dry-run", "FILE", "say what a document of tenants would give to whom, and change nothing", 1, o.tenantDryRun),
+		}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
+}
+
+type basedOnKey struct{}
+
+// tenantSum is a tenant over all nodes.
+type tenantSum struct {
+	Name     string   `json:"name"`
+	Weight   float64  `json:"weight"`
+	Floor    int      `json:"floor,omitempty"`
+	Most     int      `json:"most,omitempty"`
+	Routes   []string `json:"routes"`
+	Held     uint32   `json:"held"`
+	Lent     uint32   `json:"lent"`
+	Waiting  uint32   `json:"waiting"`
+	Requests uint64   `json:"requests_last_minute"`
+	Waited   uint64   `json:"waited_last_minute"`
+	P99MS    float64  `json:"most_p99_ms"` // of any node
+}
+
+func (o *operator) tenantList(ctx context.Context, k *beekeeper.Keeper, _ []string) error {
+	conf, _, err := k.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	text, version, err := k.Read(ctx, comb.TenantsNote)
+	if eris.Is(err, beekeeper.ErrNone) {
+		fmt.Fprintln(o.out, "no document of tenants is in force: connections go to whoever comes first")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	doc, err := comb.ReadTenants(text)
+	if err != nil {
+		return err
+	}
+	nodes, silent, err := k.Tenants(ctx)
+	if err != nil {
+		return err
+	}
+	sums := sumTenants(conf, doc, nodes)
+	if err := o.print(sums, func(w io.Writer) {
+		fmt.Fprintf(w, "version %d, %d nodes\n", version, len(nodes))
+		fmt.Fprintln(w, "TENANT\tWEIGHT\tFLOOR\tMOST\tROUTES\tHELD\tLENT\tWAITING\tREQUESTS/MIN\tWAITED\tP99 MS")
+		for _, s := range sums {
+			fmt.Fprintf(w, "%s\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\n", s.Name, s.Weight, s.Floor, s.Most, len(s.Routes), s.Held, s.Lent, s.Waiting, s.Requests, s.Waited, s.P99MS)
+		}
+	}); err != nil {
+		return err
+	}
+	o.silent(silent)
+	return nil
+}
+
+// sumTenants lists the document's tenants, then those that routes in none make by themselves.
+func sumTenants(conf *comb.Configuration, doc *comb.Tenants, nodes []hive.NodeTenants) []*tenantSum {
+	var sums []*tenantSum
+	by := map[string]*tenantSum{}
+	add := func(s *tenantSum) {
+		sums = append(sums, s)
+		by[s.Name] = s
+	}
+	for _, t := range doc.Tenants {
+		weight := t.Weight
+		if weight == 0 {
+			weight = 1
+		}
+		add(&tenantSum{Name: t.Name, Weight: weight, Floor: t.Floor, Most: t.Most})
+	}
+	of := doc.Table()
+	for i := range conf.Routes {
+		r := &conf.Routes[i]
+		key := r.Hostname + r.PathPrefix
+		if at, named := of.Of(r); named {
+			sums[at].Routes = append(sums[at].Routes, key)
+		} else {
+			add(&tenantSum{Name: key, Weight: 1, Routes: []string{key}})
+		}
+	}
+	for _, n := range nodes {
+		for _, h := range n.Holdings {
+			if s := by[h.Tenant]; s != nil {
+				s.Held, s.Lent = s.Held+h.Held, s.Lent+h.Lent
+			}
+		}
+		for _, w := range n.Waits {
+			if s := by[w.Tenant]; s != nil {
+				s.Requests, s.Waited, s.Waiting, s.P99MS = s.Requests+w.Requests, s.Waited+w.Waited, s.Waiting+w.Waiting, max(s.P99MS, w.P99MS)
+			}
+		}
+	}
+	return sums
+}
+
+func (o *operator) tenantExplain(ctx context.Context, k *beekeeper.Keeper, args []string) error {
+	nodes, silent, err := k.Tenants(ctx)
+	if err != nil {
+		return err
+	}
+	if len(args) == 1 {
+		for i := range nodes {
+			nodes[i].Holdings = slices.DeleteFunc(nodes[i].Holdings, func(h hive.Holding) bool { return h.Tenant != args[0] })
+			nodes[i].Waits = slices.DeleteFunc(nodes[i].Waits, func(w hive.TenantWait) bool { return w.Tenant != args[0] })
+		}
+	}
+	slices.SortFunc(nodes, func(a, b hive.NodeTenants) int { return strings.Compare(a.Node, b.Node) })
+	if err := o.print(nodes, func(w io.Writer) {
+		for _, n := range nodes {
+			fmt.Fprintf(w, "node %s in %s, tenants of version %d\n", n.Node, n.Zone, n.TenantsVersion)
+			for _, h := range n.Holdings {
+				wants := ""
+				if h.Wants {
+					wants = ", wants another"
+				}
+				fmt.Fprintf(w, "  %s\tat %s of %s\tholds %d of %d\town part %.1f, lent %d%s\n", h.Tenant, h.Instance, h.Service, h.Held, h.Part, h.Own, h.Lent, wants)
+			}
+			for _, t := range n.Waits {
+				fmt.Fprintf(w, "  %s\t%d requests in the last minute\t%d waited, %d wait now\tp50 %.1f ms, p99 %.1f ms, longest %.1f ms\n", t.Tenant, t.Requests, t.Waited, t.Waiting, t.P50MS, t.P99MS, t.MostMS)
+			}
+		}
+	}); err != nil {
+		return err
+	}
+	o.silent(silent)
+	return nil
+}
+
+func readTenantsFile(name string) (*comb.Tenants, []byte, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, nil, fmt.Errorf("the document of tenants can't be read: %w", err)
+	}
+	doc, err := comb.ReadTenants(text)
+	if err != nil {
+		return nil, nil, err
+	}
+	if faults := doc.Check(); len(faults) > 0 {
+		return nil, nil, fmt.Errorf("%s", strings.Join(faults, "\n"))
+	}
+	return doc, text, nil
+}
+
+func (o *operator) tenantSet(ctx context.Context, k *beekeeper.Keeper, args []string) error {
+	_, text, err := readTenantsFile(args[0])
+	if err != nil {
+		return err
+	}
+	basedOn := ctx.Value(basedOnKey{}).(int64)
+	if basedOn < 0 {
+		_, newest, err := k.Read(ctx, comb.TenantsNote)
+		if err != nil && !eris.Is(err, beekeeper.ErrNone) {
+			return err
+		}
+		basedOn = int64(newest)
+	}
+	version, err := k.Replace(ctx, comb.TenantsNote, uint64(basedOn), text)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(o.out, "version %d of the tenants is agreed\n", version)
+	return nil
+}
+
+// servicePlan is what a document of tenants gives at each server of a service while all want everything.
+type servicePlan struct {
+	Service string       `json:"service"`
+	Limit   int          `json:"connection_limit"`
+	Tenants []tenantPlan `json:"tenants"`
+}
+
+type tenantPlan struct {
+	Name  string  `json:"name"`
+	Part  float64 `json:"part"` // of the connections at one server, of all gatherers together
+	Floor int     `json:"floor,omitempty"`
+	Most  int     `json:"most,omitempty"`
+}
+
+func (o *operator) tenantDryRun(ctx context.Context, k *beekeeper.Keeper, args []string) error {
+	doc, _, err := readTenantsFile(args[0])
+	if err != nil {
+		return err
+	}
+	conf, _, err := k.Configuration(ctx)
+	if err != nil {
+		return err
+	}
+	if faults := doc.Against(conf); len(faults) > 0 {
+		return fmt.Errorf("%s", strings.Join(faults, "\n"))
+	}
+	plans := planTenants(conf, doc)
+	return o.print(plans, func(w io.Writer) {
+		fmt.Fprintln(w, "SERVICE\tCONNECTIONS A SERVER\tTENANT\tPART WHILE ALL WANT ALL")
+		for _, s := range plans {
+			for _, t := range s.Tenants {
+				fmt.Fprintf(w, "%s\t%d\t%s\t%.1f\n", s.Service, s.Limit, t.Name, t.Part)
+			}
+		}
+	})
+}
+
+func planTenants(conf *comb.Configuration, doc *comb.Tenants) (plans []servicePlan) {
+	of := doc.Table()
+	for _, s := range conf.Services {
+		var terms []pollen.Terms
+		seen := map[string]bool{}
+		for i := range conf.Routes {
+			r := &conf.Routes[i]
+			if !slices.Contains(r.Services(), s.Name) {
+				continue
+			}
+			t := pollen.Terms{Name: r.Hostname + r.PathPrefix, Weight: 1, Borrow: -1}
+			if at, named := of.Of(r); named {
+				d := doc.Tenants[at]
+				t = pollen.Terms{Name: d.Name, Weight: d.Weight, Floor: float64(d.Floor), Most: float64(d.Most), Borrow: -1}
+				if t.Weight == 0 {
+					t.Weight = 1
+				}
+			}
+			if !seen[t.Name] {
+				seen[t.Name] = true
+				terms = append(terms, t)
+			}
+		}
+		if len(terms) == 0 {
+			continue
+		}
+		plan := servicePlan{Service: s.Name, Limit: s.ConnectionLimit}
+		for i, part := range pollen.Parts(kin.Seats(s.ConnectionLimit), terms) {
+			plan.Tenants = append(plan.Tenants, tenantPlan{terms[i].Name, part, int(terms[i].Floor), int(terms[i].Most)})
+		}
+		plans = append(plans, plan)
+	}
+	return plans
+}
--- a/internal/lab/rest.go
+++ b/internal/lab/rest.go
@@ -4,13 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"oxbowspan/internal/colony"
@@ -98,43 +95,17 @@
 
 // restOf plays one number of gatherers and returns what a process of each program spends a second, in the mean.
 func (e *Env) restOf(ctx context.Context, n int, last time.Duration) (map[string]idle, error) {
-	dir := filepath.Join(e.Dir, fmt.Sprint("rest-", n))
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, err
-	}
-	c := colony.Local(dir, 3, n)
-	hives, foragers, err := c.WriteBoot()
+	sys, err := e.startSystem(fmt.Sprint("rest-", n), 3, n, colony.Example(1, colony.FirstCut), standard(10*time.Millisecond))
 	if err != nil {
 		return nil, err
 	}
+	defer sys.stop()
 	pids := map[string][]int{}
-	for i, path := range append(hives, foragers...) {
-		name := "hive"
-		if i >= len(hives) {
-			name = "forager"
-		}
-		p := exec.Command(filepath.Join(filepath.Dir(e.Program), name), "--boot", path, "serve")
-		if err := p.Start(); err != nil {
-			return nil, fmt.Errorf("%s can't be started: %w", name, err)
-		}
-		defer p.Wait()
-		defer p.Process.Signal(syscall.SIGKILL)
-		pids[name] = append(pids[name], p.Process.Pid)
+	for _, p := range sys.hives {
+		pids["hive"] = append(pids["hive"], p.Process.Pid)
 	}
-	for _, service := range colony.ExampleServices {
-		for range 3 {
-			s := c.AddServer(service, 10*time.Millisecond)
-			if err := s.Start(); err != nil {
-				return nil, err
-			}
-			defer s.Crash(false)
-		}
-	}
-	for until := time.Now().Add(10 * time.Second); c.Replace(c.Hives[0], 0, colony.Example(1, colony.FirstCut)) != http.StatusOK; {
-		if time.Now().After(until) {
-			return nil, fmt.Errorf("no configuration is agreed on")
-		}
-		time.Sleep(100 * time.Millisecond)
+	for _, p := range sys.gather {
+		pids["forager"] = append(pids["forager"], p.Process.Pid)
 	}
 	pause := func(d time.Duration) {
 		select {
--- a/pollen/pollen.go
+++ b/pollen/pollen.go
@@ -530,6 +530,16 @@
 	return enough || !before
 }
 
+// Parts is what each of some tenants has of a server's connections while all of them want all.
+func Parts(whole int, terms []Terms) []float64 {
+	n, p := &Node{terms: terms}, &plot{part: whole, whole: whole}
+	all := make([]*entry, len(terms))
+	for i := range terms {
+		all[i] = &entry{t: Tenant(i)}
+	}
+	return n.fill(p, float64(whole), all, false)
+}
+
 // fill divides what is there by weighted max-min: nobody gets more than its most, and by demand no more than it holds and waits for,
 // nobody less than its floor, the rest goes by weights. It returns a part for each, in their order.
 func (n *Node) fill(p *plot, there float64, all []*entry, demand bool) []float64 {
