One judgement of replicas: words of what is dead, silent or slow, spread by kin

Change: package scout (pure): words by observer and server, merged by age, one rule for a server's stance, trials by one holder under the duties, a ramp for one that is back. Words go with the loads to those that watch, onward five steps, and to one gatherer of another zone. brain is told whom to keep from and by what factor to predict: its plans choose as before.

--- a/brain/front_test.go
+++ b/brain/front_test.go
@@ -67,7 +67,7 @@
 	deny(t, near*10 < all*9, "%d of %d parts went to servers of the gatherer's zone while all are idle", near, all)
 	// With the near ones busy, the plan holds.
 	for s := range 4 {
-		b.do(Told{[]Load{{Server: ServerID(10*s + 1), Parts: 50}}})
+		b.do(Told{Loads: []Load{{Server: ServerID(10*s + 1), Parts: 50}}})
 	}
 	sends, _ := b.gather(4)
 	for _, s := range sends {
@@ -325,7 +325,7 @@
 	}
 	away := 0
 	for range 60 {
-		b.do(Told{[]Load{{Server: 1, Parts: 20}, {Server: 2, Parts: 20}}})
+		b.do(Told{Loads: []Load{{Server: 1, Parts: 20}, {Server: 2, Parts: 20}}})
 		sends, _ := b.gather(1)
 		b.at += 20 * Millisecond
 		for _, s := range sends {
--- a/brain/health.go
+++ b/brain/health.go
@@ -31,6 +31,7 @@
 
 // told takes what other gatherers have unfinished: the design's reported queue, where servers report none.
 func (g *Gatherer) told(e Told) {
+	g.judged(e.Judged)
 	for _, l := range e.Loads {
 		if s := g.servers[l.Server]; s != nil {
 			s.queue, s.toldAt = max(l.Parts, 0), g.now
--- a/brain/plan.go
+++ b/brain/plan.go
@@ -148,7 +148,7 @@
 
 func (g *Gatherer) usable(s *server, p *part) bool {
 	had := slices.ContainsFunc(p.tries, func(r *subRequest) bool { return r.s == s })
-	if had || !g.allowed(s, p) || s.outUntil > g.now || g.silence(s.out...) > 1 ||
+	if had || !g.allowed(s, p) || s.outUntil > g.now || s.held || g.silence(s.out...) > 1 ||
 		g.gates && s.trial && s.probedAt < s.outUntil && g.now < s.outUntil+rateAge {
 		return false
 	}
@@ -172,7 +172,7 @@
 	if s.heardAt <= s.zone.failedAt { // nothing says that it is better than its zone
 		failing = max(failing, s.zone.failing*g.fresh(s.zone.failedAt, rateAge))
 	}
-	rate *= (1 + silenceWeight*g.silence(s.out...)) / (1 - min(failing, 0.99))
+	rate *= max(s.factor, 1) * (1 + silenceWeight*g.silence(s.out...)) / (1 - min(failing, 0.99))
 	ahead := s.backlog + g.queue(s)*g.size + g.planned[s]
 	return Time(min(rate*(ahead+p.size), float64(never-1)))
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -140,6 +140,8 @@
 	sent             tally         // sizes sent
 	failing          float64       // smoothed share of failures
 	outUntil, pause  Time          // taken out until then, and the next time out
+	held             bool          // all gatherers together keep from it
+	factor           float64       // and predict it so many times slower; 0 = as it is
 	trial            bool          // one part at a time until it answers
 	probing          bool          // a probe is out
 	probedAt         Time          // when one was last answered
@@ -262,6 +264,41 @@
 	s.state = state
 }
 
+// judged takes what all gatherers together hold of servers.
+func (g *Gatherer) judged(all []Judgement) {
+	for _, j := range all {
+		if s := g.servers[j.ID]; s != nil {
+			if s.held, s.factor = j.Held, j.Factor; j.Back { // another's trial was this one's
+				s.trial, s.outUntil = false, min(s.outUntil, g.now)
+			}
+		}
+	}
+}
+
+// Compare is a server's time per unit of size, as learned, and that of the others of its shard; 0 = not known.
+func (g *Gatherer) Compare(id ServerID) (unit, fellows float64) {
+	s := g.servers[id]
+	if s == nil || s.rate == 0 || int(s.cell) >= len(g.holders) {
+		return 0, 0
+	}
+	speed, n := 0.0, 0.0
+	for _, o := range g.holders[s.cell] {
+		if o != s && o.rate > 0 {
+			speed, n = speed+1/o.rate, n+1
+		}
+	}
+	if n == 0 {
+		return s.rate, 0
+	}
+	return s.rate, n / speed
+}
+
+// Mute tells whether a server has been silent past what is overdue by more than the design's gap.
+func (g *Gatherer) Mute(id ServerID) bool {
+	s := g.servers[id]
+	return s != nil && len(s.out) > 0 && g.now-max(s.out[0].sentAt, s.heardAt) > s.out[0].due+gap
+}
+
 // vacant tells whether what bounds the parts at a server leaves room for one more.
 func (g *Gatherer) vacant(s *server, p *part) bool {
 	room := g.shares == nil || g.shares.Room(s.id, p.q.typ, g.now) // asked in any case: who is refused is remembered there
--- a/brain/types.go
+++ b/brain/types.go
@@ -135,6 +135,14 @@
 	Most    int  // parts that may be unfinished there, of this gatherer; 0 = no limit
 }
 
+// Judgement is what all gatherers together hold of a server.
+type Judgement struct {
+	ID     ServerID
+	Held   bool    // nothing goes there while another server can be asked
+	Back   bool    // somebody found that it answers again
+	Factor float64 // so many times slower than its record it is to be predicted
+}
+
 // Learned is what is known of one server: its latency record and its health.
 type Learned struct {
 	ID                 ServerID
@@ -200,8 +208,11 @@
 	FleetChanged struct {
 		Shards, Gatherers int
 	}
-	// Told says what other gatherers have unfinished at servers.
-	Told      struct{ Loads []Load }
+	// Told says what other gatherers have unfinished at servers, and what all together hold of some.
+	Told struct {
+		Loads  []Load
+		Judged []Judgement
+	}
 	MoreParts struct {
 		Number SearchNo
 		Parts  []Part
--- /dev/null
+++ b/forager/judgement.go
@@ -0,0 +1,158 @@
+package forager
+
+import (
+	"errors"
+	"syscall"
+	"time"
+
+	"oxbowspan/brain"
+	"oxbowspan/dance"
+	"oxbowspan/kin"
+	"oxbowspan/scout"
+)
+
+// One judgement of replicas (package scout decides): what this gatherer saw of servers goes to those that watch it, what they saw
+// comes the same way, and the stance that follows goes to brain.
+
+// Rhythm of words.
+const (
+	urgentIn  = 40 * time.Millisecond // a server that is dead, or back, is told of so soon
+	urgentGap = 80 * time.Millisecond // after the time before
+)
+
+// judgement is what the owner keeps of it.
+type judgement struct {
+	board  *scout.Board
+	told   map[brain.ServerID]brain.Judgement // what brain was told; emptied of servers that are in as they are
+	places map[kin.Name]string                // zones of gatherers, as last told
+	urgent bool
+	saidAt brain.Time
+}
+
+// sawEnd notes how a sub-request ended.
+func (f *Forager) sawEnd(s *flower, outcome brain.Outcome, err error) {
+	now := span(f.now())
+	was := f.judgement.board.Stance(scout.Instance(s.instance)).State
+	switch outcome {
+	case brain.Answered:
+		unit, fellows := f.brain.Compare(s.id)
+		f.judgement.board.Answered(scout.Instance(s.instance), unit, fellows, now)
+	case brain.ConnectFailed:
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		f.judgement.board.Failed(scout.Instance(s.instance), scout.Refused, now)
+	default:
+		return
+	}
+	if is := f.judgement.board.Stance(scout.Instance(s.instance)).State; is != was {
+		f.hurry(f.now())
+		f.tellBrain(f.now())
+	}
+}
+
+// hurry has words told soon.
+func (f *Forager) hurry(now brain.Time) {
+	f.shareAt = min(f.shareAt, max(now+ticks(urgentIn), f.judgement.saidAt+ticks(urgentGap)))
+}
+
+// judge looks at servers that are silent, carries the judgement on and tells brain what changed.
+func (f *Forager) judge(now brain.Time) {
+	j := &f.judgement
+	asked, mute := 0, []*flower(nil)
+	for _, s := range f.flowers {
+		if s.out > 0 {
+			if asked++; f.brain.Mute(s.id) {
+				mute = append(mute, s)
+			}
+		}
+	}
+	j.board.Troubled(len(mute) > 2 && 2*len(mute) > asked)
+	for _, s := range mute {
+		j.board.Failed(scout.Instance(s.instance), scout.Silent, span(now))
+	}
+	j.board.Pass(span(now))
+	f.tellBrain(now)
+}
+
+// tellBrain tells brain the stances that are other than it was told.
+func (f *Forager) tellBrain(now brain.Time) {
+	j := &f.judgement
+	var all []brain.Judgement
+	for _, s := range f.flowers {
+		st := j.board.Stance(scout.Instance(s.instance))
+		was, known := j.told[s.id]
+		if st.State == scout.In && st.Factor == 1 && !known {
+			continue
+		}
+		is := brain.Judgement{ID: s.id, Factor: st.Factor, Held: st.State == scout.Out || st.State == scout.Trial && !f.tries(s, now)}
+		is.Back = known && was.Held && st.State == scout.In
+		if is == was {
+			continue
+		}
+		if all = append(all, is); st.State == scout.In && st.Factor == 1 {
+			delete(j.told, s.id)
+		} else {
+			is.Back = false
+			j.told[s.id] = is
+		}
+		if stance := st.State.String(); s.stance != stance {
+			f.log.Info().Str("instance", s.instance).Str("service", s.service).Str("stance", stance).Str("why", st.Why).Msg("judgement: a server's stance")
+			s.stance = stance
+		}
+	}
+	if len(all) > 0 {
+		f.handle(brain.Told{Judged: all})
+	}
+}
+
+// tries tells whether this gatherer is to try a server that is out: the holder of its duty among the gatherers of its zone.
+func (f *Forager) tries(s *flower, now brain.Time) bool {
+	var near []kin.Name
+	for _, g := range f.gatherers {
+		if f.judgement.places[g] == s.zone {
+			near = append(near, g)
+		}
+	}
+	if len(near) == 0 {
+		near = f.gatherers
+	}
+	return f.duties.MayAmong(kin.Name("judgement "+s.instance), near, span(now))
+}
+
+// listJudged tells the board which servers there are.
+func (f *Forager) listJudged() {
+	all := map[scout.Instance]scout.Shard{}
+	for i, s := range f.flowers {
+		if s.listed {
+			all[scout.Instance(i)] = scout.Shard(s.service)
+		}
+	}
+	f.judgement.board.List(all, len(f.gatherers)-1)
+}
+
+// words are what is to be told now.
+func (f *Forager) words(now brain.Time) (out []*dance.Word) {
+	for _, w := range f.judgement.board.Tell() {
+		out = append(out, &dance.Word{Instance: string(w.Server), Observer: uint64(w.Observer), No: w.No, Kind: uint32(w.Kind), RatioMilli: uint32(1000 * min(w.Ratio, 1e6)),
+			Answers: uint32(w.Answers), PauseMs: uint32(w.Pause / time.Millisecond), AgeMs: uint32((span(now) - w.At) / time.Millisecond), Hops: uint32(w.Hops)})
+	}
+	return out
+}
+
+// hear takes the words of another gatherer.
+func (f *Forager) hear(all []*dance.Word) {
+	now, news := f.now(), false
+	for _, w := range all {
+		i := scout.Instance(w.Instance)
+		was := f.judgement.board.Stance(i).State
+		took := f.judgement.board.Take(scout.Word{Server: i, Observer: scout.Observer(w.Observer), No: w.No, Kind: scout.Kind(min(w.Kind, uint32(scout.Refused))),
+			Ratio: float64(w.RatioMilli) / 1000, Answers: int(w.Answers), Pause: time.Duration(w.PauseMs) * time.Millisecond,
+			At: span(now) - time.Duration(w.AgeMs)*time.Millisecond, Hops: int(w.Hops)}, span(now))
+		news = news || took && f.judgement.board.Stance(i).State != was
+	}
+	if news {
+		f.hurry(now)
+		f.tellBrain(now)
+	}
+}
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -29,9 +29,9 @@
 	if m := q.GetNeed(); m != nil {
 		f.do(func() { f.needed(c, q.Id, m) })
 	}
-	if q.GetWatch() != nil {
+	if w := q.GetWatch(); w != nil {
 		f.do(func() {
-			f.watchers[c] = true
+			f.watchers[c] = w.WordsOnly
 			go c.Answer(q.Id, &dance.Frame{Body: &dance.Frame_Loads{Loads: &dance.Loads{Life: f.life}}})
 		})
 	}
@@ -66,11 +66,16 @@
 	self := kin.Name(f.set.Internal(boot.ForagerPort))
 	// Those of this zone are watched, where there are any: they ask the servers that this gatherer asks, and news of them
 	// passes between no zones.
-	all, zone := []kin.Name{self}, []kin.Name{self}
+	all, zone, far := []kin.Name{self}, []kin.Name{self}, []kin.Name(nil)
+	clear(f.judgement.places)
+	f.judgement.places[self] = f.set.Zone
 	for _, o := range n.Foragers {
 		if name := kin.Name(o.Address); name != self {
+			f.judgement.places[name] = o.Zone
 			if all = append(all, name); o.Zone == f.set.Zone {
 				zone = append(zone, name)
+			} else {
+				far = append(far, name)
 			}
 		}
 	}
@@ -78,14 +83,20 @@
 	f.duties.Told(all, span(f.now()))
 	f.company = len(zone) - 1
 	if len(zone) == 1 {
-		zone, f.company = all, len(all)-1
+		zone, far, f.company = all, nil, len(all)-1
 	}
 	f.handle(brain.FleetChanged{Shards: len(f.shards), Gatherers: len(all)})
 	f.relist()
 	few := map[kin.Name]bool{}
 	for _, name := range kin.Watched(self, zone, kin.Few) {
 		if few[name] = true; f.watching[name] == nil {
-			f.watch(name)
+			f.watch(name, false)
+		}
+	}
+	// And one elsewhere, for words of servers alone: they come where there is trouble.
+	for _, name := range kin.Watched(self, far, 1) {
+		if few[name] = true; f.watching[name] == nil {
+			f.watch(name, true)
 		}
 	}
 	for name, w := range f.watching {
@@ -97,12 +108,15 @@
 	}
 }
 
-func (f *Forager) watch(name kin.Name) {
+func (f *Forager) watch(name kin.Name, wordsOnly bool) {
 	ctx, quit := context.WithCancel(context.Background())
 	w := &watched{quit: quit}
 	w.call = &dance.Caller{Address: string(name), Net: f.net}
 	take := func(m *dance.Loads) {
 		f.do(func() {
+			if f.hear(m.Words); wordsOnly {
+				return
+			}
 			w.at, w.loads = f.now(), map[string]float64{}
 			for _, l := range m.Loads {
 				w.loads[l.Instance] = float64(l.Milliparts) / 1000
@@ -118,7 +132,7 @@
 	f.wg.Go(func() {
 		for ctx.Err() == nil {
 			limit, cancel := context.WithTimeout(ctx, time.Second)
-			a, err := w.call.Call(limit, &dance.Frame{Body: &dance.Frame_Watch{Watch: &dance.Watch{}}})
+			a, err := w.call.Call(limit, &dance.Frame{Body: &dance.Frame_Watch{Watch: &dance.Watch{WordsOnly: wordsOnly}}})
 			cancel()
 			if err == nil && a.GetLoads() != nil {
 				take(a.GetLoads())
@@ -133,14 +147,23 @@
 
 // share tells the watchers what is unfinished here, and brain what the watched have, taken for all others.
 func (f *Forager) share(now brain.Time) {
+	f.judgement.saidAt = now
+	words := f.words(now) // those that nobody watches are told to nobody
 	if len(f.watchers) > 0 {
-		m := &dance.Frame{Body: &dance.Frame_Loads{Loads: f.loads(now)}}
-		if n := len(m.GetLoads().Loads); n > 0 || f.toldLoads {
-			f.toldLoads = n > 0
-			for c := range f.watchers {
-				go c.Send(m) // the owner waits for no peer
+		m := f.loads(now)
+		all := &dance.Frame{Body: &dance.Frame_Loads{Loads: m}}
+		m.Words = words
+		few := &dance.Frame{Body: &dance.Frame_Loads{Loads: &dance.Loads{Life: f.life, Words: words}}}
+		n := len(m.Loads)
+		for c, wordsOnly := range f.watchers {
+			switch { // the owner waits for no peer
+			case wordsOnly && len(words) > 0:
+				go c.Send(few)
+			case !wordsOnly && (n > 0 || f.toldLoads || len(words) > 0):
+				go c.Send(all)
 			}
 		}
+		f.toldLoads = n > 0
 	}
 	sums, heard := map[string]float64{}, 0
 	for _, w := range f.watching {
--- a/forager/links.go
+++ b/forager/links.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		s.links--
 		if !c.over {
+			f.sawEnd(s, brain.ConnectFailed, err)
 			f.callEnded(c, brain.ConnectFailed, nil)
 		}
 		return
@@ -261,6 +262,9 @@
 	}
 	f.forget(p)
 	f.handle(brain.SubRequestEnded{Part: p.id, Send: c.no, Server: c.f.id, Elapsed: f.now() - c.sentAt, Outcome: outcome})
+	if outcome == brain.Answered {
+		f.sawEnd(c.f, outcome, nil)
+	}
 	f.gone(c.f)
 }
 
@@ -269,6 +273,6 @@
 	if s.state == waggle.Gone && s.out == 0 && s.links == 0 && f.flowers[s.instance] == s {
 		delete(f.flowers, s.instance)
 		delete(f.servers, s.id)
-		f.tenancy.leave(s)
+		f.left(s)
 	}
 }
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -15,6 +15,7 @@
 	"oxbowspan/internal/boot"
 	"oxbowspan/kin"
 	"oxbowspan/pollen"
+	"oxbowspan/scout"
 	"oxbowspan/waggle"
 )
 
@@ -100,6 +101,7 @@
 	sequence         uint64
 	replaced         bool // another server answered at its address
 	listed           bool
+	stance           string  // as last logged
 	idle             []*link // the last used last
 	links            int     // connections, those being made too
 	out              int     // sub-requests that have not ended
@@ -134,6 +136,7 @@
 	lastID    uint64
 	lastNo    brain.SearchNo
 	tenancy   tenancy
+	judgement judgement
 	room      []byte // for the text of a request
 	toldLoads bool
 }
@@ -169,6 +172,7 @@
 	o.duties = kin.NewDuties(kin.Name(f.set.Internal(boot.ForagerPort)))
 	o.gatherers, o.seats = []kin.Name{kin.Name(f.set.Internal(boot.ForagerPort))}, map[string]*seats{}
 	o.zones[f.set.Zone] = 0
+	o.judgement = judgement{board: scout.NewBoard(scout.Observer(f.life)), told: map[brain.ServerID]brain.Judgement{}, places: map[kin.Name]string{}}
 }
 
 // own is the owner's goroutine.
@@ -179,6 +183,7 @@
 		now := f.now()
 		if now >= f.shareAt {
 			f.shareAt = now + ticks(loadsEvery)
+			f.judge(now)
 			f.share(now)
 			f.lookAfter(now)
 			f.tend(now)
@@ -516,10 +521,11 @@
 		if s.state == waggle.Gone && s.out == 0 && s.links == 0 {
 			delete(f.flowers, i)
 			delete(f.servers, s.id)
-			f.tenancy.leave(s)
+			f.left(s)
 		}
 	}
 	f.handle(ev)
+	f.listJudged()
 	if f.config != nil && len(ev.Servers) > 0 && !f.ready.Load() {
 		f.ready.Store(true)
 		f.log.Info().Int("servers", len(ev.Servers)).Msg("forager: ready")
--- a/forager/tenants.go
+++ b/forager/tenants.go
@@ -194,6 +194,12 @@
 	}
 }
 
+// left forgets a server that is gone.
+func (f *Forager) left(s *flower) {
+	f.tenancy.leave(s)
+	delete(f.judgement.told, s.id)
+}
+
 // took notes a sub-request's connection for its tenant, gave its end.
 func (f *Forager) took(c *call, now brain.Time) {
 	t := &f.tenancy
--- a/kin/duty.go
+++ b/kin/duty.go
@@ -65,6 +65,9 @@
 }
 
 // May tells whether this gatherer may do a key's duty now.
-func (d *Duties) May(key Name, now time.Duration) bool {
-	return now-d.heardAt < Lease && now-d.changedAt > Lease && Holder(key, d.all) == d.self
+func (d *Duties) May(key Name, now time.Duration) bool { return d.MayAmong(key, d.all, now) }
+
+// MayAmong tells whether it may do a duty that is cut over some of the gatherers only, of whom it was told with the others.
+func (d *Duties) MayAmong(key Name, some []Name, now time.Duration) bool {
+	return now-d.heardAt < Lease && now-d.changedAt > Lease && Holder(key, some) == d.self
 }
