--- a/scout/scout.go
+++ b/scout/scout.go
@@ -48,8 +48,9 @@
 	againIn   = time.Second            // and is said again after so long while it holds
 	slowEnter = 3.0                    // the merged ratio from which a server is avoided,
 	slowLeave = 1.5                    // and below which no more
-	slowFrom  = 4                      // answers in a word of slowness
-	slowBy    = 3                      // observers of slowness, where there are so many
+	slowFrom  = 3                      // answers in a word of slowness
+	slowBy    = 3                      // observers of slowness, where there are so many,
+	slowShare = 8                      // and one in so many of all gatherers: those that see nothing odd say nothing
 	silentBy  = 2                      // observers of silence
 	dwell     = 400 * time.Millisecond // slowness must last so long, and its end too
 	firstOut  = 500 * time.Millisecond // a server that is out is tried after so long,
@@ -342,7 +343,7 @@
 		}
 	}
 	ratio, by := merged(slow)
-	enough := by >= min(slowBy, b.others+1)
+	enough := by >= min(max(slowBy, (b.others+1)/slowShare), b.others+1)
 	isSlow := enough && (ratio >= slowEnter || s.stance.State == Avoided && ratio >= slowLeave) && b.most(s.shard)
 	switch {
 	case isSlow == (s.stance.State == Avoided):
