--- a/brain/state.go
+++ b/brain/state.go
@@ -293,10 +293,14 @@
 	return s.rate, n / speed
 }
 
-// Mute tells whether a server has been silent past what is overdue by more than the design's gap.
+// muteDues is how many times overdue what is out must be, beside the design's gap, before a server is told to be silent: behind others it
+// waits for its turn.
+const muteDues = 3
+
+// Mute tells whether a server has been silent for long.
 func (g *Gatherer) Mute(id ServerID) bool {
 	s := g.servers[id]
-	return s != nil && len(s.out) > 0 && g.now-max(s.out[0].sentAt, s.heardAt) > s.out[0].due+gap
+	return s != nil && len(s.out) > 0 && g.now-max(s.out[0].sentAt, s.heardAt) > muteDues*s.out[0].due+gap
 }
 
 // vacant tells whether what bounds the parts at a server leaves room for one more.
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -52,7 +52,9 @@
 	slowBy    = 3                      // observers of slowness, where there are so many,
 	slowShare = 8                      // and one in so many of all gatherers: those that see nothing odd say nothing
 	silentBy  = 2                      // observers of silence
-	dwell     = 400 * time.Millisecond // slowness must last so long, and its end too
+	dwell     = 400 * time.Millisecond // slowness must last so long
+	avoidFor  = 4 * time.Second        // then it is avoided for so long, unless several find it as fast as its fellows,
+	lastAvoid = 16 * time.Second       // doubling up to this
 	firstOut  = 500 * time.Millisecond // a server that is out is tried after so long,
 	lastOut   = 4 * time.Second        // doubling up to this
 	rampFor   = 2 * time.Second        // one that is back takes its full part only after so long
@@ -91,7 +93,8 @@
 	stance Stance
 	pause  time.Duration // the next time out
 	lostAt time.Duration // when it last went out
-	slowAt time.Duration // since when it is slow, or since when no more; 0 = neither
+	slowAt time.Duration // since when it is slow; 0 = it is not
+	avoid  time.Duration // the next time that it is avoided
 	own    tally
 }
 
@@ -131,7 +134,7 @@
 	b.shards = map[Shard][]Instance{}
 	for i, at := range all {
 		if b.servers[i] == nil {
-			b.servers[i] = &server{shard: at, words: map[Observer]*Word{}, stance: Stance{Factor: 1}, pause: firstOut}
+			b.servers[i] = &server{shard: at, words: map[Observer]*Word{}, stance: Stance{Factor: 1}, pause: firstOut, avoid: avoidFor}
 		}
 		b.shards[at] = append(b.shards[at], i)
 	}
@@ -157,7 +160,7 @@
 		s.own.answers, s.own.ratio = 0, 0
 		b.say(s, i, Word{Kind: Well, Answers: 1}, now)
 	case s.own.answers >= slowFrom && (ratio >= slowEnter || was == Slow && ratio >= slowLeave):
-		if was != Slow || now-s.own.said >= againIn {
+		if (was != Slow || now-s.own.said >= againIn) && s.stance.State == In {
 			b.say(s, i, Word{Kind: Slow, Ratio: ratio, Answers: min(s.own.answers, 20)}, now)
 		}
 	case was == Slow || s.stance.State == Avoided && s.own.answers >= slowFrom && now-s.own.said >= againIn:
@@ -171,7 +174,7 @@
 	if s == nil || b.troubled {
 		return
 	}
-	if s.own.word.Kind == kind && now-s.own.said < againIn && s.stance.State != Trial {
+	if s.own.word.Kind == kind && now-s.own.said < againIn && s.stance.State != Trial || s.stance.State == Out {
 		return
 	}
 	w := Word{Kind: kind, Answers: 1}
@@ -205,13 +208,18 @@
 	return true
 }
 
+// put puts a word on the board, and has it told on where it tells others something: many see the same at once, and a word that changes
+// nothing here changes nothing there.
 func (b *Board) put(s *server, w Word, now time.Duration) {
 	s.words[w.Observer] = &w
-	if w.Hops < Hops {
+	before := s.stance.State
+	b.judge(w.Server, s, now)
+	after := s.stance.State
+	tells := after != before || w.Pause > 0 || w.Kind == Well && before >= Avoided || (w.Kind == Slow || w.Kind == Silent) && after == In
+	if w.Hops < Hops && tells {
 		b.fresh = append(b.fresh, w)
 		b.fresh = slices.Delete(b.fresh, 0, max(len(b.fresh)-4*mostWords, 0)) // the oldest go where there are too many
 	}
-	b.judge(w.Server, s, now)
 }
 
 // Tell returns what is to be told to others, each word once.
@@ -344,30 +352,31 @@
 	}
 	ratio, by := merged(slow)
 	enough := by >= min(max(slowBy, (b.others+1)/slowShare), b.others+1)
-	isSlow := enough && (ratio >= slowEnter || s.stance.State == Avoided && ratio >= slowLeave) && b.most(s.shard)
-	switch {
-	case isSlow == (s.stance.State == Avoided):
+	if s.stance.State == Avoided {
+		fast := by >= min(slowBy, b.others+1) && wellAt > s.stance.Since && ratio < slowLeave
+		if fast || now-s.stance.Since >= s.avoid {
+			if s.avoid = min(2*s.avoid, lastAvoid); fast {
+				s.avoid = avoidFor
+			}
+			clear(s.words)
+			b.set(s, In, rampFirst, "it is tried again", now)
+		}
+		return
+	}
+	if !enough || ratio < slowEnter || !b.most(s.shard) {
 		s.slowAt = 0
-	case s.slowAt == 0:
+	} else if s.slowAt == 0 {
 		s.slowAt = max(now, 1)
-	case now-s.slowAt < dwell:
-	case isSlow:
+	} else if now-s.slowAt >= dwell {
 		s.slowAt = 0
+		clear(s.words)
 		b.set(s, Avoided, ratio, "several find it slower than its fellows", now)
-	default:
-		s.slowAt = 0
-		b.set(s, In, rampFirst, "it is as fast as its fellows again", now)
+		return
 	}
-	switch s.stance.State {
-	case Avoided:
-		if enough {
-			s.stance.Factor = ratio
-		}
-	case In: // the ramp, which all share as it follows from when the stance changed
-		left := 1 - float64(now-s.stance.Since)/float64(rampFor)
-		if s.stance.Factor = 1; s.stance.Since > 0 && left > 0 {
-			s.stance.Factor = 1 + (rampFirst-1)*left
-		}
+	// The ramp, which all share as it follows from when the stance changed.
+	left := 1 - float64(now-s.stance.Since)/float64(rampFor)
+	if s.stance.Factor = 1; s.stance.Since > 0 && left > 0 {
+		s.stance.Factor = 1 + (rampFirst-1)*left
 	}
 }
 
