Scout: only what changed is looked at; a duty's holder is found without sorting

Change: kin.Holder is one pass; the zone's gatherers are kept as told; the board names the servers whose stance changed.

--- a/forager/judgement.go
+++ b/forager/judgement.go
@@ -24,7 +24,7 @@
 type judgement struct {
 	board  *scout.Board
 	told   map[brain.ServerID]brain.Judgement // what brain was told; emptied of servers that are in as they are
-	places map[kin.Name]string                // zones of gatherers, as last told
+	near   map[string][]kin.Name              // gatherers by zone, as last told
 	urgent bool
 	saidAt brain.Time
 }
@@ -79,8 +79,18 @@
 func (f *Forager) tellBrain(now brain.Time) {
 	j := &f.judgement
 	var all []brain.Judgement
-	for _, s := range f.flowers {
-		st := j.board.Stance(scout.Instance(s.instance))
+	changed := j.board.Changed()
+	for id := range j.told { // who tries one that is out follows from the fleet too
+		if s := f.servers[id]; s != nil {
+			changed = append(changed, scout.Instance(s.instance))
+		}
+	}
+	for _, i := range changed {
+		s := f.flowers[string(i)]
+		st := j.board.Stance(i)
+		if s == nil {
+			continue
+		}
 		was, known := j.told[s.id]
 		if st.State == scout.In && st.Factor == 1 && !known {
 			continue
@@ -121,12 +131,7 @@
 
 // tries tells whether this gatherer is to try a server that is out: the holder of its duty among the gatherers of its zone.
 func (f *Forager) tries(s *flower, now brain.Time) bool {
-	var near []kin.Name
-	for _, g := range f.gatherers {
-		if f.judgement.places[g] == s.zone {
-			near = append(near, g)
-		}
-	}
+	near := f.judgement.near[s.zone]
 	if len(near) == 0 {
 		near = f.gatherers
 	}
--- a/forager/kinfolk.go
+++ b/forager/kinfolk.go
@@ -67,11 +67,11 @@
 	// Those of this zone are watched, where there are any: they ask the servers that this gatherer asks, and news of them
 	// passes between no zones.
 	all, zone, far := []kin.Name{self}, []kin.Name{self}, []kin.Name(nil)
-	clear(f.judgement.places)
-	f.judgement.places[self] = f.set.Zone
+	near := map[string][]kin.Name{f.set.Zone: {self}}
+	f.judgement.near = near
 	for _, o := range n.Foragers {
 		if name := kin.Name(o.Address); name != self {
-			f.judgement.places[name] = o.Zone
+			near[o.Zone] = append(near[o.Zone], name)
 			if all = append(all, name); o.Zone == f.set.Zone {
 				zone = append(zone, name)
 			} else {
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -172,7 +172,7 @@
 	o.duties = kin.NewDuties(kin.Name(f.set.Internal(boot.ForagerPort)))
 	o.gatherers, o.seats = []kin.Name{kin.Name(f.set.Internal(boot.ForagerPort))}, map[string]*seats{}
 	o.zones[f.set.Zone] = 0
-	o.judgement = judgement{board: scout.NewBoard(scout.Observer(f.life)), told: map[brain.ServerID]brain.Judgement{}, places: map[kin.Name]string{}}
+	o.judgement = judgement{board: scout.NewBoard(scout.Observer(f.life)), told: map[brain.ServerID]brain.Judgement{}}
 }
 
 // own is the owner's goroutine.
--- a/kin/kin.go
+++ b/kin/kin.go
@@ -37,11 +37,14 @@
 
 // Holder names who of all holds a key; "" = nobody is there.
 func Holder(key Name, all []Name) Name {
-	first := Watched(key, all, 1)
-	if len(first) == 0 {
-		return ""
+	var first Name
+	most := uint64(0)
+	for _, o := range all {
+		if w := Weight(o, key); o != key && (first == "" || w > most || w == most && o < first) {
+			first, most = o, w
+		}
 	}
-	return first[0]
+	return first
 }
 
 // shareSpare is what is left of a server's connections for a gatherer that comes before all others know of it.
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -114,13 +114,15 @@
 	servers  map[Instance]*server // as many as are listed
 	shards   map[Shard][]Instance // the same
 	fresh    []Word               // to be told to others; emptied by telling
+	live     map[Instance]*server // with words, or not in as they are; emptied by time
+	changed  []Instance           // whose stance changed; emptied by asking
 	others   int                  // gatherers beside this one
 	troubled bool
 }
 
 // NewBoard makes a board that knows no server.
 func NewBoard(self Observer) *Board {
-	return &Board{self: self, servers: map[Instance]*server{}, shards: map[Shard][]Instance{}}
+	return &Board{self: self, servers: map[Instance]*server{}, shards: map[Shard][]Instance{}, live: map[Instance]*server{}}
 }
 
 // List says which servers there are and how many other gatherers. Servers not named are forgotten.
@@ -129,12 +131,13 @@
 	for i, s := range b.servers {
 		if at, there := all[i]; !there || at != s.shard {
 			delete(b.servers, i)
+			delete(b.live, i)
 		}
 	}
 	b.shards = map[Shard][]Instance{}
 	for i, at := range all {
 		if b.servers[i] == nil {
-			b.servers[i] = &server{shard: at, words: map[Observer]*Word{}, stance: Stance{Factor: 1}, pause: firstOut, avoid: avoidFor}
+			b.servers[i] = &server{shard: at, stance: Stance{Factor: 1}, pause: firstOut, avoid: avoidFor}
 		}
 		b.shards[at] = append(b.shards[at], i)
 	}
@@ -211,7 +214,11 @@
 // put puts a word on the board, and has it told on where it tells others something: many see the same at once, and a word that changes
 // nothing here changes nothing there.
 func (b *Board) put(s *server, w Word, now time.Duration) {
+	if s.words == nil {
+		s.words = map[Observer]*Word{}
+	}
 	s.words[w.Observer] = &w
+	b.live[w.Server] = s
 	before := s.stance.State
 	b.judge(w.Server, s, now)
 	after := s.stance.State
@@ -235,9 +242,9 @@
 
 // Pass carries stances on to a moment: words grow old, trials fall due, ramps end.
 func (b *Board) Pass(now time.Duration) {
-	for i, s := range b.servers {
-		if len(s.words) > 0 || s.stance.State != In || s.stance.Factor != 1 {
-			b.judge(i, s, now)
+	for i, s := range b.live {
+		if b.judge(i, s, now); len(s.words) == 0 && s.stance.State == In && s.stance.Factor == 1 {
+			delete(b.live, i)
 		}
 	}
 }
@@ -248,6 +255,8 @@
 	if s == nil {
 		return
 	}
+	b.changed = append(b.changed, i)
+	b.live[i] = s
 	if s.stance.Pinned = state != nil; state == nil {
 		b.set(s, In, 1, "the pin has ended", now)
 		return
@@ -285,8 +294,23 @@
 	s.stance.State, s.stance.Factor = state, factor
 }
 
+// Changed returns the servers whose stance changed since it was last asked for.
+func (b *Board) Changed() []Instance {
+	out := b.changed
+	b.changed = nil
+	return out
+}
+
 // judge is the one rule. It goes by the words alone and by when they were seen.
 func (b *Board) judge(i Instance, s *server, now time.Duration) {
+	was := s.stance
+	b.weigh(s, now)
+	if s.stance.State != was.State || s.stance.Factor != was.Factor {
+		b.changed = append(b.changed, i)
+	}
+}
+
+func (b *Board) weigh(s *server, now time.Duration) {
 	if s.stance.Pinned {
 		return
 	}
@@ -376,7 +400,7 @@
 	// The ramp, which all share as it follows from when the stance changed.
 	left := 1 - float64(now-s.stance.Since)/float64(rampFor)
 	if s.stance.Factor = 1; s.stance.Since > 0 && left > 0 {
-		s.stance.Factor = 1 + (rampFirst-1)*left
+		s.stance.Factor = 1 + math.Ceil((rampFirst-1)*left*4)/4
 	}
 }
 
