--- a/forager/judgement.go
+++ b/forager/judgement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowspan/brain"
+	"oxbowspan/comb"
 	"oxbowspan/dance"
 	"oxbowspan/kin"
 	"oxbowspan/scout"
@@ -18,6 +19,7 @@
 const (
 	urgentIn  = 40 * time.Millisecond // a server that is dead, or back, is told of so soon
 	urgentGap = 80 * time.Millisecond // after the time before
+	mostTold  = 8                     // words on a server, to operators
 )
 
 // judgement is what the owner keeps of it.
@@ -25,12 +27,83 @@
 	board  *scout.Board
 	told   map[brain.ServerID]brain.Judgement // what brain was told; emptied of servers that are in as they are
 	near   map[string][]kin.Name              // gatherers by zone, as last told
-	urgent bool
 	saidAt brain.Time
+
+	pins    uint64                 // the version of the document of pins that is in force
+	pinned  map[string]scout.State // by instance, as that says
+	pinEnds map[string]brain.Time  // of those that stand
+}
+
+// takePins takes a document of pins. Each holds from now for as long as it says.
+func (f *Forager) takePins(n *dance.Note) {
+	j := &f.judgement
+	doc, err := comb.ReadPins(n.Body)
+	if err != nil {
+		f.log.Error().Err(err).Uint64("version", n.Version).Msg("judgement: an agreed document of pins can't be read, the last one stays")
+		return
+	}
+	j.pins = n.Version
+	before := j.pinned
+	ends := j.pinEnds
+	j.pinned, j.pinEnds = map[string]scout.State{}, map[string]brain.Time{}
+	for _, p := range doc.Pins {
+		state := map[string]scout.State{"in": scout.In, "avoided": scout.Avoided, "out": scout.Out}[p.Stance]
+		j.pinned[p.Instance], j.pinEnds[p.Instance] = state, f.now()+ticks(time.Duration(p.ForS)*time.Second-time.Duration(n.AgeMs)*time.Millisecond)
+		if was, stood := before[p.Instance]; stood && was == state && ends[p.Instance] > 0 {
+			j.pinEnds[p.Instance] = min(ends[p.Instance], j.pinEnds[p.Instance]) // sent again it lasts no longer
+		}
+	}
+	for i := range before {
+		if _, stands := j.pinned[i]; !stands {
+			j.board.Pin(scout.Instance(i), nil, span(f.now()))
+		}
+	}
+	f.log.Info().Uint64("version", n.Version).Int("pins", len(doc.Pins)).Msg("judgement: pins in force")
+	f.pin(f.now())
+}
+
+// pin holds what is pinned, and ends what is over.
+func (f *Forager) pin(now brain.Time) {
+	j := &f.judgement
+	for i, state := range j.pinned {
+		switch st := j.board.Stance(scout.Instance(i)); {
+		case now >= j.pinEnds[i]:
+			delete(j.pinned, i)
+			delete(j.pinEnds, i)
+			j.board.Pin(scout.Instance(i), nil, span(now))
+			f.log.Info().Str("instance", i).Msg("judgement: a pin has ended")
+		case !st.Pinned || st.State != state:
+			j.board.Pin(scout.Instance(i), &state, span(now))
+		}
+	}
+}
+
+// stances are what operators are told of servers that are not simply in.
+func (f *Forager) stances(now brain.Time) (out []*dance.Held) {
+	j := &f.judgement
+	for id := range j.told {
+		s := f.servers[id]
+		if s == nil {
+			continue
+		}
+		st := j.board.Stance(scout.Instance(s.instance))
+		m := &dance.Held{Instance: s.instance, Service: s.service, Stance: st.State.String(), Why: st.Why, SinceMs: uint32((span(now) - st.Since) / time.Millisecond),
+			FactorMilli: uint32(1000 * st.Factor), Pinned: st.Pinned}
+		for _, w := range j.board.Words(scout.Instance(s.instance)) {
+			if len(m.Words) < mostTold {
+				m.Words = append(m.Words, &dance.Word{Observer: uint64(w.Observer), Text: w.Kind.String(), RatioMilli: uint32(1000 * w.Ratio), AgeMs: uint32((span(now) - w.At) / time.Millisecond)})
+			}
+		}
+		out = append(out, m)
+	}
+	return out
 }
 
 // sawEnd notes how a sub-request ended.
 func (f *Forager) sawEnd(s *flower, outcome brain.Outcome, err error) {
+	if f.set.JudgeAlone {
+		return
+	}
 	now := span(f.now())
 	was := f.judgement.board.Stance(scout.Instance(s.instance)).State
 	switch outcome {
@@ -58,6 +131,9 @@
 
 // judge looks at servers that are silent, carries the judgement on and tells brain what changed.
 func (f *Forager) judge(now brain.Time) {
+	if f.set.JudgeAlone {
+		return
+	}
 	j := &f.judgement
 	asked, mute := 0, []*flower(nil)
 	for _, s := range f.flowers {
@@ -72,6 +148,7 @@
 		j.board.Failed(scout.Instance(s.instance), scout.Silent, span(now))
 	}
 	j.board.Pass(span(now))
+	f.pin(now)
 	f.tellBrain(now)
 }
 
@@ -160,11 +237,17 @@
 
 // hear takes the words of another gatherer.
 func (f *Forager) hear(all []*dance.Word) {
+	if f.set.JudgeAlone {
+		return
+	}
 	now, news := f.now(), false
 	for _, w := range all {
+		if w.Kind > uint32(scout.Refused) {
+			continue // of a version to come
+		}
 		i := scout.Instance(w.Instance)
 		was := f.judgement.board.Stance(i).State
-		took := f.judgement.board.Take(scout.Word{Server: i, Observer: scout.Observer(w.Observer), No: w.No, Kind: scout.Kind(min(w.Kind, uint32(scout.Refused))),
+		took := f.judgement.board.Take(scout.Word{Server: i, Observer: scout.Observer(w.Observer), No: w.No, Kind: scout.Kind(w.Kind),
 			Ratio: float64(w.RatioMilli) / 1000, Answers: int(w.Answers), Pause: time.Duration(w.PauseMs) * time.Millisecond,
 			At: span(now) - time.Duration(w.AgeMs)*time.Millisecond, Hops: int(w.Hops)}, span(now))
 		news = news || took && f.judgement.board.Stance(i).State != was
--- a/forager/tenants.go
+++ b/forager/tenants.go
@@ -82,6 +82,9 @@
 // takeNotes takes what is agreed beside the configuration.
 func (f *Forager) takeNotes(notes []*dance.Note) {
 	for _, n := range notes {
+		if n.Name == comb.PinsNote && n.Version > f.judgement.pins {
+			f.takePins(n)
+		}
 		if n.Name != comb.TenantsNote || n.Version <= f.tenancy.version {
 			continue
 		}
@@ -100,7 +103,7 @@
 // notes are what is told to a gatherer that hears no hive.
 func (f *Forager) notes() []*dance.Note {
 	if f.tenancy.document == nil {
-		return nil
+		return nil // pins end by themselves, and are not worth a way of their own
 	}
 	return []*dance.Note{{Name: comb.TenantsNote, Version: f.tenancy.version, Body: f.tenancy.text}}
 }
@@ -461,13 +464,16 @@
 // figures are what operators are told; nil = there is nothing to tell.
 func (f *Forager) figures(now brain.Time) *dance.Figures {
 	t := &f.tenancy
-	if t.node == nil {
-		return nil
-	}
-	m := &dance.Figures{TenantsVersion: t.version}
+	m := &dance.Figures{TenantsVersion: t.version, Stances: f.stances(now)}
 	if f.config != nil {
 		m.Version = f.config.Version
 	}
+	if t.node == nil {
+		if len(m.Stances) == 0 { // nothing to tell but the version
+			return nil
+		}
+		return m
+	}
 	for _, h := range t.node.Holdings(span(now)) {
 		if s := f.servers[brain.ServerID(h.Server)]; s != nil {
 			m.Figures = append(m.Figures, &dance.Figure{Tenant: h.Tenant, Instance: s.instance, Service: s.service, Held: uint32(h.Held), Lent: uint32(h.Lent),
--- a/hive/calls.go
+++ b/hive/calls.go
@@ -36,7 +36,12 @@
 	tenants := &noteCalls{h, comb.TenantsNote, checkTenants}
 	mux.HandleFunc("POST /-/tenants/replace", tenants.replace)
 	mux.HandleFunc("GET /-/tenants/read", tenants.read)
-	mux.HandleFunc("GET /-/tenants/explain", (&figureCalls{h}).tenants)
+	figures := &figureCalls{h}
+	mux.HandleFunc("GET /-/tenants/explain", figures.tenants)
+	pins := &noteCalls{h, comb.PinsNote, checkPins}
+	mux.HandleFunc("POST /-/pins/replace", pins.replace)
+	mux.HandleFunc("GET /-/pins/read", pins.read)
+	mux.HandleFunc("GET /-/judgement/explain", figures.judgement)
 	return mux
 }
 
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -55,10 +55,11 @@
 	wg       sync.WaitGroup
 
 	// The owner's.
-	known     *swarm.Value // decided, or what a round may start from
-	confirmed bool         // known was decided
-	ballot    uint64       // the highest number seen
-	voted     swarm.Turn   // the newest turn that this acceptor voted for
+	known     *swarm.Value      // decided, or what a round may start from
+	confirmed bool              // known was decided
+	ballot    uint64            // the highest number seen
+	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
+	voted     swarm.Turn        // the newest turn that this acceptor voted for
 	votedAt   time.Duration
 	table     *waggle.Table
 	foragers  map[uint64]*forager // emptied of those not heard for a while
@@ -87,6 +88,11 @@
 	figures *dance.Figures
 }
 
+type noteAt struct {
+	version swarm.Version
+	at      time.Duration
+}
+
 // spread waits until a report is held by enough of the core.
 type spread struct {
 	cursor waggle.Cursor
@@ -119,7 +125,7 @@
 	h := &Hive{set: set, net: on, log: log, store: store, self: state.ID, proposer: swarm.ProposerID(wax.Draw()), life: uint64(wax.Draw()),
 		address: set.Internal(boot.HivePort), start: time.Now(), cmds: make(chan func(), 1024), stopped: make(chan struct{}), killed: make(chan struct{}),
 		turn: make(chan struct{}, 1), known: swarm.Genesis(genesis), table: waggle.NewTable(set.Beat()),
-		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, ballot: state.Promised.Number}
+		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, notesAt: map[string]noteAt{}, ballot: state.Promised.Number}
 	if v := state.Value; v != nil {
 		// Whether it was decided is not known. The set before it was.
 		h.voted = v.Turn
@@ -402,7 +408,9 @@
 	if h.confirmed && uint64(h.known.Turn) > a.Turn {
 		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
 		for _, note := range h.known.Notes {
-			n.Notes = append(n.Notes, dance.FromNote(note))
+			m := dance.FromNote(note)
+			m.Past, m.AgeMs = nil, uint32((now-h.notesAt[note.Name].at)/time.Millisecond)
+			n.Notes = append(n.Notes, m)
 		}
 	}
 	after := waggle.Cursor(a.Cursor)
--- a/hive/notes.go
+++ b/hive/notes.go
@@ -110,6 +110,14 @@
 	return faults
 }
 
+func checkPins(body []byte, _ *comb.Configuration) []string {
+	p, err := comb.ReadPins(body)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	return p.Check()
+}
+
 // figureCalls tell operators what gatherers say of themselves. Each hive tells of those that ask it; whoever wants all asks all.
 type figureCalls struct{ h *Hive }
 
@@ -148,13 +156,69 @@
 
 func (c *figureCalls) tenants(w http.ResponseWriter, _ *http.Request) {
 	out := []NodeTenants{}
+	c.each(func(f *forager) {
+		if f.figures.TenantsVersion > 0 {
+			out = append(out, nodeTenants(f.address, f.zone, f.figures))
+		}
+	})
+	tellAll(w, out)
+}
+
+// NodeJudgement is what one gatherer holds of servers that are not simply in.
+type NodeJudgement struct {
+	Node    string      `json:"node"`
+	Zone    string      `json:"zone"`
+	Servers []Judgement `json:"servers"`
+}
+
+// Judgement is a gatherer's of one server.
+type Judgement struct {
+	Instance string  `json:"instance"`
+	Service  string  `json:"service"`
+	Stance   string  `json:"stance"`
+	Why      string  `json:"why"`
+	SinceS   float64 `json:"since_s"`
+	Factor   float64 `json:"factor"` // so many times slower it is predicted
+	Pinned   bool    `json:"pinned,omitempty"`
+	Words    []Word  `json:"words,omitempty"`
+}
+
+// Word is what an observer said of a server.
+type Word struct {
+	Observer string  `json:"observer"`
+	Kind     string  `json:"kind"`
+	Ratio    float64 `json:"ratio,omitempty"`
+	AgeS     float64 `json:"age_s"`
+}
+
+func (c *figureCalls) judgement(w http.ResponseWriter, _ *http.Request) {
+	out := []NodeJudgement{}
+	c.each(func(f *forager) {
+		n := NodeJudgement{Node: f.address, Zone: f.zone, Servers: []Judgement{}}
+		for _, s := range f.figures.Stances {
+			j := Judgement{Instance: s.Instance, Service: s.Service, Stance: s.Stance, Why: s.Why, SinceS: float64(s.SinceMs) / 1000, Factor: float64(s.FactorMilli) / 1000, Pinned: s.Pinned}
+			for _, v := range s.Words {
+				j.Words = append(j.Words, Word{strconv.FormatUint(v.Observer, 16), v.Text, float64(v.RatioMilli) / 1000, float64(v.AgeMs) / 1000})
+			}
+			n.Servers = append(n.Servers, j)
+		}
+		out = append(out, n)
+	})
+	tellAll(w, out)
+}
+
+// each visits the gatherers that ask this hive and have told of themselves.
+func (c *figureCalls) each(visit func(f *forager)) {
 	c.h.ask(func() {
 		for _, f := range c.h.foragers {
 			if f.told && f.figures != nil && c.h.now()-f.heardAt < foragerLost {
-				out = append(out, nodeTenants(f.address, f.zone, f.figures))
+				visit(f)
 			}
 		}
 	})
+}
+
+func tellAll(w http.ResponseWriter, out any) {
 	text, err := json.Marshal(out)
 	if err != nil {
 		refuse(w, http.StatusInternalServerError, err.Error())
--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -75,6 +75,11 @@
 	for _, m := range v.Voters() {
 		h.meet(m.Address)
 	}
+	for _, n := range v.Notes {
+		if h.notesAt[n.Name].version != n.Version {
+			h.notesAt[n.Name] = noteAt{n.Version, h.now()}
+		}
+	}
 	if v.Version != old.Version {
 		h.log.Info().Uint64("turn", uint64(v.Turn)).Uint64("version", uint64(v.Version)).Msg("config: a version is agreed")
 	}
--- a/internal/beekeeper/beekeeper.go
+++ b/internal/beekeeper/beekeeper.go
@@ -156,6 +156,25 @@
 	return nodes, silent, err
 }
 
+// Judgements is what gatherers hold of servers that are not simply in, as all hives that answer know it.
+func (k *Keeper) Judgements(ctx context.Context) (nodes []hive.NodeJudgement, silent []string, err error) {
+	seen := map[string]bool{}
+	silent, err = k.each(ctx, "/-/judgement/explain", func(_ string, text []byte) error {
+		var some []hive.NodeJudgement
+		if err := json.Unmarshal(text, &some); err != nil {
+			return err
+		}
+		for _, n := range some {
+			if !seen[n.Node] {
+				seen[n.Node] = true
+				nodes = append(nodes, n)
+			}
+		}
+		return nil
+	})
+	return nodes, silent, err
+}
+
 // Split reads a list of control addresses.
 func Split(list string) (out []string) {
 	for _, a := range strings.Split(list, ",") {
--- a/internal/boot/boot.go
+++ b/internal/boot/boot.go
@@ -25,6 +25,7 @@
 	Region         string            `toml:"region"`
 	InternalPorts  []int             `toml:"internal_ports"` // the first and the last
 	SeedAddresses  []string          `toml:"seed_addresses"`
+	JudgeAlone     bool              `toml:"judge_alone"` // this gatherer's own records decide alone; not the platform's: for comparing
 	FirstStart     bool              `toml:"first_start"`
 	LossCounted    bool              `toml:"loss_counted"`
 	DataDirectory  string            `toml:"data_directory"`
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -21,6 +21,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -46,6 +47,7 @@
 	Ledger      *Ledger
 	rand        *rand.Rand
 	seeds       []string
+	JudgeAlone  bool       // told to the foragers
 	descriptors int        // of each process; 0 = no limit is told
 	mu          sync.Mutex // over the list of hives, which grows
 	first       bool
@@ -137,6 +139,7 @@
 	s := &boot.Settings{NodeName: ip, IPAddress: ip, Zone: zoneOf(ip), Region: "r", InternalPorts: []int{innerPort, innerPort + 9},
 		SeedAddresses: c.seeds, FirstStart: c.first, BeatIntervalMS: float64(c.Beat / time.Millisecond),
 		Zones: map[string]string{"zone-0": "r", "zone-1": "r", "zone-2": "r"}}
+	s.JudgeAlone = c.JudgeAlone
 	s.Tolerated.Machines, s.Limits.FileDescriptors = c.counted, c.descriptors
 	s.Bounds.GracePeriodS, s.Bounds.BudgetWindowS, s.Bounds.BudgetExtraTries, s.Bounds.RetryBudgetRatio = 6, 10, 54, 0.2
 	s.Bounds.HasRetryBudget = true
@@ -400,6 +403,7 @@
 	Slots    int             // requests that it works on at once; 0 = 3
 	Limit    int             // connections that it takes together, 0 = any number; it ends those beyond
 	Refused  int             // so many
+	hung     atomic.Bool     // it takes requests and answers none
 	Arrivals func(time.Time) // nil, or told of each request; set before Start
 	mu       sync.Mutex
 }
@@ -517,8 +521,15 @@
 		}
 		return
 	}
+	if s.hung.Load() {
+		<-r.Context().Done()
+		return
+	}
 	s.c.Ledger.run(s.Service, id)
-	time.Sleep(s.Work)
+	s.mu.Lock()
+	work := s.Work
+	s.mu.Unlock()
+	time.Sleep(work)
 	body := Records(s.Service, id, s.Records)
 	w.Header().Set("X-Attempt-Id", id)
 	w.Header().Set("X-Server-Seal", instance+"."+s.Service+"."+id)
@@ -564,6 +575,23 @@
 	}
 }
 
+// Take changes how long a server works on a request.
+func (s *Server) Take(work time.Duration) {
+	s.mu.Lock()
+	s.Work = work
+	s.mu.Unlock()
+}
+
+// Watch has a server tell of each request; nil = no more.
+func (s *Server) Watch(arrival func(time.Time)) {
+	s.mu.Lock()
+	s.Arrivals = arrival
+	s.mu.Unlock()
+}
+
+// Hang has a server take requests and answer none, or no more.
+func (s *Server) Hang(is bool) { s.hung.Store(is) }
+
 // Drain has a server say that it leaves. It returns when a hive has acknowledged it, the zero time = none did.
 func (s *Server) Drain() time.Time {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/entrance/operator.go
@@ -0,0 +1,92 @@
+package entrance
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/rotisserie/eris"
+
+	"oxbowspan/internal/beekeeper"
+	"oxbowspan/internal/boot"
+)
+
+// operator is what the commands that call hives share.
+type operator struct {
+	path    *string // of the settings file, whose seeds are called where no address is given
+	control string
+	json    bool
+	out     io.Writer
+}
+
+// flags are those of every such command.
+func (o *operator) flags(name string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ContinueOnError)
+	set.StringVar(&o.control, "control", "", "control `addresses` of hives, with commas; else the settings file's seeds")
+	set.BoolVar(&o.json, "json", false, "print JSON")
+	return set
+}
+
+func (o *operator) keeper() (*beekeeper.Keeper, error) {
+	addresses := beekeeper.Split(o.control)
+	if len(addresses) == 0 {
+		s, err := boot.Read(boot.Path(*o.path))
+		if err != nil {
+			return nil, eris.Errorf("no hive is named by --control, and %v", err)
+		}
+		addresses = s.SeedAddresses
+	}
+	return beekeeper.New(addresses), nil
+}
+
+// print writes a value as JSON, or by lines.
+func (o *operator) print(v any, lines func(w io.Writer)) error {
+	if o.json {
+		text, err := json.MarshalIndent(v, "", "  ")
+		if err == nil {
+			fmt.Fprintln(o.out, string(text))
+		}
+		return err
+	}
+	w := tabwriter.NewWriter(o.out, 2, 8, 2, ' ', 0)
+	lines(w)
+	return w.Flush()
+}
+
+func (o *operator) silent(addresses []string) {
+	if len(addresses) > 0 && !o.json {
+		fmt.Fprintf(o.out, "no answer from %s: what its gatherers say is not here\n", strings.Join(addresses, ", "))
+	}
+}
+
+// command is one that calls hives, with so many words after its name.
+func (o *operator) command(parent, name, usage, help string, least, most int, do func(ctx context.Context, k *beekeeper.Keeper, args []string) error) *ffcli.Command {
+	set := o.flags(name)
+	return &ffcli.Command{Name: name, ShortUsage: strings.TrimSpace(parent + " " + name + " " + usage), ShortHelp: help, FlagSet: set,
+		Exec: func(ctx context.Context, rest []string) error {
+			var args []string
+			for len(rest) > 0 { // flags may stand behind the words too
+				if !strings.HasPrefix(rest[0], "-") {
+					args, rest = append(args, rest[0]), rest[1:]
+					continue
+				}
+				if set.Parse(rest) != nil {
+					return flag.ErrHelp
+				}
+				rest = set.Args()
+			}
+			if len(args) < least || len(args) > most {
+				return flag.ErrHelp
+			}
+			k, err := o.keeper()
+			if err != nil {
+				return err
+			}
+			return do(ctx, k, args)
+		}}
+}
--- a/internal/entrance/tenant.go
+++ b/internal/entrance/tenant.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
 	"os"
 	"slices"
 	"strings"
-	"text/tabwriter"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/rotisserie/eris"
@@ -17,94 +15,30 @@
 	"oxbowspan/comb"
 	"oxbowspan/hive"
 	"oxbowspan/internal/beekeeper"
-	"oxbowspan/internal/boot"
 	"oxbowspan/kin"
 	"oxbowspan/pollen"
 )
 
-// operator is what the commands that call hives share.
-type operator struct {
-	path    *string // of the settings file, whose seeds are called where no address is given
-	control string
-	json    bool
-	out     io.Writer
-}
-
-// flags are those of every such command.
-func (o *operator) flags(name string) *flag.FlagSet {
-	set := flag.NewFlagSet(name, flag.ContinueOnError)
-	set.StringVar(&o.control, "control", "", "control `addresses` of hives, with commas; else the settings file's seeds")
-	set.BoolVar(&o.json, "json", false, "print JSON")
-	return set
-}
-
-func (o *operator) keeper() (*beekeeper.Keeper, error) {
-	addresses := beekeeper.Split(o.control)
-	if len(addresses) == 0 {
-		s, err := boot.Read(boot.Path(*o.path))
-		if err != nil {
-			return nil, eris.Errorf("no hive is named by --control, and %v", err)
-		}
-		addresses = s.SeedAddresses
-	}
-	return beekeeper.New(addresses), nil
-}
-
-// print writes a value as JSON, or by lines.
-func (o *operator) print(v any, lines func(w io.Writer)) error {
-	if o.json {
-		text, err := json.MarshalIndent(v, "", "  ")
-		if err == nil {
-			fmt.Fprintln(o.out, string(text))
-		}
-		return err
-	}
-	w := tabwriter.NewWriter(o.out, 2, 8, 2, ' ', 0)
-	lines(w)
-	return w.Flush()
-}
-
-func (o *operator) silent(addresses []string) {
-	if len(addresses) > 0 && !o.json {
-		fmt.Fprintf(o.out, "no answer from %s: what its gatherers say is not here\n", strings.Join(addresses, ", "))
-	}
-}
-
 // tenantCommand is what operators do with tenants.
 func tenantCommand(path *string, out io.Writer) *ffcli.Command {
 	o := &operator{path: path, out: out}
-	with := func(name, usage, help string, words int, do func(ctx context.Context, k *beekeeper.Keeper, args []string) error) *ffcli.Command {
-		return &ffcli.Command{Name: name, ShortUsage: "hive tenant " + name + " " + usage, ShortHelp: help, FlagSet: o.flags(name),
-			Exec: func(ctx context.Context, args []string) error {
-				if len(args) > words || words == 1 && len(args) == 0 && strings.HasPrefix(usage, "FILE") {
-					return flag.ErrHelp
-				}
-				k, err := o.keeper()
-				if err != nil {
-					return err
-				}
-				return do(ctx, k, args)
-			}}
+	with := func(name, usage, help string, least, most int, do func(ctx context.Context, k *beekeeper.Keeper, args []string) error) *ffcli.Command {
+		return o.command("hive tenant", name, usage, help, least, most, do)
 	}
-	set := with("set", "FILE", "have a document of tenants agreed on, in place of the newest", 1, o.tenantSet)
 	var basedOn int64
+	set := with("set", "FILE", "have a document of tenants agreed on, in place of the newest", 1, 1, func(ctx context.Context, k *beekeeper.Keeper, args []string) error {
+		return o.tenantSet(ctx, k, args[0], basedOn)
+	})
 	set.FlagSet.Int64Var(&basedOn, "based-on", -1, "the `version` that it replaces; else the newest")
-	set.Exec = func(inner func(context.Context, []string) error) func(context.Context, []string) error {
-		return func(ctx context.Context, args []string) error {
-			return inner(context.WithValue(ctx, basedOnKey{}, basedOn), args)
-		}
-	}(set.Exec)
 	return &ffcli.Command{Name: "tenant", ShortUsage: "hive tenant list|explain|set|dry-run", ShortHelp: "see and set who shares the servers' connections",
 		FlagSet: flag.NewFlagSet("tenant", flag.ContinueOnError), Subcommands: []*ffcli.Command{
-			with("list", "", "list the tenants and what each has now", 0, o.tenantList),
-			with("explain", "[TENANT]", "say who has what on which node and server, lent or its own, and who waited how long", 1, o.tenantExplain),
+			with("list", "", "list the tenants and what each has now", 0, 0, o.tenantList),
+			with("explain", "[TENANT]", "say who has what on which node and server, lent or its own, and who waited how long", 0, 1, o.tenantExplain),
 			set,
-			with("dry-run", "FILE", "say what a document of tenants would give to whom, and change nothing", 1, o.tenantDryRun),
+			with("dry-run", "FILE", "say what a document of tenants would give to whom, and change nothing", 1, 1, o.tenantDryRun),
 		}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 }
 
-type basedOnKey struct{}
-
 // tenantSum is a tenant over all nodes.
 type tenantSum struct {
 	Name     string   `json:"name"`
@@ -243,12 +177,11 @@
 	return doc, text, nil
 }
 
-func (o *operator) tenantSet(ctx context.Context, k *beekeeper.Keeper, args []string) error {
-	_, text, err := readTenantsFile(args[0])
+func (o *operator) tenantSet(ctx context.Context, k *beekeeper.Keeper, file string, basedOn int64) error {
+	_, text, err := readTenantsFile(file)
 	if err != nil {
 		return err
 	}
-	basedOn := ctx.Value(basedOnKey{}).(int64)
 	if basedOn < 0 {
 		_, newest, err := k.Read(ctx, comb.TenantsNote)
 		if err != nil && !eris.Is(err, beekeeper.ErrNone) {
--- a/internal/lab/fairshares.go
+++ b/internal/lab/fairshares.go
@@ -155,7 +155,7 @@
 }
 
 func runFairShares(ctx context.Context, e *Env) error {
-	s, err := e.startSystem("fair", 3, 5, tellerConfig(), func(c *colony.Colony) {
+	s, err := e.startSystem("fair", 3, 5, false, tellerConfig(), func(c *colony.Colony) {
 		for _, service := range colony.FirstCut {
 			for range 3 {
 				srv := c.AddServer(service, tellerWork)
--- a/internal/lab/system.go
+++ b/internal/lab/system.go
@@ -22,12 +22,13 @@
 }
 
 // startSystem starts the programs beside the gatherer, adds servers by fill, and has a configuration agreed on.
-func (e *Env) startSystem(name string, hives, foragers int, conf []byte, fill func(c *colony.Colony)) (*system, error) {
+func (e *Env) startSystem(name string, hives, foragers int, alone bool, conf []byte, fill func(c *colony.Colony)) (*system, error) {
 	dir := filepath.Join(e.Dir, name)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
 	s := &system{c: colony.Local(dir, hives, foragers), boot: map[*exec.Cmd]string{}}
+	s.c.JudgeAlone = alone
 	atHive, atForager, err := s.c.WriteBoot()
 	if err != nil {
 		return nil, err
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -29,6 +29,10 @@
 	Refused             // nobody listens at its address
 )
 
+func (k Kind) String() string {
+	return [...]string{"well", "slow", "silent", "refused"}[min(k, Refused)]
+}
+
 // Word is what one observer says of one server. Of two words of an observer the one with the higher number is newer.
 type Word struct {
 	Server   Instance
