--- /dev/null
+++ b/comb/fuzz_test.go
@@ -0,0 +1,40 @@
+package comb
+
+import (
+	"strings"
+	"testing"
+)
+
+// FuzzDocuments: whatever an operator sends is refused or understood, and what is understood can be followed.
+func FuzzDocuments(f *testing.F) {
+	f.Add(`{"version":7,"routes":[{"name":"r","hostname":"A.example","path_prefix":"/x/","route_kind":"retryable","timeout_ms":5,"gathered_services":["s","s"]}],"services":[{"name":"s"}],"limits":{}}`, "a.EXAMPLE:80", "/x/../x/y")
+	f.Add(`{"tenants":[{"name":"t","weight":-0.0,"borrow":0,"routes":[{"hostname":"","path_prefix":"/"}]}]}`, "", "")
+	f.Add(`{"pins":[{"instance":"i","stance":"out","for_s":1}]}`, "[::1]", "//")
+	f.Add(`{"version":1e400}`, "h", "/")
+	f.Fuzz(func(t *testing.T, text, host, path string) {
+		c, err := Read([]byte(text))
+		if err == nil && len(c.Check()) == 0 {
+			table := NewTable(c)
+			if r := table.Find(host, path); r != nil && !strings.HasPrefix(path, r.PathPrefix) {
+				t.Fatalf("path %q takes the route of %q", path, r.PathPrefix)
+			}
+			for _, r := range c.Routes {
+				if found := table.Find(r.Hostname, r.PathPrefix); found == nil && !strings.Contains(r.Hostname, ":") {
+					t.Fatalf("the route of %q%q is not found by them", r.Hostname, r.PathPrefix)
+				}
+			}
+		}
+		if d, err := ReadTenants([]byte(text)); err == nil && len(d.Check()) == 0 {
+			of := d.Table()
+			if at, named := of.Of(&Route{Hostname: host, PathPrefix: path}); named && (at < 0 || at >= len(d.Tenants)) {
+				t.Fatalf("tenant %d of %d", at, len(d.Tenants))
+			}
+			if c != nil {
+				d.Against(c)
+			}
+		}
+		if p, err := ReadPins([]byte(text)); err == nil {
+			p.Check()
+		}
+	})
+}
