What gatherers want of the pool is reckoned in pollen; completion; in service as before

Need: tuned figures of what is asked for stood in the gatherer's adapter; shells should complete the commands. Change: pollen.Needs; 'hive completion'.

--- a/forager/tenants.go
+++ b/forager/tenants.go
@@ -23,8 +23,6 @@
 	needWait   = 400 * time.Millisecond // for the answer
 	calmAfter  = 5 * time.Second        // a tenant that did not wait for so long waits no longer
 	figureTerm = time.Minute            // over which waits are summed up
-	steady     = 0.6                    // of what was wanted half a second before, in what is
-	enough     = 0.75                   // of what is had without asking: below it nothing is asked for
 )
 
 // tenancy is what the owner keeps of tenants.
@@ -36,10 +34,10 @@
 	numbers  map[brain.QueryType]pollen.Tenant
 	services map[brain.ShardNo]pollen.Service
 	names    map[pollen.Tenant]*tenant
-	wanted   map[string]map[string]float64 // by service and tenant, smoothed
-	granted  map[string]grant              // by service; kept to those of the configuration
-	keepers  map[string]*pollen.Keeper     // of the services whose duty is held here
-	holders  map[kin.Name]*dance.Caller    // emptied of gatherers that are gone
+	needs    map[string]*pollen.Needs   // by service; kept to those of the configuration
+	granted  map[string]grant           // by service; kept to those of the configuration
+	keepers  map[string]*pollen.Keeper  // of the services whose duty is held here
+	holders  map[kin.Name]*dance.Caller // emptied of gatherers that are gone
 	needAt   brain.Time
 }
 
@@ -116,7 +114,7 @@
 	}
 	if t.node == nil {
 		t.node, t.names = pollen.NewNode(f.life), map[pollen.Tenant]*tenant{}
-		t.wanted, t.granted, t.keepers, t.holders = map[string]map[string]float64{}, map[string]grant{}, map[string]*pollen.Keeper{}, map[kin.Name]*dance.Caller{}
+		t.needs, t.granted, t.keepers, t.holders = map[string]*pollen.Needs{}, map[string]grant{}, map[string]*pollen.Keeper{}, map[kin.Name]*dance.Caller{}
 	}
 	of := t.document.Table()
 	var all []pollen.Terms
@@ -165,10 +163,10 @@
 		t.services[shard] = pollen.Service(service)
 		t.node.Floors(pollen.Service(service), distinct(floors[pollen.Service(service)]))
 	}
-	for service := range t.granted {
+	for service := range t.needs {
 		if _, named := f.limits[service]; !named {
 			delete(t.granted, service)
-			delete(t.wanted, service)
+			delete(t.needs, service)
 		}
 	}
 }
@@ -330,8 +328,7 @@
 // wants are, by service, what tenants would use beyond the base that is had without asking.
 func (f *Forager) wants(now brain.Time) map[string][]pollen.Want {
 	t := &f.tenancy
-	type use struct{ sum, most map[string]float64 }
-	uses := map[string]*use{}
+	most := map[string]map[string]float64{} // by service and tenant
 	servers := map[string]float64{}
 	for _, s := range f.flowers {
 		if s.listed {
@@ -343,12 +340,10 @@
 		if s == nil || !s.listed {
 			continue
 		}
-		u := uses[s.service]
-		if u == nil {
-			u = &use{map[string]float64{}, map[string]float64{}}
-			uses[s.service] = u
+		if most[s.service] == nil {
+			most[s.service] = map[string]float64{}
 		}
-		u.most[h.Tenant] = max(u.most[h.Tenant], float64(h.Held))
+		most[s.service][h.Tenant] = max(most[s.service][h.Tenant], float64(h.Held))
 	}
 	out := map[string][]pollen.Want{}
 	for service, limit := range f.limits {
@@ -356,28 +351,17 @@
 		if pool == 0 || servers[service] == 0 {
 			continue
 		}
-		var wants []pollen.Want
-		all := 0.0
-		was := t.wanted[service]
-		t.wanted[service] = map[string]float64{}
+		var uses []pollen.Use
 		for no, who := range t.names {
-			n := float64(t.node.Waiting(pollen.Service(service), no)) / servers[service]
-			if u := uses[service]; u != nil {
-				n += u.most[who.Name]
-			}
-			if n += (was[who.Name] - n) * steady; n > 0.1 {
-				t.wanted[service][who.Name] = n
-				wants = append(wants, pollen.Want{Tenant: who.Name, Connections: n, Weight: who.Weight})
-				all += n
-			}
+			waiting := float64(t.node.Waiting(pollen.Service(service), no)) / servers[service]
+			uses = append(uses, pollen.Use{Tenant: who.Name, Weight: who.Weight, Held: most[service][who.Name], Waiting: waiting})
 		}
-		if all <= enough*float64(base) {
-			continue
+		if t.needs[service] == nil {
+			t.needs[service] = &pollen.Needs{}
 		}
-		for i := range wants { // and as much again as is in use, so that what grows finds room
-			wants[i].Connections *= (all + max(all/4, 1) - enough*float64(base)) / all
+		if wants := t.needs[service].Wants(base, uses); len(wants) > 0 {
+			out[service] = wants
 		}
-		out[service] = wants
 	}
 	return out
 }
--- a/internal/entrance/commands_test.go
+++ b/internal/entrance/commands_test.go
@@ -111,6 +111,9 @@
 	at := func(args ...string) []string { return append([]string{boot}, args...) }
 
 	b.wants(0, "as it should be", at("check", "boot")...)
+	if out, err := exec.Command("bash", "-c", "source <("+b.bin+"/hive completion); COMP_WORDS=(hive judgement p); COMP_CWORD=2; _hive; echo ${COMPREPLY[*]}").CombinedOutput(); err != nil || strings.TrimSpace(string(out)) != "pin" {
+		t.Errorf("completion of 'hive judgement p': %q, %v", out, err)
+	}
 	b.wants(2, "USAGE", at("config")...)
 	b.wants(2, "USAGE", at("tenant", "set")...)
 	b.wants(1, "does not answer", "config", "get", "--control", "127.0.0.1:1")
--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -99,7 +99,9 @@
 	}
 	version := &ffcli.Command{Name: "version", ShortUsage: p.name + " version", ShortHelp: "say which version this is",
 		Exec: func(context.Context, []string) error { fmt.Fprintln(out, p.name, Version); return nil }}
-	root := &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] COMMAND", FlagSet: set, Options: options,
+	var root *ffcli.Command
+	subcommands = append(subcommands, completionCommand(p.name, func() *ffcli.Command { return root }, out))
+	root = &ffcli.Command{Name: p.name, ShortUsage: p.name + " [--boot FILE] COMMAND", FlagSet: set, Options: options,
 		Subcommands: append([]*ffcli.Command{serve, check, version}, subcommands...), Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 	err := root.ParseAndRun(context.Background(), args)
 	switch {
--- a/pollen/keeper.go
+++ b/pollen/keeper.go
@@ -37,6 +37,44 @@
 	Weight      float64
 }
 
+// Use is what a tenant has of a service at one gatherer: connections at the server where it holds most, and parts that wait, for each server.
+type Use struct {
+	Tenant        string
+	Weight        float64
+	Held, Waiting float64
+}
+
+const (
+	steady  = 0.6  // of what was wanted the time before, in what is
+	content = 0.75 // of the base: who uses no more asks for nothing
+	growth  = 0.25 // of what is in use, so that what grows finds room; one connection at least
+	leastOf = 0.1  // what is less is nothing
+)
+
+// Needs is a gatherer's side of one service's pool: what it wants beyond its base, smoothed from one asking to the next.
+type Needs struct{ was map[string]float64 }
+
+// Wants returns what to ask for; none = the base is enough.
+func (n *Needs) Wants(base int, uses []Use) (wants []Want) {
+	now, all := map[string]float64{}, 0.0
+	for _, u := range uses {
+		c := u.Held + u.Waiting
+		if c += (n.was[u.Tenant] - c) * steady; c > leastOf {
+			now[u.Tenant] = c
+			wants = append(wants, Want{u.Tenant, c, u.Weight})
+			all += c
+		}
+	}
+	n.was = now
+	if all <= content*float64(base) {
+		return nil
+	}
+	for i := range wants {
+		wants[i].Connections *= (all + max(all*growth, 1) - content*float64(base)) / all
+	}
+	return wants
+}
+
 // Keeper is the holder's side of one service's pool: it grants parts of it by what tenants want where, each for a lease. What it
 // granted and is not over yet is never granted again.
 type Keeper struct {
