State export and restore: the way back from a lost majority

Need: with a majority of the disks gone for good nothing can be agreed; an operator needs a way back that says what it costs. Change: 'hive state export' copies what a stopped disk voted for, 'restore' has it agreed on by a core begun anew, and says plainly what is lost; the very bytes are kept. A client that reads nothing is a test of fair shares now. Ruled out: JSON nested in the copy: it was laid out anew, and its digest changed.

--- a/internal/colony/tenants_hard_test.go
+++ b/internal/colony/tenants_hard_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"oxbowspan/comb"
+	"oxbowspan/hive"
 )
 
 // narrow gives the first cut's servers a limit of connections and room for all that comes over them.
@@ -246,3 +247,45 @@
 		}
 	})
 }
+
+// Clients that ask for a whole gather and read nothing hold no server's connection: an answer is read whole before it is passed on.
+func TestSlowReadersHoldNoConnection(t *testing.T) {
+	play(t, 34, 3, 2, func(c *Colony) {
+		narrow(t, c, 12, 20*time.Millisecond)
+		if got := agree(c, 0, letterConfig(1, 12), 30); got != http.StatusOK {
+			t.Fatalf("the configuration: %d", got)
+		}
+		if got := c.ReplaceNote(c.Hives[0], "tenants", 0, []byte(letterTenants)); got != http.StatusOK {
+			t.Fatalf("the tenants: %d", got)
+		}
+		await(t, c, 1, 3*time.Second)
+		time.Sleep(6 * time.Second)
+		for i := range 60 {
+			nc, err := c.at("10.0.9.7").Dial(c.Gather[i%2].Front(), time.Second)
+			must(t, err)
+			defer nc.Close()
+			_, err = fmt.Fprintf(nc, "GET /letters/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: r%d\r\nX-Deadline-Remaining: 4000\r\n\r\n", i)
+			must(t, err)
+		}
+		time.Sleep(500 * time.Millisecond) // their gathers are over, and nobody has read them
+		served := 0
+		for n := range 100 {
+			if c.Ask(c.Gather[n%2], "GET", "h.example", "/counter/x", fmt.Sprint("c", n), 300*time.Millisecond).Status == http.StatusOK {
+				served++
+			}
+		}
+		held := 0
+		for _, h := range c.Hives {
+			var nodes []hive.NodeTenants
+			must(t, json.Unmarshal(c.Read(h, "/-/tenants/explain"), &nodes))
+			for _, n := range nodes {
+				for _, x := range n.Holdings {
+					held += int(x.Held)
+				}
+			}
+		}
+		if served < 99 || held > 2 {
+			t.Errorf("%d of 100 look-ups are served beside readers that read nothing; %d connections are held", served, held)
+		}
+	})
+}
--- a/internal/entrance/commands_test.go
+++ b/internal/entrance/commands_test.go
@@ -24,8 +24,15 @@
 	bin   string
 	c     *colony.Colony
 	hives []*exec.Cmd
-	boots []string
-	seeds string
+}
+
+// stopHives ends every hive that runs.
+func (b *built) stopHives() {
+	for _, p := range b.hives {
+		p.Process.Signal(syscall.SIGKILL)
+		p.Wait()
+	}
+	b.hives = nil
 }
 
 func (b *built) start(program, boot string) *exec.Cmd {
@@ -35,6 +42,9 @@
 		b.t.Fatal(err)
 	}
 	b.t.Cleanup(func() { p.Process.Signal(syscall.SIGKILL); p.Wait() })
+	if program == "hive" {
+		b.hives = append(b.hives, p)
+	}
 	return p
 }
 
@@ -86,7 +96,7 @@
 	}
 	for i, boot := range append(hives, foragers...) {
 		if i < len(hives) {
-			b.hives = append(b.hives, b.start("hive", boot))
+			b.start("hive", boot)
 		} else {
 			b.start("forager", boot)
 		}
@@ -184,4 +194,24 @@
 		}
 	}
 	b.wants(0, "version 5 is agreed", at("events")...)
+
+	// A majority is lost for good: a copy of the disk that is left, and a core begun anew that takes it.
+	copied := filepath.Join(b.c.Dir, "copy.json")
+	b.wants(1, "machine runs", "state", "--dir", filepath.Join(b.c.Dir, b.c.Hives[0].IP), "export", copied)
+	b.stopHives()
+	b.wants(0, "version 5 and 2 documents", "state", "--dir", filepath.Join(b.c.Dir, b.c.Hives[0].IP), "export", copied)
+	for _, h := range b.c.Hives {
+		if err := os.RemoveAll(filepath.Join(b.c.Dir, h.IP)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, path := range hives {
+		b.start("hive", path)
+	}
+	b.eventually("none yet", at("config", "get")...)
+	b.wants(1, "gone for good", at("state", "restore", copied)...)
+	b.wants(0, "the tenants are agreed", at("state", "restore", copied, "--lose-the-rest")...)
+	b.wants(1, "only one that was begun anew", at("state", "restore", copied)...)
+	b.wants(0, `"version":5`, at("config", "get")...)
+	b.wants(0, "desk", at("tenant", "list")...)
 }
--- a/internal/entrance/entrance.go
+++ b/internal/entrance/entrance.go
@@ -117,8 +117,11 @@
 // stateCommand reads a stopped machine's file.
 func stateCommand(path *string, out io.Writer) *ffcli.Command {
 	var dir *string
-	with := func(name, help string, do func(c *wax.Contents) error) *ffcli.Command {
-		return &ffcli.Command{Name: name, ShortUsage: "hive state " + name, ShortHelp: help, Exec: func(context.Context, []string) error {
+	with := func(name, help string, words int, do func(c *wax.Contents, args []string) error) *ffcli.Command {
+		return &ffcli.Command{Name: name, ShortUsage: "hive state [--dir DIR] " + name, ShortHelp: help, Exec: func(_ context.Context, args []string) error {
+			if len(args) != words {
+				return flag.ErrHelp
+			}
 			at := *dir
 			if at == "" {
 				s, err := boot.Read(boot.Path(*path))
@@ -131,18 +134,18 @@
 			if err != nil {
 				return err
 			}
-			return do(c)
+			return do(c, args)
 		}}
 	}
 	set := flag.NewFlagSet("state", flag.ContinueOnError)
 	dir = set.String("dir", "", "the data `directory`; else the settings file names it")
-	return &ffcli.Command{Name: "state", ShortUsage: "hive state [--dir DIR] check|dump|config", ShortHelp: "read the state file of a machine that does not run",
+	return &ffcli.Command{Name: "state", ShortUsage: "hive state [--dir DIR] check|dump|config|export|restore", ShortHelp: "read the state file of a machine that does not run; the way back from a lost majority",
 		FlagSet: set, Subcommands: []*ffcli.Command{
-			with("check", "say whether the file is whole", func(c *wax.Contents) error {
+			with("check", "say whether the file is whole", 0, func(c *wax.Contents, _ []string) error {
 				fmt.Fprintf(out, "the state file is whole: %d bytes, turn %d, version %d\n", c.Bytes, c.Turn, c.Version)
 				return nil
 			}),
-			with("dump", "print what the file holds as JSON, without the configuration", func(c *wax.Contents) error {
+			with("dump", "print what the file holds as JSON, without the configuration", 0, func(c *wax.Contents, _ []string) error {
 				text, err := json.MarshalIndent(c, "", "  ")
 				if err != nil {
 					return err
@@ -150,13 +153,15 @@
 				fmt.Fprintln(out, string(text))
 				return nil
 			}),
-			with("config", "print the configuration that was voted for", func(c *wax.Contents) error {
+			with("config", "print the configuration that was voted for", 0, func(c *wax.Contents, _ []string) error {
 				if len(c.Body) == 0 {
 					return errors.New("the state file holds no configuration")
 				}
 				_, err := out.Write(c.Body)
 				return err
 			}),
+			with("export", "write what the file holds of what was agreed to FILE", 1, func(c *wax.Contents, args []string) error { return exportState(c, args[0], out) }),
+			restoreCommand(path, out),
 		}, Exec: func(context.Context, []string) error { return flag.ErrHelp }}
 }
 
--- a/internal/wax/inspect.go
+++ b/internal/wax/inspect.go
@@ -32,7 +32,8 @@
 	Servers  int              `json:"servers"` // kept as hints
 	Bytes    int64            `json:"bytes"`   // of the file
 
-	Body []byte `json:"-"` // the configuration
+	Body  []byte       `json:"-"` // the configuration
+	Notes []swarm.Note `json:"-"`
 }
 
 // Inspect reads the file in a directory of a machine that does not run. It changes nothing.
@@ -78,7 +79,7 @@
 		c.Promised, c.Accepted = s.state.Promised, s.state.Accepted
 		if v := s.state.Value; v != nil {
 			c.Turn, c.Version, c.BasedOn, c.Digest = v.Turn, v.Version, v.BasedOn, hex.EncodeToString([]byte(v.Digest))
-			c.Members, c.Prior, c.Body = v.Members, v.Prior, v.Body
+			c.Members, c.Prior, c.Body, c.Notes = v.Members, v.Prior, v.Body, v.Notes
 			for _, p := range v.Past {
 				c.Past = append(c.Past, p.Version)
 			}
