Scout alone reckons by how much an avoided server is predicted slower

Need: the gatherer's adapter took out what the own record says already; that is the judgement's to decide. Change: the factor is set where the stance is, from the board's own record.

--- a/forager/judgement.go
+++ b/forager/judgement.go
@@ -172,16 +172,7 @@
 		if st.State == scout.In && st.Factor == 1 && !known {
 			continue
 		}
-		factor := st.Factor
-		if st.State == scout.Avoided { // what the own record says already does not count twice
-			if unit, fellows := f.brain.Compare(s.id); unit > 0 && fellows > 0 {
-				factor = max(1, factor*fellows/unit)
-			}
-			if known && was.Factor > 1 {
-				factor = was.Factor // as when it was first avoided
-			}
-		}
-		is := brain.Judgement{ID: s.id, Factor: factor, Held: st.State == scout.Out || st.State == scout.Trial && !f.tries(s, now)}
+		is := brain.Judgement{ID: s.id, Factor: st.Factor, Held: st.State == scout.Out || st.State == scout.Trial && !f.tries(s, now)}
 		is.Back = known && was.Held && st.State == scout.In
 		if is == was {
 			continue
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -70,7 +70,7 @@
 // Stance is what all are to do about a server.
 type Stance struct {
 	State   State
-	Factor  float64 // so many times slower than its record it is to be predicted; 1 = as it is
+	Factor  float64 // so many times slower than this gatherer's record it is to be predicted; 1 = as it is
 	Why     string  // for operators
 	Since   time.Duration
 	TryAt   time.Duration // of Out: when its holder may try it
@@ -398,7 +398,11 @@
 	} else if now-s.slowAt >= dwell {
 		s.slowAt = 0
 		clear(s.words)
-		b.set(s, Avoided, ratio, "several find it slower than its fellows", now)
+		own := 1.0 // what this gatherer's own record says of it already does not count twice
+		if s.own.answers > 0 {
+			own = math.Exp(s.own.ratio)
+		}
+		b.set(s, Avoided, max(ratio/max(own, 1), 1), "several find it slower than its fellows", now)
 		return
 	}
 	// The ramp, which all share as it follows from when the stance changed.
