--- a/internal/colony/tenants_hard_test.go
+++ b/internal/colony/tenants_hard_test.go
@@ -36,7 +36,7 @@
 }
 
 // In the middle of a letter run a gatherer is killed and begun anew, another is cut off from all others, the servers of a shard go,
-// weights change and a newer configuration takes the routes back: no post runs twice, none that ran is called not to have run, and
+// weights change and a newer configuration has other limits: no post runs twice, none that ran is called not to have run, and
 // look-ups are served on.
 func TestPostsBesideALetterRunInTrouble(t *testing.T) {
 	play(t, 31, 3, 5, func(c *Colony) {
