A question to the owner shares no variable with its caller

Every ask with an answer had that shape: pulses, rounds, the seat handed over, reports, notes, views, Agreed. Change: a typed question, inquire, whose answer travels through a buffered channel; ask stays for what has no answer. All uses are converted, also the one of the forager's questions (duties.go), which had the shape but read only after its end. A view asked of a hive that ends now says 503 instead of an empty list.

--- a/forager/duties.go
+++ b/forager/duties.go
@@ -61,31 +61,38 @@
 	s.seenAt, s.probeAt, s.probePause = now, now+ticks(firstProbe), ticks(firstProbe)
 }
 
-// fill puts into a question what the core is to be told: servers that it does not hear, and what operators ask for.
+// owed is what a question to the hives tells the core.
+type owed struct {
+	known   []*dance.Report
+	figures *dance.Figures
+}
+
+// fill puts into a question what the core is to be told: servers that it does not hear, and what operators ask for. The
+// owner's answer travels through a channel, so that a caller that the stop releases shares no variable with the owner.
 func (f *Forager) fill(a *dance.Ask) {
-	var known []*dance.Report
-	var figures *dance.Figures
-	done := make(chan struct{})
-	if !f.do(func() {
-		defer close(done)
-		now := f.now()
-		figures = f.figures(now)
-		for _, s := range f.flowers {
-			if s.seenAt > 0 && now-s.seenAt < ticks(witnessFor) && s.claim.Holder == f.life && s.unheard {
-				known = append(known, &dance.Report{Instance: s.instance, WitnessAgeMs: uint32(span(now-s.seenAt) / time.Millisecond),
-					Fence: s.claim.Fence, Holder: s.claim.Holder})
-			}
-		}
-	}) {
+	answers := make(chan owed, 1)
+	if !f.do(func() { answers <- f.owes(f.now()) }) {
 		return
 	}
 	select {
-	case <-done:
-		a.Known, a.Figures = known, figures
+	case o := <-answers:
+		a.Known, a.Figures = o.known, o.figures
 	case <-f.stopped:
 	}
 }
 
+// owes gathers what the core is to be told. It is the owner's.
+func (f *Forager) owes(now brain.Time) owed {
+	o := owed{figures: f.figures(now)}
+	for _, s := range f.flowers {
+		if s.seenAt > 0 && now-s.seenAt < ticks(witnessFor) && s.claim.Holder == f.life && s.unheard {
+			o.known = append(o.known, &dance.Report{Instance: s.instance, WitnessAgeMs: uint32(span(now-s.seenAt) / time.Millisecond),
+				Fence: s.claim.Fence, Holder: s.claim.Holder})
+		}
+	}
+	return o
+}
+
 func (f *Forager) healthPath(service string) string {
 	if f.config != nil {
 		for _, s := range f.config.Services {
--- a/hive/calls.go
+++ b/hive/calls.go
@@ -94,47 +94,24 @@
 	c.take(w, r, func(now time.Duration) { c.h.table.SignOff(id, now) })
 }
 
+// takenReport is what became of a report.
+type takenReport struct {
+	wait  *spread // until a majority of the core holds it; nil = it does, or need not
+	alone bool    // this machine hears too few of the core
+}
+
 // take hands a report to the owner. What takes a server out is acknowledged only when a majority of the core holds it, so
 // that it is not lost with this machine.
 func (c *instanceCalls) take(w http.ResponseWriter, r *http.Request, report func(now time.Duration)) {
-	h := c.h
-	var wait *spread
-	alone := false
-	written := h.ask(func() {
-		now, before := h.now(), h.table.Cursor()
-		alone = now > settledFor && !h.settled(now)
-		report(now)
-		changed := h.table.Changed(before)
-		for _, o := range changed {
-			if o.State != waggle.Ready {
-				wait = &spread{cursor: h.table.Cursor(), done: make(chan struct{}), until: now + spreadLimit}
-			}
-		}
-		if id := waggle.InstanceID(r.PathValue("id")); wait == nil {
-			// A call sent again: the first one may not have been borne yet.
-			if o := h.table.Get(id); o != nil && o.State != waggle.Ready {
-				wait = &spread{cursor: h.table.ChangedAt(id), done: make(chan struct{}), until: now + spreadLimit}
-			}
-		}
-		if len(changed) > 0 {
-			h.news(wait != nil)
-		}
-		if wait != nil {
-			if h.borne(wait.cursor) {
-				wait = nil
-			} else {
-				h.spreads = append(h.spreads, wait)
-				h.hurry()
-			}
-		}
-	})
+	h, id := c.h, waggle.InstanceID(r.PathValue("id"))
+	taken, written := inquire(h, func() takenReport { return h.takeReport(id, report) })
 	if !written {
 		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
 		return
 	}
-	if wait != nil {
+	if taken.wait != nil {
 		select {
-		case <-wait.done:
+		case <-taken.wait.done:
 		case <-time.After(spreadLimit):
 			refuse(w, http.StatusServiceUnavailable, "too few of the core have heard of it yet")
 			return
@@ -143,7 +120,7 @@
 			return
 		}
 	}
-	if alone { // it is written down; but the others may not hear of it, and would hold the server for silent
+	if taken.alone { // it is written down; but the others may not hear of it, and would hold the server for silent
 		refuse(w, http.StatusServiceUnavailable, "this machine is cut off from the core: call another")
 		return
 	}
@@ -151,6 +128,37 @@
 	w.Write([]byte("{}"))
 }
 
+// takeReport takes what a server says of itself.
+func (h *Hive) takeReport(id waggle.InstanceID, report func(now time.Duration)) (t takenReport) {
+	now, before := h.now(), h.table.Cursor()
+	t.alone = now > settledFor && !h.settled(now)
+	report(now)
+	changed := h.table.Changed(before)
+	for _, o := range changed {
+		if o.State != waggle.Ready {
+			t.wait = &spread{cursor: h.table.Cursor(), done: make(chan struct{}), until: now + spreadLimit}
+		}
+	}
+	if t.wait == nil {
+		// A call sent again: the first one may not have been borne yet.
+		if o := h.table.Get(id); o != nil && o.State != waggle.Ready {
+			t.wait = &spread{cursor: h.table.ChangedAt(id), done: make(chan struct{}), until: now + spreadLimit}
+		}
+	}
+	if len(changed) > 0 {
+		h.news(t.wait != nil)
+	}
+	if t.wait != nil {
+		if h.borne(t.wait.cursor) {
+			t.wait = nil
+		} else {
+			h.spreads = append(h.spreads, t.wait)
+			h.hurry()
+		}
+	}
+	return t
+}
+
 // configurationCalls are what the operator wants.
 type configurationCalls struct{ h *Hive }
 
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -174,17 +174,25 @@
 	}
 }
 
-// ask hands the owner a command and waits for its end.
+// ask hands the owner a command and waits for its end. A caller that the stop releases does not wait for the command, which
+// may still run: it must write nothing that the caller reads. What has an answer is asked by inquire.
 func (h *Hive) ask(f func()) bool {
-	done := make(chan struct{})
-	if !h.do(func() { f(); close(done) }) {
-		return false
+	_, done := inquire(h, func() struct{} { f(); return struct{}{} })
+	return done
+}
+
+// inquire hands the owner a question and waits for its answer. The answer travels through a channel: a caller that the stop
+// releases shares no variable with a question that still runs. It tells whether there was an answer.
+func inquire[T any](h *Hive, question func() T) (answer T, ok bool) {
+	answers := make(chan T, 1) // the owner waits for no caller
+	if !h.do(func() { answers <- question() }) {
+		return answer, false
 	}
 	select {
-	case <-done:
-		return true
+	case answer = <-answers:
+		return answer, true
 	case <-h.stopped:
-		return false
+		return answer, false
 	}
 }
 
@@ -238,12 +246,16 @@
 
 // Agreed is the newest turn and version that this hive knows to be agreed.
 func (h *Hive) Agreed() (turn swarm.Turn, version swarm.Version) {
-	h.ask(func() {
-		if h.confirmed {
-			turn, version = h.known.Turn, h.known.Version
+	known, _ := inquire(h, func() *swarm.Value {
+		if !h.confirmed {
+			return &swarm.Value{}
 		}
+		return h.known
 	})
-	return turn, version
+	if known == nil {
+		return 0, 0
+	}
+	return known.Turn, known.Version
 }
 
 // own is the owner: it works through the queue of commands.
@@ -466,8 +478,8 @@
 	case *dance.Frame_Accept:
 		h.accept(b.Accept, func(a *dance.Accepted) { c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_Accepted{Accepted: a}}) })
 	case *dance.Frame_Pulse:
-		var back *dance.PulseBack
-		if h.ask(func() { back = h.pulsed(b.Pulse, h.now()) }) {
+		back, ok := inquire(h, func() *dance.PulseBack { return h.pulsed(b.Pulse, h.now()) })
+		if ok {
 			c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_PulseBack{PulseBack: back}})
 		}
 	case *dance.Frame_Ask:
--- a/hive/notes.go
+++ b/hive/notes.go
@@ -35,6 +35,15 @@
 	return basedOn, err == nil
 }
 
+// configuration is the one that this hive knows to be agreed; nil = there is none.
+func (h *Hive) configuration() *comb.Configuration {
+	if !h.confirmed || h.known.Digest == "" {
+		return nil
+	}
+	conf, _ := comb.Read(h.known.Body)
+	return conf
+}
+
 func (c *noteCalls) replace(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noteBytes))
 	if err != nil {
@@ -45,12 +54,7 @@
 	if !ok {
 		return
 	}
-	var conf *comb.Configuration
-	c.h.ask(func() {
-		if c.h.confirmed && c.h.known.Digest != "" {
-			conf, _ = comb.Read(c.h.known.Body)
-		}
-	})
+	conf, _ := inquire(c.h, c.h.configuration)
 	if faults := c.check(body, conf); len(faults) > 0 {
 		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
 		return
@@ -154,13 +158,15 @@
 }
 
 func (c *figureCalls) tenants(w http.ResponseWriter, _ *http.Request) {
-	out := []NodeTenants{}
-	c.each(func(f *forager) {
-		if f.figures.TenantsVersion > 0 {
-			out = append(out, nodeTenants(f.address, f.zone, f.figures))
+	tellAsked(c.h, w, func() []NodeTenants {
+		out := []NodeTenants{}
+		for _, f := range c.h.tellers() {
+			if f.figures.TenantsVersion > 0 {
+				out = append(out, nodeTenants(f.address, f.zone, f.figures))
+			}
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 // NodeJudgement is what one gatherer holds of servers that are not simply in.
@@ -191,30 +197,36 @@
 }
 
 func (c *figureCalls) judgement(w http.ResponseWriter, _ *http.Request) {
-	out := []NodeJudgement{}
-	c.each(func(f *forager) {
-		n := NodeJudgement{Node: f.address, Zone: f.zone, Servers: []Judgement{}}
-		for _, s := range f.figures.Stances {
-			j := Judgement{Instance: s.Instance, Service: s.Service, Stance: s.Stance, Why: s.Why, SinceS: float64(s.SinceMs) / 1000, Factor: float64(s.FactorMilli) / 1000, Pinned: s.Pinned}
-			for _, v := range s.Words {
-				j.Words = append(j.Words, Word{strconv.FormatUint(v.Observer, 16), v.Text, float64(v.RatioMilli) / 1000, float64(v.AgeMs) / 1000})
-			}
-			n.Servers = append(n.Servers, j)
+	tellAsked(c.h, w, func() []NodeJudgement {
+		out := []NodeJudgement{}
+		for _, f := range c.h.tellers() {
+			out = append(out, nodeJudgement(f.address, f.zone, f.figures))
 		}
-		out = append(out, n)
+		return out
 	})
-	tellAll(w, out)
 }
 
-// each visits the gatherers that ask this hive and have told of themselves.
-func (c *figureCalls) each(visit func(f *forager)) {
-	c.h.ask(func() {
-		for _, f := range c.h.foragers {
-			if f.figures != nil && f.here(c.h.now()) {
-				visit(f)
-			}
+// tellers are the gatherers that ask this hive and have told of themselves.
+func (h *Hive) tellers() []*forager {
+	var out []*forager
+	for _, f := range h.foragers {
+		if f.figures != nil && f.here(h.now()) {
+			out = append(out, f)
 		}
-	})
+	}
+	return out
+}
+
+func nodeJudgement(address, zone string, m *dance.Figures) NodeJudgement {
+	n := NodeJudgement{Node: address, Zone: zone, Servers: []Judgement{}}
+	for _, s := range m.Stances {
+		j := Judgement{Instance: s.Instance, Service: s.Service, Stance: s.Stance, Why: s.Why, SinceS: float64(s.SinceMs) / 1000, Factor: float64(s.FactorMilli) / 1000, Pinned: s.Pinned}
+		for _, v := range s.Words {
+			j.Words = append(j.Words, Word{strconv.FormatUint(v.Observer, 16), v.Text, float64(v.RatioMilli) / 1000, float64(v.AgeMs) / 1000})
+		}
+		n.Servers = append(n.Servers, j)
+	}
+	return n
 }
 
 func nodeTenants(address, zone string, m *dance.Figures) NodeTenants {
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -91,26 +91,31 @@
 		case <-h.stopped:
 			return
 		}
-		var pulse *dance.Pulse
-		var upTo waggle.Cursor
-		if !h.ask(func() { pulse, upTo = h.pulse(p, h.now()) }) {
+		next, ok := inquire(h, func() outgoingPulse { return h.pulse(p, h.now()) })
+		if !ok {
 			return
 		}
 		limit, cancel := context.WithTimeout(ctx, callLimit)
-		back, err := p.call.Call(limit, &dance.Frame{Body: &dance.Frame_Pulse{Pulse: pulse}})
+		back, err := p.call.Call(limit, &dance.Frame{Body: &dance.Frame_Pulse{Pulse: next.message}})
 		cancel()
 		if err == dance.ErrSilent {
 			p.call.Drop()
 		}
 		if err == nil && back.GetPulseBack() != nil {
-			h.do(func() { h.pulsedBack(p, back.GetPulseBack(), upTo, h.now()) })
+			h.do(func() { h.pulsedBack(p, back.GetPulseBack(), next.upTo, h.now()) })
 		}
 		timer.Reset(pulseEvery)
 	}
 }
 
+// outgoingPulse is a pulse, and up to which cursor its receiver will have this hive's reports.
+type outgoingPulse struct {
+	message *dance.Pulse
+	upTo    waggle.Cursor
+}
+
 // pulse makes what one hive is to be told now.
-func (h *Hive) pulse(p *peer, now time.Duration) (*dance.Pulse, waggle.Cursor) {
+func (h *Hive) pulse(p *peer, now time.Duration) outgoingPulse {
 	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn)}
 	if !h.confirmed {
 		m.Turn = 0
@@ -160,7 +165,7 @@
 		sums := h.table.Digests()
 		m.Digests = sums[:]
 	}
-	return m, upTo
+	return outgoingPulse{m, upTo}
 }
 
 // pulsed takes what another hive tells and answers it.
--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -99,6 +99,18 @@
 	h.hurry()
 }
 
+// roundStart is what a round begins with.
+type roundStart struct {
+	ballot swarm.Ballot
+	known  *swarm.Value
+}
+
+// nextBallot numbers a new round, above all that were seen.
+func (h *Hive) nextBallot() roundStart {
+	h.ballot++
+	return roundStart{swarm.Ballot{Number: h.ballot, By: h.proposer}, h.known}
+}
+
 // propose runs rounds until change has nothing more to say of the newest value, which is then decided. Its own rounds go
 // one at a time.
 func (h *Hive) propose(ctx context.Context, change swarm.Change) (*swarm.Value, error) {
@@ -111,15 +123,11 @@
 		return nil, errUndecided
 	}
 	for try := 0; ; try++ {
-		var known *swarm.Value
-		ballot := swarm.Ballot{By: h.proposer}
-		if !h.ask(func() {
-			h.ballot++
-			known, ballot.Number = h.known, h.ballot
-		}) {
+		start, ok := inquire(h, h.nextBallot)
+		if !ok {
 			return nil, errUndecided
 		}
-		v, changed, err := h.round(ctx, swarm.NewRound(ballot, known, change))
+		v, changed, err := h.round(ctx, swarm.NewRound(start.ballot, start.known, change))
 		if err == nil {
 			h.ask(func() { h.learn(v) })
 			if v.Settled() && changed {
@@ -155,8 +163,7 @@
 			}
 			return
 		}
-		var p *peer
-		h.ask(func() { p = h.meet(m.Address) })
+		p, _ := inquire(h, func() *peer { return h.meet(m.Address) })
 		if p == nil {
 			return
 		}
--- a/hive/views.go
+++ b/hive/views.go
@@ -72,16 +72,16 @@
 }
 
 func (c *viewCalls) history(w http.ResponseWriter, _ *http.Request) {
-	out := []History{}
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() []History {
+		out := []History{}
 		v := c.h.known
 		for _, p := range append(append([]swarm.Past{}, v.Past...), swarm.Past{Version: v.Version, BasedOn: v.BasedOn, Digest: v.Digest}) {
 			if p.Digest != "" {
 				out = append(out, History{uint64(p.Version), uint64(p.BasedOn), hex.EncodeToString([]byte(p.Digest))})
 			}
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 // Members is who votes, and what loss is borne now, as one hive sees it.
@@ -103,11 +103,10 @@
 }
 
 func (c *viewCalls) members(w http.ResponseWriter, _ *http.Request) {
-	var out Members
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() Members {
 		h := c.h
 		now := h.now()
-		out = Members{Hive: h.address, Turn: uint64(h.known.Turn), Version: uint64(h.known.Version), Settled: h.confirmed && h.settled(now), Whole: h.known.Settled()}
+		out := Members{Hive: h.address, Turn: uint64(h.known.Turn), Version: uint64(h.known.Version), Settled: h.confirmed && h.settled(now), Whole: h.known.Settled()}
 		heard := 0
 		for _, m := range h.known.Members {
 			silent := time.Duration(0)
@@ -123,8 +122,8 @@
 			out.Members = append(out.Members, Member{strconv.FormatUint(uint64(m.ID), 16), m.Address, silent.Seconds()})
 		}
 		out.Bears = max(heard-(len(h.known.Members)/2+1), 0)
+		return out
 	})
-	tellAll(w, out)
 }
 
 // Node is a gatherer, as one hive knows it.
@@ -139,14 +138,14 @@
 }
 
 func (c *viewCalls) nodes(w http.ResponseWriter, _ *http.Request) {
-	out := []Node{}
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() []Node {
+		out := []Node{}
 		now := c.h.now()
 		for _, f := range c.h.foragers {
 			out = append(out, Node{f.address, f.zone, strconv.FormatUint(f.life, 16), (now - f.heardAt).Seconds(), f.here(now), f.turn, f.here(now) && f.turn >= uint64(c.h.known.Turn)})
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 // Server is a server, as one hive knows it.
@@ -165,25 +164,35 @@
 }
 
 func (c *viewCalls) servers(w http.ResponseWriter, _ *http.Request) {
-	out := []Server{}
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() []Server {
+		out := []Server{}
 		now := c.h.now()
 		for _, r := range c.h.table.Changed(0) {
 			out = append(out, Server{string(r.Instance), string(r.Service), r.Address, r.Zone, r.Version, r.Slots, r.State.String(), r.Silent, r.Unheard,
 				(now - r.HeardAt).Seconds(), max(r.WarmAt-now, 0).Seconds()})
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 func (c *viewCalls) events(w http.ResponseWriter, _ *http.Request) {
-	out := []Event{}
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() []Event {
+		out := []Event{}
 		now := c.h.now()
 		for _, e := range c.h.events.Values() {
 			out = append(out, Event{c.h.address, e.no, (now - e.at).Seconds(), e.kind, e.text})
 		}
+		return out
 	})
+}
+
+// tellAsked answers a look with what the owner says.
+func tellAsked[T any](h *Hive, w http.ResponseWriter, look func() T) {
+	out, ok := inquire(h, look)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+		return
+	}
 	tellAll(w, out)
 }
 
