Looks at a cut-off machine say 503; late answers at a gatherer are none

Cause: TestAMachineWithoutContact, extended by operators' looks: a machine that was cut off told lists of gatherers and servers, and a history without the version acknowledged before, as if they were new (a machine that woke with its clock stopped did so even within the bound of contact). Change: the history makes sure by a round, as a read does; lists of gatherers and servers and what gatherers say of themselves are told once a majority has answered what it was asked after the look came, else 503. Members and events are told always: a machine says there what it itself saw, with ages. At a gatherer, contact counts from when the question was sent, and an answer that is read after its patience is over, as after a freeze, counts as none. Ruled out: contact of the last 2 s for the looks: the stopped clock passes it.

--- a/forager/news.go
+++ b/forager/news.go
@@ -38,7 +38,7 @@
 	var order []place
 	var turn, life, cursor, crowd uint64
 	at, asked, began := 0, 0, time.Now()
-	good, kinAt := began, began         // when a hive that is in contact with a majority last answered; when a gatherer was last asked
+	good, kinAt := began, began         // when the question was sent that a hive in contact with a majority last answered; when a gatherer was last asked
 	var others []string                 // gatherers, as last told
 	calls := map[string]*dance.Caller{} // kept to those in places
 	defer func() {
@@ -74,7 +74,7 @@
 		ask := &dance.Ask{From: &dance.Forager{Life: f.life, Address: f.set.Internal(boot.ForagerPort), Zone: f.set.Zone, Left: f.draining.Load()},
 			Turn: turn, HiveLife: life, Cursor: cursor, Crowd: crowd, HoldMs: uint32(holdFor / time.Millisecond)}
 		f.fill(ask)
-		askedAt := span(f.now())
+		sent, askedAt := time.Now(), span(f.now())
 		patience := holdFor + hiveLate
 		if life == 0 { // all is news to one that begins: no question is held
 			patience = hiveLate
@@ -83,7 +83,7 @@
 		answer, err := c.Call(limit, &dance.Frame{Body: &dance.Frame_Ask{Ask: ask}})
 		cancel()
 		n := answer.GetNews()
-		if err != nil || n == nil {
+		if err != nil || n == nil || time.Since(sent) > patience { // one that was read late, after a freeze, may be old
 			if errors.Is(err, dance.ErrSilent) {
 				c.Drop()
 			}
@@ -99,7 +99,7 @@
 			continue
 		}
 		if n.Settled {
-			good = time.Now()
+			good = sent
 		}
 		life, cursor = n.HiveLife, n.Cursor
 		if n.HasForagers {
@@ -170,9 +170,10 @@
 	defer c.Close()
 	limit, cancel := context.WithTimeout(ctx, hiveLate)
 	defer cancel()
+	sent := time.Now()
 	answer, err := c.Call(limit, &dance.Frame{Body: &dance.Frame_Ask{Ask: &dance.Ask{Turn: turn}}})
 	n := answer.GetNews()
-	if err != nil || n == nil {
+	if err != nil || n == nil || time.Since(sent) > hiveLate {
 		return turn
 	}
 	f.do(func() { f.takeNotes(n.Notes); f.takeReports(n) })
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -33,9 +33,6 @@
 	pulseEvery  = 400 * time.Millisecond  // to each other hive
 	callLimit   = 800 * time.Millisecond  // for an answer of another hive
 	settledFor  = 1500 * time.Millisecond // another hive counts as heard so long after its last word
-	contactFor  = 2 * time.Second         // a hive is in contact so long after it asked those of a majority that answered
-	verifyLimit = 500 * time.Millisecond  // for a majority's answers to questions sent after a gatherer's
-	verifyPause = 20 * time.Millisecond   // between two such rounds of questions
 	tidyEvery   = 400 * time.Millisecond
 	newsDelay   = 60 * time.Millisecond // what is not urgent is gathered so long
 	foragerLost = 4 * time.Second       // without a question, a forager is held to be gone
@@ -67,10 +64,9 @@
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
 	contact   *quorum.Contact
-	touching  bool          // in contact, when last looked
-	verifyAt  time.Duration // when the others are to be asked for gatherers that wait, 0 = nobody waits;
-	askedAt   time.Duration // when they last were
-	voted     swarm.Turn    // the newest turn that this acceptor voted for
+	touching  bool // in contact, when last looked
+	verify    verifications
+	voted     swarm.Turn // the newest turn that this acceptor voted for
 	votedAt   time.Duration
 	table     *waggle.Table
 	foragers  map[uint64]*forager          // emptied of those not heard for a while
@@ -127,8 +123,7 @@
 	ask   *dance.Ask
 	until time.Duration
 
-	arrivedAt time.Duration
-	verify    bool // the answer waits until a majority was asked after the question arrived
+	verifying bool // until a majority has answered what it was asked after the question came
 }
 
 // New opens the state and makes a hive that does nothing yet.
@@ -315,15 +310,7 @@
 		h.tidyAt = now + tidyEvery
 		h.tidy(now)
 	}
-	next := min(h.tidyAt, h.watchContact(now))
-	if h.verifyAt != 0 {
-		if now >= h.verifyAt {
-			h.verifyAt, h.askedAt = 0, now
-			h.hurry()
-		} else {
-			next = min(next, h.verifyAt)
-		}
-	}
+	next := min(h.tidyAt, h.watchContact(now), h.watchVerifications(now))
 	if h.newsAt != 0 {
 		if now >= h.newsAt {
 			h.newsAt = 0
@@ -436,7 +423,7 @@
 // tell answers the waiters for whom there is news.
 func (h *Hive) tell(now time.Duration) {
 	for w := range h.waiters {
-		if !w.verify && h.hasNews(w.ask) {
+		if !w.verifying && h.hasNews(w.ask) {
 			h.answer(w, now)
 		}
 	}
@@ -447,54 +434,10 @@
 		len(h.table.Changed(waggle.Cursor(a.Cursor))) > 0
 }
 
-// inContact tells whether this hive was of late in contact with a majority of the acceptors.
-func (h *Hive) inContact(now time.Duration) bool {
-	since, ok := h.contactSince(now)
-	return ok && now-since < contactFor
-}
-
-// contactSince is the newest time before which nothing was decided that this hive does not know. Its own disk answers at once.
-func (h *Hive) contactSince(now time.Duration) (since time.Duration, ok bool) {
-	h.contact.Answered(h.self, quorum.Answer{Life: h.life, SentAt: now, Turn: swarm.Turn(h.voteTurn.Load())}, h.known.Turn)
-	return h.contact.Since(h.known.Members, h.known.Turn)
-}
-
-// watchContact has all who wait told as soon as contact is lost, and returns when that will be.
-func (h *Hive) watchContact(now time.Duration) time.Duration {
-	since, ok := h.contactSince(now)
-	was := h.touching
-	if h.touching = ok && now-since < contactFor; h.touching {
-		return since + contactFor
-	}
-	if was && h.confirmed {
-		for w := range h.waiters {
-			h.answer(w, now)
-		}
-	}
-	return now + tidyEvery
-}
-
-// verified answers those whose questions waited until a majority was asked after they arrived.
-func (h *Hive) verified(now time.Duration) {
-	since, ok := h.contactSince(now)
-	for w := range h.waiters {
-		if w.verify && ok && since >= w.arrivedAt {
-			h.answer(w, now)
-		}
-	}
-}
-
-// settled tells whether a question's answer may be trusted to be new. One who turns to this hive has an answer that was made
-// sure of after the question came: this hive's own clock, which may have stood still, has no say in it.
-func (h *Hive) settled(w *waiter, now time.Duration) bool {
-	since, ok := h.contactSince(now)
-	return h.confirmed && ok && now-since < contactFor && (!w.verify || since >= w.arrivedAt)
-}
-
 func (h *Hive) answer(w *waiter, now time.Duration) {
 	delete(h.waiters, w)
 	a := w.ask
-	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.settled(w, now), Turn: a.Turn,
+	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.confirmed && !w.verifying && h.inContact(now), Turn: a.Turn,
 		Warm: now > 3*h.set.Beat(), Crowd: h.crowd}
 	if h.confirmed && uint64(h.known.Turn) > a.Turn {
 		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
@@ -567,25 +510,22 @@
 			h.news(false)
 		}
 	}
-	w := &waiter{conn: c, id: id, ask: a, until: now + time.Duration(a.HoldMs)*time.Millisecond, arrivedAt: now}
+	w := &waiter{conn: c, id: id, ask: a, until: now + time.Duration(a.HoldMs)*time.Millisecond}
 	h.waiters[w] = true
 	switch {
 	case a.HiveLife != h.life && h.confirmed && h.inContact(now):
-		h.verify(w, now)
+		w.verifying, w.until = true, now+2*verifyLimit
+		h.verifyContact(now, func(verified bool) {
+			if h.waiters[w] {
+				w.verifying = !verified
+				h.answer(w, h.now())
+			}
+		})
 	case h.hasNews(a) || a.HoldMs == 0:
 		h.answer(w, now)
 	}
 }
 
-// verify has a question wait until a majority has answered what it is asked from now on.
-func (h *Hive) verify(w *waiter, now time.Duration) {
-	w.verify, w.until = true, now+verifyLimit
-	if h.verifyAt == 0 {
-		h.verifyAt = max(now, h.askedAt+verifyPause, 1)
-	}
-	h.verified(now)
-}
-
 // foragerHeard notes that a forager lives. One life at an address ends those before it.
 func (h *Hive) foragerHeard(f *dance.Forager, at time.Duration, told bool) {
 	if f.Left {
--- a/hive/notes.go
+++ b/hive/notes.go
@@ -158,7 +158,7 @@
 }
 
 func (c *figureCalls) tenants(w http.ResponseWriter, _ *http.Request) {
-	tellAsked(c.h, w, func() []NodeTenants {
+	tellCurrent(c.h, w, func() []NodeTenants {
 		out := []NodeTenants{}
 		for _, f := range c.h.tellers() {
 			if f.figures.TenantsVersion > 0 {
@@ -197,7 +197,7 @@
 }
 
 func (c *figureCalls) judgement(w http.ResponseWriter, _ *http.Request) {
-	tellAsked(c.h, w, func() []NodeJudgement {
+	tellCurrent(c.h, w, func() []NodeJudgement {
 		out := []NodeJudgement{}
 		for _, f := range c.h.tellers() {
 			out = append(out, nodeJudgement(f.address, f.zone, f.figures))
--- a/hive/owner_test.go
+++ b/hive/owner_test.go
@@ -8,6 +8,7 @@
 	"go/token"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -30,7 +31,12 @@
 	}
 	for i := range n {
 		ip := fmt.Sprintf("10.0.1.%d", i+1)
-		set := &boot.Settings{IPAddress: ip, InternalPorts: []int{7100, 7109}, SeedAddresses: seeds, FirstStart: true, DataDirectory: t.TempDir(), BeatIntervalMS: 1000}
+		dir, err := os.MkdirTemp("/dev/shm", "hive") // a disk that waits for nothing
+		if err != nil {
+			dir = t.TempDir()
+		}
+		t.Cleanup(func() { os.RemoveAll(dir) })
+		set := &boot.Settings{IPAddress: ip, InternalPorts: []int{7100, 7109}, SeedAddresses: seeds, FirstStart: true, DataDirectory: dir, BeatIntervalMS: 1000}
 		set.Listen.Control = seeds[i]
 		set.Tolerated.Machines = (n - 1) / 2
 		h, err := New(set, network.Host(ip), zerolog.Nop())
@@ -103,7 +109,7 @@
 }
 
 // waits are the calls that hand the owner a closure; of those named true, the caller waits for its end.
-var waits = map[string]bool{".ask": true, "inquire": true, "tellAsked": true, ".do": false}
+var waits = map[string]bool{".ask": true, "inquire": true, "tellAsked": true, "tellCurrent": true, ".do": false}
 
 // A closure that is handed to the owner writes no variable of its caller: a caller that the stop releases would read it while
 // the owner writes. Answers travel by inquire.
@@ -192,7 +198,7 @@
 			}
 			if closures++; isLiteral {
 				faults = append(faults, writes(literal, receiver, waiting)...)
-			} else if f.Name.Name != "ask" && f.Name.Name != "inquire" && f.Name.Name != "tellAsked" {
+			} else if f.Name.Name != "ask" && f.Name.Name != "inquire" && !strings.HasPrefix(f.Name.Name, "tell") {
 				faults = append(faults, last.Pos()) // a closure that the check can't look into
 			}
 			return true
--- a/hive/views.go
+++ b/hive/views.go
@@ -1,6 +1,7 @@
 package hive
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -11,7 +12,9 @@
 	"oxbowspan/waggle"
 )
 
-// What operators may look at. Each hive tells what it knows; whoever wants all asks all hives.
+// What operators may look at. Each hive tells what it knows; whoever wants all asks all hives. Lists of gatherers and servers
+// and what gatherers say of themselves are told by a hive in contact with a majority only: they would be old. Members and
+// events are what a hive itself saw, with their ages, and are told always: they are what there is to see of a core cut in two.
 
 // keptEvents is how many events a hive remembers; the oldest go first.
 const keptEvents = 1024
@@ -71,17 +74,22 @@
 	Digest  string `json:"digest"`
 }
 
-func (c *viewCalls) history(w http.ResponseWriter, _ *http.Request) {
-	tellAsked(c.h, w, func() []History {
-		out := []History{}
-		v := c.h.known
-		for _, p := range append(append([]swarm.Past{}, v.Past...), swarm.Past{Version: v.Version, BasedOn: v.BasedOn, Digest: v.Digest}) {
-			if p.Digest != "" {
-				out = append(out, History{uint64(p.Version), uint64(p.BasedOn), hex.EncodeToString([]byte(p.Digest))})
-			}
+// history makes sure of the newest value by a round, as a read of the configuration does.
+func (c *viewCalls) history(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit)
+	defer cancel()
+	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value { return v })
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the core could not make sure of the newest version in time")
+		return
+	}
+	out := []History{}
+	for _, p := range append(append([]swarm.Past{}, v.Past...), swarm.Past{Version: v.Version, BasedOn: v.BasedOn, Digest: v.Digest}) {
+		if p.Digest != "" {
+			out = append(out, History{uint64(p.Version), uint64(p.BasedOn), hex.EncodeToString([]byte(p.Digest))})
 		}
-		return out
-	})
+	}
+	tellAll(w, out)
 }
 
 // Members is who votes, and what loss is borne now, as one hive sees it.
@@ -138,7 +146,7 @@
 }
 
 func (c *viewCalls) nodes(w http.ResponseWriter, _ *http.Request) {
-	tellAsked(c.h, w, func() []Node {
+	tellCurrent(c.h, w, func() []Node {
 		out := []Node{}
 		now := c.h.now()
 		for _, f := range c.h.foragers {
@@ -164,7 +172,7 @@
 }
 
 func (c *viewCalls) servers(w http.ResponseWriter, _ *http.Request) {
-	tellAsked(c.h, w, func() []Server {
+	tellCurrent(c.h, w, func() []Server {
 		out := []Server{}
 		now := c.h.now()
 		for _, r := range c.h.table.Changed(0) {
@@ -196,6 +204,30 @@
 	tellAll(w, out)
 }
 
+// cutOffSentence says that what this machine knows may be old.
+const cutOffSentence = "this machine is cut off from the core: ask another"
+
+// tellCurrent answers a look with what the owner says, once a majority has answered what it was asked after the look came.
+func tellCurrent[T any](h *Hive, w http.ResponseWriter, look func() T) {
+	answers := make(chan func(), 1)
+	h.do(func() {
+		h.verifyContact(h.now(), func(verified bool) {
+			if !verified {
+				answers <- func() { refuse(w, http.StatusServiceUnavailable, cutOffSentence) }
+				return
+			}
+			out := look()
+			answers <- func() { tellAll(w, out) }
+		})
+	})
+	select {
+	case answer := <-answers:
+		answer()
+	case <-h.stopped:
+		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+	}
+}
+
 func tellAll(w http.ResponseWriter, out any) {
 	text, err := json.Marshal(out)
 	if err != nil {
--- a/internal/colony/contact_test.go
+++ b/internal/colony/contact_test.go
@@ -1,6 +1,7 @@
 package colony
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,7 @@
 	name     string
 	begin    func(c *Colony, alone *HiveMachine)
 	confirms bool // it may still agree on something with the others, slowly
+	silent   bool // it answers nothing
 }
 
 func cutLinks(out, in bool) func(c *Colony, alone *HiveMachine) {
@@ -42,15 +44,15 @@
 
 func isolations() []isolation {
 	return []isolation{
-		{"cut both ways", cutLinks(true, true), false},
-		{"heard by nobody", cutLinks(true, false), false},
-		{"hears nobody", cutLinks(false, true), false},
+		{"cut both ways", cutLinks(true, true), false, false},
+		{"heard by nobody", cutLinks(true, false), false, false},
+		{"hears nobody", cutLinks(false, true), false, false},
 		{"slow links", func(c *Colony, alone *HiveMachine) {
 			for _, o := range c.Hives[1:] {
 				c.Meadow.Slow(alone.IP, o.IP, 700*time.Millisecond)
 				c.Meadow.Slow(o.IP, alone.IP, 700*time.Millisecond)
 			}
-		}, true},
+		}, true, false},
 		{"links that hold and let go", func(c *Colony, alone *HiveMachine) {
 			go func() {
 				for until := time.Now().Add(cutFor - time.Second); time.Now().Before(until); {
@@ -60,11 +62,11 @@
 					time.Sleep(20 * time.Millisecond)
 				}
 			}()
-		}, true},
-		{"frozen", func(_ *Colony, alone *HiveMachine) { alone.Now.Freeze(cutFor, false) }, true},
-		{"frozen with its clock", func(_ *Colony, alone *HiveMachine) { alone.Now.Freeze(cutFor, true) }, true},
-		{"frozen, and cut off when it wakes", frozenAndCut(false), false},
-		{"frozen with its clock, and cut off when it wakes", frozenAndCut(true), false},
+		}, true, false},
+		{"frozen", func(_ *Colony, alone *HiveMachine) { alone.Now.Freeze(cutFor, false) }, true, true},
+		{"frozen with its clock", func(_ *Colony, alone *HiveMachine) { alone.Now.Freeze(cutFor, true) }, true, true},
+		{"frozen, and cut off when it wakes", frozenAndCut(false), false, true},
+		{"frozen with its clock, and cut off when it wakes", frozenAndCut(true), false, true},
 	}
 }
 
@@ -168,6 +170,25 @@
 	return conf.Version
 }
 
+// look looks at what a machine tells operators: what was agreed is at least as new as what was acknowledged before; lists that
+// may be old are not told by one that is cut off.
+func (o *orders) look(c *Colony, m *HiveMachine, how isolation) {
+	least := o.newest(time.Now())
+	if text := c.Read(m, "/-/configuration/history"); text != nil && !bytes.Contains(text, fmt.Appendf(nil, `"version":%d,`, least)) {
+		o.fault("STALE: %s tells a history without version %d, which was acknowledged before", m.IP, least)
+	}
+	for _, path := range []string{"/-/nodes/read", "/-/servers/read", "/-/tenants/explain", "/-/judgement/explain"} {
+		if text := c.Read(m, path); text != nil && !how.confirms {
+			o.fault("STALE: %s is cut off and tells %s", m.IP, path)
+		}
+	}
+	for _, path := range []string{"/-/members/read", "/-/events/read"} {
+		if text := c.Read(m, path); text == nil && !how.silent {
+			o.fault("%s is cut off and does not tell %s", m.IP, path)
+		}
+	}
+}
+
 // asker asks a machine of the core as gatherers do, from an address that is never cut off.
 type asker struct {
 	call *dance.Caller
@@ -261,6 +282,7 @@
 							t.Errorf("a machine without contact answers an order %d", status)
 						}
 					}
+					o.look(c, alone, how)
 					if v := o.newest(time.Now()); v == 1 {
 						t.Fatal("the others agree on nothing")
 					} else {
