Contact's tests find answers read late, votes not told and gatherers that stay

Change: a freeze comes while questions are on their way; those who ask and stay are there before the fault; gatherers must have left within 2.5 s; a test in which a vote is cast whose decision one machine alone knows.

--- a/internal/colony/contact_test.go
+++ b/internal/colony/contact_test.go
@@ -18,9 +18,10 @@
 
 const (
 	cutFor       = 20 * time.Second
-	contactBound = 2 * time.Second // what a machine in contact with a majority tells is no older
-	applyBound   = 3 * time.Second // from an acknowledgement until every gatherer has it in force
-	calmBound    = 4 * time.Second // after the last trouble, every machine serves as before
+	contactBound = 2 * time.Second         // what a machine in contact with a majority tells is no older
+	leaveBound   = 2500 * time.Millisecond // a gatherer has turned to another machine by then
+	applyBound   = 3 * time.Second         // from an acknowledgement until every gatherer has it in force
+	calmBound    = 4 * time.Second         // after the last trouble, every machine serves as before
 )
 
 // isolation is a way in which one machine of the core loses its contact with the others.
@@ -47,12 +48,7 @@
 		{"cut both ways", cutLinks(true, true), false, false},
 		{"heard by nobody", cutLinks(true, false), false, false},
 		{"hears nobody", cutLinks(false, true), false, false},
-		{"slow links", func(c *Colony, alone *HiveMachine) {
-			for _, o := range c.Hives[1:] {
-				c.Meadow.Slow(alone.IP, o.IP, 700*time.Millisecond)
-				c.Meadow.Slow(o.IP, alone.IP, 700*time.Millisecond)
-			}
-		}, true, false},
+		{"slow links", func(c *Colony, alone *HiveMachine) { slowLinks(c, alone, 700*time.Millisecond) }, true, false},
 		{"links that hold and let go", func(c *Colony, alone *HiveMachine) {
 			go func() {
 				for until := time.Now().Add(cutFor - time.Second); time.Now().Before(until); {
@@ -70,11 +66,23 @@
 	}
 }
 
-// frozenAndCut has a machine wake with words of before in its hands, and nobody to be reached for two seconds.
+// slowLinks has all links between a machine and the others take longer.
+func slowLinks(c *Colony, alone *HiveMachine, by time.Duration) {
+	for _, o := range c.Hives {
+		if o != alone {
+			c.Meadow.Slow(alone.IP, o.IP, by)
+			c.Meadow.Slow(o.IP, alone.IP, by)
+		}
+	}
+}
+
+// frozenAndCut has a machine wake with words and answers of before in its hands, and nobody to be reached for two seconds.
 func frozenAndCut(clock bool) func(c *Colony, alone *HiveMachine) {
 	return func(c *Colony, alone *HiveMachine) {
-		alone.Now.Freeze(cutFor-2*time.Second, clock)
-		time.Sleep(450 * time.Millisecond) // a pulse of each other machine comes and is not read
+		slowLinks(c, alone, 150*time.Millisecond) // so that questions of its own are on their way
+		time.Sleep(time.Second)
+		alone.Now.Freeze(cutFor-3*time.Second, clock)
+		time.Sleep(450 * time.Millisecond) // their answers come, and a pulse of each other machine: none is read
 		cutLinks(true, true)(c, alone)
 	}
 }
@@ -86,6 +94,7 @@
 	acked   map[uint64]time.Time // when each was acknowledged first
 	refused map[uint64]bool
 	faults  []string
+	settled int // answers that were given as settled
 }
 
 func (o *orders) fault(format string, args ...any) {
@@ -214,6 +223,11 @@
 	if a.life = n.HiveLife; !n.Settled { // a gatherer leaves this machine, and turns to it anew if it comes back
 		a.life = 0
 	}
+	if n.Settled {
+		o.mu.Lock()
+		o.settled++
+		o.mu.Unlock()
+	}
 	least := o.newest(sent)
 	if !first {
 		least = o.newest(sent.Add(-contactBound))
@@ -223,7 +237,7 @@
 	}
 }
 
-// watch has the machine asked, again and again, by askers that turn to it and by one that stays, and read, until the end.
+// watch has the machine asked, again and again, by askers that turn to it and by some that stay, until the end.
 func (o *orders) watch(c *Colony, m *HiveMachine, until time.Time) (wait func()) {
 	var wg sync.WaitGroup
 	caller := func() *dance.Caller {
@@ -238,12 +252,6 @@
 			}
 		})
 	}
-	wg.Go(func() {
-		for time.Now().Before(until) {
-			o.read(c, m)
-			time.Sleep(150 * time.Millisecond)
-		}
-	})
 	return wg.Wait
 }
 
@@ -273,9 +281,24 @@
 				o.version, o.acked[1] = 1, time.Now()
 				time.Sleep(4 * time.Second)
 				alone := c.Hives[0]
+				until := time.Now().Add(cutFor + calmBound)
+				wait := o.watch(c, alone, until)
+				var reads sync.WaitGroup
+				reads.Go(func() {
+					for time.Now().Before(until) {
+						o.read(c, alone)
+						time.Sleep(150 * time.Millisecond)
+					}
+				})
+				time.Sleep(500 * time.Millisecond) // those who stay with it follow it
 				began := time.Now()
 				how.begin(c, alone)
-				wait := o.watch(c, alone, began.Add(cutFor+calmBound))
+				if got := o.send(c, c.Hives[1], 1); got != http.StatusOK {
+					t.Fatalf("an order to the others is answered %d", got)
+				}
+				sent := time.Now()
+				await(t, c, 2, leaveBound)
+				t.Logf("every gatherer has it %v after its acknowledgement", time.Since(sent))
 				for round := 0; time.Since(began) < cutFor-5*time.Second; round++ {
 					for _, status := range o.race(c, alone) {
 						if final := status == http.StatusOK || status/100 == 4; final && !how.confirms {
@@ -283,7 +306,7 @@
 						}
 					}
 					o.look(c, alone, how)
-					if v := o.newest(time.Now()); v == 1 {
+					if v := o.newest(time.Now()); v == 2 {
 						t.Fatal("the others agree on nothing")
 					} else {
 						await(t, c, v, applyBound)
@@ -298,6 +321,7 @@
 					t.Errorf("%v after its return it reads %d, %d was acknowledged", calmBound, v, least)
 				}
 				wait()
+				reads.Wait()
 				known := agreed(t, c, alone)
 				for v := range o.acked {
 					if !slices.Contains(known, v) {
@@ -319,3 +343,30 @@
 		})
 	}
 }
+
+// A version is decided by votes of which one machine alone knows that, and that one is not heard in time: who asked the other
+// voters must not take what they know for the newest.
+func TestAVoteThatNobodyElseKnowsToBeDecided(t *testing.T) {
+	play(t, 520, 3, 3, func(c *Colony) {
+		o := &orders{acked: map[uint64]time.Time{}, refused: map[uint64]bool{}}
+		settle(t, c)
+		o.version, o.acked[1] = 1, time.Now()
+		time.Sleep(4 * time.Second)
+		asked, proposer, voter := c.Hives[0], c.Hives[1], c.Hives[2]
+		c.Meadow.Cut(asked.IP, proposer.IP, true)
+		c.Meadow.Cut(proposer.IP, asked.IP, true)
+		c.Meadow.Slow(proposer.IP, voter.IP, 300*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		wait := o.watch(c, asked, time.Now().Add(4*time.Second))
+		if got := o.send(c, proposer, 1); got != http.StatusOK {
+			t.Fatalf("an order is answered %d", got)
+		}
+		wait()
+		for _, f := range o.faults {
+			t.Error(f)
+		}
+		if settled := o.settled; settled < 20 {
+			t.Errorf("only %d answers were given as settled: too few to tell", settled)
+		}
+	})
+}
