Tables of connections shared at a service are emptied once the service is gone

Cause: a new cut of the index brings new services; the fields and queues of those that had gone stayed for the life of a gatherer. Ruled out: emptying them as the last server leaves alone: its connections come back later, and parts may still wait. Change: pollen.Node.forget; a question how long a wait is makes no entry.

--- a/pollen/pollen.go
+++ b/pollen/pollen.go
@@ -45,8 +45,8 @@
 	free   []Tenant          // numbers of those gone that hold nothing
 	plots  map[Server]*plot  // emptied as servers go
 	floors map[Service][]Tenant
-	queues map[queueKey]*queue // as many as there are tenants at services
-	fields map[Service]*field  // as many as services
+	queues map[queueKey]*queue // emptied as services go
+	fields map[Service]*field  // emptied as services go
 	active map[Tenant]*active  // emptied of those that hold nothing and were not seen of late
 }
 
@@ -211,6 +211,22 @@
 			delete(n.plots, s)
 		}
 		n.arrange(p.service)
+		n.forget(p.service)
+	}
+}
+
+// forget empties the tables of a service whose last server is gone and whose last connection is back.
+func (n *Node) forget(at Service) {
+	for _, p := range n.plots {
+		if p.service == at {
+			return
+		}
+	}
+	delete(n.fields, at)
+	for key, q := range n.queues {
+		if key.at == at && q.waiting == 0 {
+			delete(n.queues, key)
+		}
 	}
 }
 
@@ -275,18 +291,23 @@
 	if a := n.active[t]; a != nil {
 		a.held, a.used = max(a.held-1, 0), now
 	}
-	if p.total--; p.left && p.total == 0 {
-		delete(n.plots, s)
-	}
+	p.total--
 	q := n.queue(p.service, t)
 	q.held, q.used = max(q.held-1, 0), now
 	q.hold += time.Duration(holdsFade * float64(held-q.hold))
+	if p.left && p.total == 0 {
+		delete(n.plots, s)
+		n.forget(p.service)
+	}
 }
 
 // Waits says that so many more parts of a tenant wait at a service, or fewer.
 func (n *Node) Waits(at Service, t Tenant, more int) {
 	q := n.queue(at, t)
 	q.waiting = max(q.waiting+more, 0)
+	if q.waiting == 0 && n.fields[at] == nil {
+		delete(n.queues, queueKey{at, t})
+	}
 }
 
 func (n *Node) queue(at Service, t Tenant) *queue {
--- a/pollen/wait.go
+++ b/pollen/wait.go
@@ -37,7 +37,10 @@
 // Wait is how long a part that finds no room at a service is likely to wait for it: those that wait before it, held one after the
 // other in the tenant's own part.
 func (n *Node) Wait(at Service, t Tenant, now time.Duration) time.Duration {
-	q := n.queue(at, t)
+	hold, waiting := firstHold, 0
+	if q := n.queues[queueKey{at, t}]; q != nil {
+		hold, waiting = q.hold, q.waiting
+	}
 	slots := 0.0
 	for _, p := range n.plots {
 		if p.service == at && !p.left {
@@ -47,7 +50,7 @@
 	if slots == 0 {
 		return 0
 	}
-	return time.Duration(float64(q.hold) * float64(q.waiting+1) / slots)
+	return time.Duration(float64(hold) * float64(waiting+1) / slots)
 }
 
 // Holding is what a tenant has at a server.
