A restarted proposer no longer hides a decided value behind an undecided vote

Cause: a machine that began again started its rounds from "the turn before what its disk voted for" and took no older turn from anybody. The turn before a vote need not be decided: a round proposes on top of what it found. Five acceptors, turn 3 decided by all, turn 4 voted for by one, turn 5 by another, which restarts and is answered by the other three first: it proposed an empty configuration at turn 4, and it was decided. What had been acknowledged was lost. Ruled out: that a wiped disk, a late message or a change of members is needed; none is.

--- a/swarm/model_test.go
+++ b/swarm/model_test.go
@@ -99,7 +99,7 @@
 func (w *world) start(m *machine) {
 	m.state, m.up, m.known, m.rounds = m.disk, true, w.genesis, nil
 	if v := m.disk.Value; v != nil && v.Turn > 0 {
-		m.known = &Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
+		m.known = Restarted(v)
 	}
 	if w.planted != ballotsAgain {
 		w.lives++
--- a/swarm/types.go
+++ b/swarm/types.go
@@ -168,3 +168,10 @@
 	}
 	return all
 }
+
+// Restarted is what a proposer may start a round from after its process began again, given the value that its disk voted for.
+// The acceptors of the turn before that vote are known; what they agreed on is not, as the vote may follow a value that was
+// never decided itself. So the turn is 0, and whatever a majority of them reports is newer.
+func Restarted(vote *Value) *Value {
+	return &Value{Members: vote.Prior, Prior: vote.Prior}
+}
