An answer without its request's id is nobody's

A part of a gathered answer without an id was taken as well. Ruled out: that servers leave the id out. Change: an answer belongs to a request if it bears its id. Only a 421 may bear none; its connection ends with it, so that no late copy of one is read. Anything else ends the connection and counts as perhaps run. A connection that carried a request without an id is not used again.

--- a/forager/answer.go
+++ b/forager/answer.go
@@ -48,11 +48,11 @@
 			}
 		}
 	}
-	if id := resp.Header.Peek("X-Attempt-Id"); len(id) > 0 && string(id) != s.attempt {
-		return brain.Reset, 0, eris.New("an answer to another request")
+	if !belongs(resp, s) {
+		return brain.Reset, 0, eris.New("an answer to another request, or to nobody knows which")
 	}
 	keep = idleLimit
-	if resp.Header.ConnectionClose() {
+	if resp.Header.ConnectionClose() || s.attempt == "" || status == fasthttp.StatusMisdirectedRequest {
 		keep = 0
 	}
 	if text := resp.Header.Peek("Keep-Alive"); len(text) > 0 && keep > 0 {
@@ -61,6 +61,14 @@
 	return judge(status, resp, s), keep, nil
 }
 
+// belongs tells whether an answer is this request's own: it bears the request's id. Only a 421 may bear none. Its connection ends
+// with it, so that it can't be the late copy of an earlier one; an answer of another kind without the id may be late, doubled or
+// unasked for, and what it says of its request would be taken for what became of this one.
+func belongs(resp *fasthttp.Response, s *search) bool {
+	id := resp.Header.Peek("X-Attempt-Id")
+	return string(id) == s.attempt || len(id) == 0 && resp.StatusCode() == fasthttp.StatusMisdirectedRequest
+}
+
 // trailerLines is how many lines may stand behind the last chunk of a body.
 const trailerLines = 32
 
@@ -97,8 +105,6 @@
 		return brain.Errored
 	case len(resp.Header.Peek("Content-Encoding")) > 0:
 		return brain.Errored
-	case len(resp.Header.Peek("X-Attempt-Id")) == 0 && s.attempt != "" && !s.route.Gathered():
-		return brain.Errored
 	}
 	return brain.Answered
 }
