Interim answers are passed over, and are never taken for the answer

Only 100 was passed over; a 103 without a length ended its connection, so that a request that may not be repeated was lost. The reader of heads also takes the status 000 for 200 and skips empty lines, which would hide surplus bytes. Change: every status from 102 to 199 is passed over, 16 at most, and has no body whatever its lines say; 101 was not asked for and ends the connection. An answer begins with HTTP/1. and a status from 100 to 599.

--- a/forager/answer.go
+++ b/forager/answer.go
@@ -25,14 +25,9 @@
 // readAnswer reads one whole answer to a request. With an error, the bytes were no whole answer to this request: the
 // connection is of no more use and the request may have run. Keep is how long the connection may rest, 0 = not at all.
 func readAnswer(r *bufio.Reader, s *search, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
-	if err := resp.Header.Read(r); err != nil {
+	if err := readFinalHead(r, resp); err != nil {
 		return brain.Reset, 0, err
 	}
-	for resp.StatusCode() == fasthttp.StatusContinue {
-		if err := resp.Header.Read(r); err != nil {
-			return brain.Reset, 0, err
-		}
-	}
 	status := resp.StatusCode()
 	bodyless := s.method == "HEAD" || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 	if !bodyless {
@@ -61,6 +56,45 @@
 	return judge(status, resp, s), keep, nil
 }
 
+// Bounds on the head of an answer.
+const (
+	interimAnswers = 16                  // that may come before the final one
+	leastHead      = len("HTTP/1.1 200") // bytes that every answer begins with
+)
+
+// readFinalHead reads the head of the final answer, past interim ones, which have no body whatever their lines say.
+func readFinalHead(r *bufio.Reader, resp *fasthttp.Response) error {
+	for range interimAnswers {
+		if err := checkStart(r); err != nil {
+			return err
+		}
+		if err := resp.Header.Read(r); err != nil {
+			return err
+		}
+		switch status := resp.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return eris.New("an answer in another protocol, which nobody asked for")
+		case status >= fasthttp.StatusOK:
+			return nil
+		}
+	}
+	return eris.New("too many interim answers")
+}
+
+// checkStart sees that what comes begins as an answer does, with a status from 100 to 599. The reader of heads skips empty lines
+// and takes the status 000 for 200.
+func checkStart(r *bufio.Reader) error {
+	b, err := r.Peek(leastHead)
+	if err != nil {
+		return err
+	}
+	status := b[len("HTTP/1.1 "):]
+	if !bytes.HasPrefix(b, []byte("HTTP/1.")) || status[0] < '1' || status[0] > '5' {
+		return eris.New("what came does not begin as an answer does")
+	}
+	return nil
+}
+
 // belongs tells whether an answer is this request's own: it bears the request's id. Only a 421 may bear none. Its connection ends
 // with it, so that it can't be the late copy of an earlier one; an answer of another kind without the id may be late, doubled or
 // unasked for, and what it says of its request would be taken for what became of this one.
--- a/forager/forager_test.go
+++ b/forager/forager_test.go
@@ -44,6 +44,11 @@
 		"a failure as a part":   {"HTTP/1.1 404 No\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 0\r\n\r\n", gathered, brain.Errored, false, true},
 		"moved":                 {"HTTP/1.1 421 No\r\nX-Instance-Id: o\r\nContent-Length: 0\r\n\r\n", single, brain.TurnedAway, false, false},
 		"another has moved":     {"HTTP/1.1 421 No\r\nX-Attempt-Id: p\r\nX-Instance-Id: o\r\nContent-Length: 0\r\n\r\n", single, brain.Reset, true, false},
+		"early hints":           {"HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, true},
+		"only interim ones":     {strings.Repeat("HTTP/1.1 102 Wait\r\nX-Attempt-Id: q\r\n\r\n", interimAnswers+1), single, brain.Reset, true, false},
+		"another protocol":      {"HTTP/1.1 101 Switch\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
+		"no such status":        {"HTTP/1.1 000 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
+		"behind a stray line":   {"\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
 		"leaving":               {"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, false},
 		"soon idle":             {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Answered, false, false},
 	} {
