--- a/forager/answer.go
+++ b/forager/answer.go
@@ -133,8 +133,8 @@
 		return brain.TurnedAway
 	case marked && (promises(status) || status == fasthttp.StatusBadRequest):
 		return brain.TurnedAway
-	case status/100 != 2 && (s.route.Gathered() || status >= 500 || status == fasthttp.StatusTooManyRequests):
-		return brain.Errored
+	case status/100 != 2 && (s.route.Gathered() || status >= 500 || promises(status)):
+		return brain.Errored // a promise without the mark is the server's own word for something else, and must not go on as one
 	case status/100 == 2 && len(resp.Header.Peek("X-Server-Seal")) == 0:
 		return brain.Errored
 	case len(resp.Header.Peek("Content-Encoding")) > 0:
--- a/forager/forager_test.go
+++ b/forager/forager_test.go
@@ -40,6 +40,7 @@
 		"full":                  {"HTTP/1.1 503 No\r\nX-Attempt-Id: q\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", single, brain.TurnedAway, false, true},
 		"who is full?":          {"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", single, brain.Reset, true, false},
 		"503 that may have run": {"HTTP/1.1 503 No\r\nX-Attempt-Id: q\r\nContent-Length: 0\r\n\r\n", single, brain.Errored, false, true},
+		"408 that may have run": {"HTTP/1.1 408 No\r\nX-Attempt-Id: q\r\nContent-Length: 0\r\n\r\n", single, brain.Errored, false, true},
 		"500":                   {"HTTP/1.1 500 No\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 0\r\n\r\n", single, brain.Errored, false, true},
 		"a failure as a part":   {"HTTP/1.1 404 No\r\nX-Attempt-Id: q\r\n" + seal + "Content-Length: 0\r\n\r\n", gathered, brain.Errored, false, true},
 		"moved":                 {"HTTP/1.1 421 No\r\nX-Instance-Id: o\r\nContent-Length: 0\r\n\r\n", single, brain.TurnedAway, false, false},
