A connection's exchange as a small machine; no id twice, no request into another

A connection is used again only when its request is wholly handed over; it never carries the same id twice; where not a byte of a request could be handed over, it has not run, and the next connection is taken at once. A small write behind a large one waits 10 ms at most. Ruled out: remembering ids by connection (they grow); a part remembers the connections that carried it and goes with its request.

--- /dev/null
+++ b/forager/answers_test.go
@@ -0,0 +1,635 @@
+package forager
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/internal/ground"
+	"oxbowspan/internal/meadow"
+	"oxbowspan/waggle"
+)
+
+// The whole data plane of one gatherer between clients and servers that keep to no protocol: what servers, connections and
+// clients do is drawn beforehand, and what came back and what ran is checked afterwards against the rules.
+
+// serverStep is what a server does with one request.
+type serverStep struct {
+	Kind    string
+	Work    time.Duration
+	Before  string // stands in the place of the answer, before it
+	Cut     int    // of 100 parts of the answer's bytes, so many are sent; 100 = all
+	Pause   time.Duration
+	PauseAt int    // of 100 parts
+	After   string // comes behind the answer
+	Keep    string // header lines about the connection
+	Early   bool   // answered before the body is read
+	IdleEnd time.Duration
+}
+
+// clientStep is one request of a client.
+type clientStep struct {
+	Path      string
+	Body      int
+	Pipelined bool // goes out together with the next
+	GiveUp    time.Duration
+	Pause     time.Duration
+	Patience  time.Duration
+}
+
+// writeStep is what becomes of one write to a server.
+type writeStep struct {
+	Fails bool
+	At    int // bytes that get through before it fails, at most
+	Slow  time.Duration
+}
+
+type play struct {
+	Servers int // of each service
+	Script  []serverStep
+	Writes  []writeStep
+	Clients [][]clientStep
+	Kill    time.Duration // the gatherer's process is killed then and begins again; 0 = never
+}
+
+var drawServer = rapid.Custom(func(t *rapid.T) serverStep {
+	few := func(label string, most int) bool { return rapid.IntRange(0, most).Draw(t, label) == 0 }
+	s := serverStep{Kind: "whole", Cut: 100, Work: time.Duration(rapid.IntRange(0, 30).Draw(t, "work")) * time.Millisecond}
+	if !few("calm", 2) {
+		s.Kind = rapid.SampledFrom([]string{"whole", "chunked", "503 marked", "429 marked", "400 marked", "421", "500", "503", "408", "429", "404", "no seal", "other",
+			"no id", "000", "silent", "ends unrun", "ends run"}).Draw(t, "kind")
+	}
+	if few("before", 4) {
+		s.Before = rapid.SampledFrom([]string{"100", "103", "103 length", "102 own", "503 unnamed", "408 unnamed", "other", "garbage", "late other"}).Draw(t, "what before")
+	}
+	if few("after", 3) {
+		s.After = rapid.SampledFrom([]string{"copy", "copy late", "copy next", "copy next but one", "garbage", "line end", "other next"}).Draw(t, "what after")
+	}
+	if few("cut", 6) {
+		s.Cut = rapid.IntRange(0, 99).Draw(t, "cut at")
+	}
+	if few("pause", 4) {
+		s.Pause = time.Duration(rapid.SampledFrom([]int{1, 40, 700}).Draw(t, "paused")) * time.Millisecond
+		s.PauseAt = rapid.IntRange(0, 100).Draw(t, "pause at")
+	}
+	if few("keep", 6) {
+		s.Keep = rapid.SampledFrom([]string{"Connection: close\r\n", "Keep-Alive: timeout=1\r\n", "Keep-Alive: timeout=0\r\n"}).Draw(t, "kept")
+	}
+	s.Early = few("early", 5)
+	if few("idle end", 4) {
+		s.IdleEnd = time.Duration(rapid.IntRange(0, 20).Draw(t, "idle end after")) * time.Millisecond
+	}
+	return s
+})
+
+var drawClient = rapid.Custom(func(t *rapid.T) clientStep {
+	c := clientStep{Path: rapid.SampledFrom([]string{"/once/x", "/once/y", "/one/x", "/all/x"}).Draw(t, "path"),
+		Patience: time.Duration(rapid.SampledFrom([]int{50, 300, 900}).Draw(t, "patience")) * time.Millisecond,
+		Pause:    time.Duration(rapid.SampledFrom([]int{0, 0, 3, 20, 150}).Draw(t, "client's pause")) * time.Millisecond}
+	if strings.HasPrefix(c.Path, "/once/") {
+		c.Body = rapid.SampledFrom([]int{0, 10, 9000, 60000}).Draw(t, "body")
+	}
+	c.Pipelined = rapid.IntRange(0, 3).Draw(t, "pipelined") == 0
+	if rapid.IntRange(0, 9).Draw(t, "gives up") == 0 {
+		c.GiveUp = time.Duration(rapid.IntRange(1, 60).Draw(t, "after")) * time.Millisecond
+	}
+	return c
+})
+
+var drawWrite = rapid.Custom(func(t *rapid.T) writeStep {
+	w := writeStep{}
+	if rapid.IntRange(0, 5).Draw(t, "write fails") == 0 {
+		w.Fails, w.At = true, rapid.SampledFrom([]int{0, 1, 40, 300, 9000, 20000, 1 << 20}).Draw(t, "fails at")
+	}
+	if rapid.IntRange(0, 5).Draw(t, "slow") == 0 {
+		w.Slow = time.Duration(rapid.SampledFrom([]int{1, 30, 400}).Draw(t, "slow for")) * time.Millisecond
+	}
+	return w
+})
+
+var drawPlay = rapid.Custom(func(t *rapid.T) play {
+	p := play{Servers: rapid.IntRange(1, 2).Draw(t, "servers"), Script: rapid.SliceOfN(drawServer, 1, 12).Draw(t, "script"),
+		Writes: rapid.SliceOfN(drawWrite, 1, 8).Draw(t, "writes")}
+	for range rapid.IntRange(1, 3).Draw(t, "clients") {
+		p.Clients = append(p.Clients, rapid.SliceOfN(drawClient, 1, 8).Draw(t, "requests"))
+	}
+	if rapid.IntRange(0, 4).Draw(t, "killed") == 0 {
+		p.Kill = time.Duration(rapid.IntRange(1, 200).Draw(t, "killed at")) * time.Millisecond
+	}
+	return p
+})
+
+// TestEveryAnswerReachesItsCallerOrNobody plays what is drawn and checks the rules MIXED, UNASKED, TWICE and REFUSED.
+func TestEveryAnswerReachesItsCallerOrNobody(t *testing.T) {
+	served := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		p := drawPlay.Draw(rt, "play")
+		w := perform(t, p)
+		if w.broken != "" {
+			rt.Fatal(w.broken)
+		}
+		served += w.served
+	})
+	if !t.Failed() && served == 0 {
+		t.Error("no request was served in any play")
+	}
+}
+
+// world is one play's surroundings and records.
+type world struct {
+	mu      sync.Mutex
+	net     *meadow.Meadow
+	play    play
+	steps   int
+	writes  int
+	asked   map[string]asked // by id
+	runs    map[string]int   // by service and id
+	answers map[string]int   // statuses, by id
+	served  int
+	broken  string
+}
+
+type asked struct {
+	method, path string
+	body         []byte
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.broken == "" {
+		w.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+func perform(t *testing.T, p play) *world {
+	w := &world{play: p, asked: map[string]asked{}, runs: map[string]int{}, answers: map[string]int{}}
+	synctest.Test(t, func(t *testing.T) { w.run(t) })
+	return w
+}
+
+const (
+	gathererHost = "10.0.0.1"
+	frontAddress = gathererHost + ":8000"
+)
+
+var services = []string{"once", "one", "a0", "a1"}
+
+func (w *world) run(t *testing.T) {
+	w.net = meadow.New(func(string, string) time.Duration { return 100 * time.Microsecond })
+	var listeners []net.Listener
+	var reports []*dance.Report
+	for i := range services {
+		for n := range w.play.Servers {
+			ip := fmt.Sprintf("10.0.%d.%d", i+1, n+1)
+			l, err := w.net.Host(ip).Listen(ip + ":80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			listeners = append(listeners, l)
+			go w.serveAll(l, services[i])
+			reports = append(reports, &dance.Report{Instance: "i-" + ip, Service: services[i], Address: ip + ":80", Zone: "z", State: uint32(waggle.Ready), Sequence: 1})
+		}
+	}
+	quit := w.start(t, reports)
+	killed := make(chan struct{})
+	go func() {
+		defer close(killed)
+		if w.play.Kill > 0 {
+			time.Sleep(w.play.Kill)
+			quit()
+			quit = w.start(t, reports)
+		}
+	}()
+	var clients sync.WaitGroup
+	for i, steps := range w.play.Clients {
+		clients.Go(func() { w.client(fmt.Sprint(i), steps) })
+	}
+	clients.Wait()
+	<-killed
+	time.Sleep(5 * time.Second) // what is late comes
+	quit()
+	for _, l := range listeners {
+		l.Close()
+		host, _, _ := net.SplitHostPort(l.Addr().String())
+		w.net.Kill(host, false)
+	}
+	synctest.Wait()
+	w.judge()
+}
+
+// start begins a gatherer's life, and returns what ends it as a kill does.
+func (w *world) start(t *testing.T, reports []*dance.Report) (quit func()) {
+	set := &boot.Settings{IPAddress: gathererHost, Zone: "z", InternalPorts: []int{7000, 7010}, FirstStart: true}
+	set.Listen.Front = frontAddress
+	f := New(set, &faultyNetwork{w.net.Host(gathererHost), w}, zerolog.Nop())
+	f.wg.Go(f.own)
+	c := &comb.Configuration{Version: 1, Routes: []comb.Route{
+		{Hostname: "h", PathPrefix: "/once/", RouteKind: comb.NonRetryable, TimeoutMS: 900, TargetMS: 90, Service: "once", Attempts: 3},
+		{Hostname: "h", PathPrefix: "/one/", RouteKind: comb.Retryable, TimeoutMS: 900, TargetMS: 90, Service: "one", Attempts: 3},
+		{Hostname: "h", PathPrefix: "/all/", RouteKind: comb.Retryable, TimeoutMS: 900, TargetMS: 90, GatheredServices: []string{"a0", "a1"}, Attempts: 3, TopRecords: 6, MinimumShare: 0.5}}}
+	for _, s := range services {
+		c.Services = append(c.Services, comb.Service{Name: s, ConnectionLimit: 40})
+	}
+	f.do(func() {
+		f.putInForce(c, 1)
+		f.takeReports(&dance.News{Whole: true, Settled: true, Warm: true, Reports: reports})
+	})
+	synctest.Wait()
+	l, err := w.net.Host(gathererHost).Listen(frontAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.wg.Go(func() { f.serve(l) })
+	return func() {
+		l.Close()
+		f.clients.closeAll()
+		close(f.stopped)
+		f.wg.Wait()
+		w.net.Kill(gathererHost, false)
+	}
+}
+
+// faultyNetwork dials connections whose writes do what is drawn.
+type faultyNetwork struct {
+	meadow.Host
+	w *world
+}
+
+var _ ground.Network = &faultyNetwork{}
+
+func (n *faultyNetwork) Dial(to string, limit time.Duration) (net.Conn, error) {
+	c, err := n.Host.Dial(to, limit)
+	if err != nil {
+		return nil, err
+	}
+	return &faultyConn{Conn: c, w: n.w}, nil
+}
+
+type faultyConn struct {
+	net.Conn
+	w       *world
+	writing atomic.Bool
+}
+
+// Write writes in pieces as a socket whose buffer is full; only what is larger than a small request ever waits.
+func (c *faultyConn) Write(b []byte) (int, error) {
+	c.w.mu.Lock()
+	step := c.w.play.Writes[c.w.writes%len(c.w.play.Writes)]
+	c.w.writes++
+	c.w.mu.Unlock()
+	if c.writing.Swap(true) {
+		c.w.fault("UNASKED: a request is written into the midst of another, or waits for its end")
+	}
+	defer c.writing.Store(false)
+	half := len(b)
+	if len(b) > smallRequest && step.Slow > 0 {
+		half = len(b) / 2
+	}
+	if step.Fails && step.At < len(b) {
+		n, _ := c.Conn.Write(b[:step.At])
+		if step.At > smallRequest {
+			time.Sleep(step.Slow)
+		}
+		c.Conn.Close()
+		return n, syscall.ECONNRESET
+	}
+	n, err := c.Conn.Write(b[:half])
+	if err != nil || half == len(b) {
+		return n, err
+	}
+	time.Sleep(step.Slow)
+	rest, err := c.Conn.Write(b[half:])
+	return n + rest, err
+}
+
+// serveAll is one server.
+func (w *world) serveAll(l net.Listener, service string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go w.serveOne(c, service)
+	}
+}
+
+func (w *world) serveOne(c net.Conn, service string) {
+	defer c.Close()
+	r := bufio.NewReaderSize(c, 4096)
+	var held [][]byte // what comes in the places of next answers
+	var idle time.Duration
+	for {
+		if idle > 0 {
+			c.SetReadDeadline(time.Now().Add(idle))
+		}
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		c.SetReadDeadline(time.Time{})
+		if !wholeHead(r) {
+			return
+		}
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			w.fault("UNASKED: %s got what is no request: %v", service, err)
+			return
+		}
+		w.mu.Lock()
+		step := w.play.Script[w.steps%len(w.play.Script)]
+		w.steps++
+		w.mu.Unlock()
+		id := q.Header.Get("X-Attempt-Id")
+		body := []byte(nil)
+		if !step.Early {
+			if body, err = io.ReadAll(q.Body); err != nil {
+				return
+			}
+		}
+		w.check(service, id, q, body, !step.Early)
+		if len(held) > 0 {
+			late := held[0]
+			if held = held[1:]; len(late) > 0 {
+				c.Write(late)
+			}
+		}
+		time.Sleep(step.Work)
+		if step.runs() {
+			w.mu.Lock()
+			w.runs[service+" "+id]++
+			w.mu.Unlock()
+		}
+		text, goesOn := step.answer(service, id)
+		if before := beforeAnswer[step.Before]; len(before) > 0 {
+			c.Write([]byte(strings.ReplaceAll(before, "OWN", id)))
+			if strings.HasPrefix(step.Before, "late") {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		at := len(text) * step.PauseAt / 100
+		cut := len(text) * step.Cut / 100
+		if at < cut && step.Pause > 0 {
+			c.Write(text[:at])
+			time.Sleep(step.Pause)
+			c.Write(text[at:cut])
+		} else {
+			c.Write(text[:cut])
+		}
+		if !goesOn || cut < len(text) || strings.Contains(step.Keep, "close") {
+			if step.Kind == "silent" || step.Pause > 100*time.Millisecond {
+				time.Sleep(2 * time.Second)
+			}
+			return
+		}
+		switch step.After {
+		case "copy":
+			c.Write(text)
+		case "copy late":
+			time.Sleep(3 * time.Millisecond)
+			c.Write(text)
+		case "copy next":
+			held = append(held, text)
+		case "copy next but one":
+			held = append(held, nil, text)
+		case "other next":
+			held = append(held, []byte(beforeAnswer["other"]))
+		case "garbage":
+			c.Write([]byte("\x00\x01\x02"))
+		case "line end":
+			c.Write([]byte("\r\n"))
+		}
+		idle = step.IdleEnd
+		if step.Early {
+			if body, err = io.ReadAll(q.Body); err != nil {
+				return
+			}
+			w.check(service, id, q, body, true)
+		}
+	}
+}
+
+// wholeHead waits for the whole head of a request. It tells whether one came before the connection ended.
+func wholeHead(r *bufio.Reader) bool {
+	for {
+		b, _ := r.Peek(r.Buffered())
+		if bytes.Contains(b, []byte("\r\n\r\n")) {
+			return true
+		}
+		if _, err := r.Peek(len(b) + 1); err != nil {
+			return false
+		}
+	}
+}
+
+var beforeAnswer = map[string]string{
+	"100":         "HTTP/1.1 100 Continue\r\n\r\n",
+	"103":         "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+	"103 length":  "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n",
+	"102 own":     "HTTP/1.1 102 Processing\r\nX-Attempt-Id: OWN\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n\r\n",
+	"503 unnamed": "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"408 unnamed": "HTTP/1.1 408 Request Timeout\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"other":       "HTTP/1.1 200 OK\r\nX-Attempt-Id: nobody\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nab",
+	"late other":  "HTTP/1.1 503 Busy\r\nX-Attempt-Id: nobody\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	"garbage":     "no answer\r\n\r\n",
+}
+
+// runs tells whether the server begins work on the request.
+func (s serverStep) runs() bool {
+	return !strings.HasSuffix(s.Kind, "marked") && s.Kind != "421" && s.Kind != "ends unrun"
+}
+
+// answer is what the server answers, and whether its connection goes on.
+func (s serverStep) answer(service, id string) (text []byte, goesOn bool) {
+	status, lines := "200 OK", "X-Attempt-Id: "+id+"\r\nX-Server-Seal: "+service+"."+id+"\r\n"
+	body := recordsOf(service, id)
+	switch s.Kind {
+	case "silent", "ends unrun", "ends run":
+		return nil, false
+	case "503 marked", "429 marked", "400 marked":
+		status, lines = s.Kind[:3]+" No", "X-Attempt-Id: "+id+"\r\nX-Not-Executed: 1\r\n"
+	case "421":
+		status, lines = "421 Moved", "X-Instance-Id: another\r\n"
+	case "500", "503", "408", "429", "404":
+		status, lines = s.Kind+" No", "X-Attempt-Id: "+id+"\r\n"
+	case "no seal":
+		lines = "X-Attempt-Id: " + id + "\r\n"
+	case "other":
+		lines = "X-Attempt-Id: nobody\r\nX-Server-Seal: " + service + ".nobody\r\n"
+	case "no id":
+		lines = "X-Server-Seal: " + service + "." + id + "\r\n"
+	case "000":
+		status = "000 OK"
+	}
+	if s.Kind == "chunked" {
+		text = fmt.Appendf(nil, "HTTP/1.1 %s\r\n%s%sTransfer-Encoding: chunked\r\n\r\n", status, lines, s.Keep)
+		return fmt.Appendf(text, "%x;x=y\r\n%s\r\n0\r\nX-Sum: 1\r\n\r\n", len(body), body), true
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n%s", status, lines, s.Keep, len(body), body), true
+}
+
+func recordsOf(service, id string) []byte {
+	sum := sha256.Sum256([]byte(service + " " + id))
+	return slices.Concat(sum[:], sum[8:24])
+}
+
+// check compares what a server got with what a client sent.
+func (w *world) check(service, id string, q *http.Request, body []byte, whole bool) {
+	w.mu.Lock()
+	a, known := w.asked[id]
+	w.mu.Unlock()
+	if !known || a.method != q.Method || a.path != q.RequestURI || whole && !bytes.Equal(a.body, body) {
+		w.fault("UNASKED: %s got %s %s with id %q and a body of %d bytes", service, q.Method, q.RequestURI, id, len(body))
+	}
+}
+
+// client sends its requests, as many as are pipelined in one write, and reads their answers in order.
+func (w *world) client(name string, steps []clientStep) {
+	var c net.Conn
+	var r *bufio.Reader
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for i := 0; i < len(steps); {
+		time.Sleep(steps[i].Pause)
+		if c == nil {
+			var err error
+			for range 20 {
+				if c, err = w.net.Host("10.0.9.9").Dial(frontAddress, time.Second); err == nil {
+					break
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if err != nil {
+				w.fault("the gatherer takes no connection: %v", err)
+				return
+			}
+			r = bufio.NewReader(c)
+		}
+		var text []byte
+		var batch []string
+		giveUp := time.Duration(0)
+		for {
+			s := steps[i]
+			id := name + "-" + strconv.Itoa(i)
+			a := asked{method: "GET", path: s.Path, body: bytes.Repeat([]byte{'b'}, s.Body)}
+			if strings.HasPrefix(s.Path, "/once/") {
+				a.method = "POST"
+			}
+			w.mu.Lock()
+			w.asked[id] = a
+			w.mu.Unlock()
+			text = fmt.Appendf(text, "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s",
+				a.method, a.path, id, s.Patience/time.Millisecond, len(a.body), a.body)
+			batch = append(batch, id)
+			giveUp = cmp.Or(giveUp, s.GiveUp)
+			if i++; !s.Pipelined || i == len(steps) {
+				break
+			}
+		}
+		c.Write(text)
+		for _, id := range batch {
+			c.SetReadDeadline(time.Now().Add(cmp.Or(giveUp, 3*time.Second)))
+			if !w.readAnswer(r, id) {
+				c.Close()
+				c = nil
+				break
+			}
+		}
+		if c != nil && r.Buffered() > 0 {
+			w.fault("MIXED: %d bytes come where no request is waiting", r.Buffered())
+		}
+	}
+}
+
+// readAnswer reads the answer to one request. It tells whether the connection goes on.
+func (w *world) readAnswer(r *bufio.Reader, id string) bool {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		if strings.Contains(err.Error(), "malformed") {
+			w.fault("MIXED: what %s gets is no answer: %v", id, err)
+		}
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false
+	}
+	w.mu.Lock()
+	a := w.asked[id]
+	w.answers[id] = resp.StatusCode
+	w.mu.Unlock()
+	if got := resp.Header.Get("X-Attempt-Id"); got != "" && got != id {
+		w.fault("MIXED: %s gets the answer to %s", id, got)
+	}
+	if resp.StatusCode < 200 || resp.StatusCode > 599 {
+		w.fault("MIXED: %s gets the status %d", id, resp.StatusCode)
+	}
+	if resp.StatusCode/100 == 2 {
+		w.mu.Lock()
+		w.served++
+		w.mu.Unlock()
+		w.success(id, a, resp, body)
+	}
+	return !resp.Close
+}
+
+// success checks the answer to a request that was served.
+func (w *world) success(id string, a asked, resp *http.Response, body []byte) {
+	service := strings.Split(a.path, "/")[1]
+	if service != "all" {
+		if resp.Header.Get("X-Server-Seal") != service+"."+id || !bytes.Equal(body, recordsOf(service, id)) {
+			w.fault("MIXED: %s gets another body, or none of the servers' stamps: %q", id, resp.Header.Get("X-Server-Seal"))
+		}
+		return
+	}
+	var all [][]byte
+	for _, seal := range strings.Split(resp.Header.Get("X-Part-Seals"), ", ") {
+		part, of, _ := strings.Cut(seal, ".")
+		if of != id {
+			w.fault("MIXED: %s gets a part stamped %q", id, seal)
+		}
+		all = slices.AppendSeq(all, slices.Chunk(recordsOf(part, id), 16))
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if !bytes.Equal(slices.Concat(all...), body) {
+		w.fault("MIXED: %s gets records that are not the greatest of its parts", id)
+	}
+}
+
+// judge checks at the end what may not be repeated.
+func (w *world) judge() {
+	for id, a := range w.asked {
+		if !strings.HasPrefix(a.path, "/once/") {
+			continue
+		}
+		runs := w.runs["once "+id]
+		switch status := w.answers[id]; {
+		case runs > 1:
+			w.fault("TWICE: %s ran %d times", id, runs)
+		case runs > 0 && promises(status):
+			w.fault("REFUSED: %s ran and was answered %d", id, status)
+		}
+	}
+}
--- /dev/null
+++ b/forager/exchange_test.go
@@ -0,0 +1,37 @@
+package forager
+
+import (
+	"testing"
+
+	"oxbowspan/brain"
+)
+
+// What the end of a connection says of a request, by how much of it had been handed over.
+func TestWhenARequestHasPerhapsRun(t *testing.T) {
+	c := &call{}
+	for what, k := range map[string]struct {
+		do       func(x *exchange)
+		lost     *call
+		outcome  brain.Outcome
+		reusable bool
+	}{
+		"idle":                       {func(*exchange) {}, nil, brain.Reset, true},
+		"before its first byte":      {func(x *exchange) { x.begin(c) }, c, brain.Reset, false}, // the write may be under way
+		"no byte was taken":          {func(x *exchange) { x.begin(c); x.handedOver(0) }, c, brain.ConnectFailed, false},
+		"one byte was taken":         {func(x *exchange) { x.begin(c); x.handedOver(1) }, c, brain.Reset, false},
+		"answered":                   {func(x *exchange) { x.begin(c); x.handedOver(9); x.answered() }, nil, brain.Reset, true},
+		"answered while it is taken": {func(x *exchange) { x.begin(c); x.answered() }, nil, brain.Reset, false},
+		"the next one":               {func(x *exchange) { x.begin(&call{}); x.handedOver(9); x.answered(); x.begin(c) }, c, brain.Reset, false},
+	} {
+		x := &exchange{}
+		k.do(x)
+		reusable := x.reusable()
+		lost, outcome := x.broken(brain.Reset)
+		if lost != k.lost || outcome != k.outcome || reusable != k.reusable {
+			t.Errorf("%s: lost %p, outcome %d, reusable %v", what, lost, outcome, reusable)
+		}
+		if again, _ := x.broken(brain.Reset); again != nil {
+			t.Errorf("%s: lost twice", what)
+		}
+	}
+}
--- a/forager/links.go
+++ b/forager/links.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 	idleLimit    = 14 * time.Second
 	smallRequest = 8 << 10 // a request so short is written at once: nothing else is in its connection's buffers
 	rests        = 500 * time.Millisecond
+	ownerWrite   = 10 * time.Millisecond // the owner waits for no connection longer
 )
 
 // link is one connection to a server. One request at a time goes over it.
@@ -28,19 +30,50 @@
 	f      *flower
 	r      *bufio.Reader
 	mu     sync.Mutex
-	call   *call // whose answer is due; nil = none
+	state  exchange // under the lock
 	keep   time.Duration
 	usedAt time.Time // by the owner
 	dead   bool      // by the owner
+	large  bool      // by the owner; it has carried a request that was not written at once
 }
 
-// take has the reader know whose answer is due.
-func (l *link) take(c *call) {
+func (l *link) begin(c *call) {
 	l.mu.Lock()
-	l.call = c
+	l.state.begin(c)
 	l.mu.Unlock()
 }
 
+func (l *link) handedOver(bytes int) {
+	l.mu.Lock()
+	l.state.handedOver(bytes)
+	l.mu.Unlock()
+}
+
+// due is whose answer is due.
+func (l *link) due() *call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.due
+}
+
+func (l *link) answered() {
+	l.mu.Lock()
+	l.state.answered()
+	l.mu.Unlock()
+}
+
+func (l *link) reusable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.reusable()
+}
+
+func (l *link) broken(outcome brain.Outcome) (*call, brain.Outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.broken(outcome)
+}
+
 // send does what brain.Send says.
 func (f *Forager) send(a brain.Send) {
 	p, s := f.partsOf[a.Part], f.servers[a.Server]
@@ -62,18 +95,62 @@
 	s.count(now, 1)
 	f.took(c, now)
 	f.timers.Push(int64(c.until), due{call: c})
-	for len(s.idle) > 0 {
-		l := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
+	f.sendOver(c)
+}
+
+// sendOver sends a sub-request over an idle connection, or a new one where there is none. Over one to which not a byte can be
+// handed any more nothing has been sent: the next one is taken.
+func (f *Forager) sendOver(c *call) {
+	for {
+		l := f.idleLink(c)
+		if l == nil {
+			break
+		}
+		if f.write(l, c) {
+			return
+		}
+	}
+	if s := c.f; len(s.idle) > 0 { // none that it may use: one makes room
+		f.drop(s.idle[0])
+		s.idle = slices.Delete(s.idle, 0, 1)
+	}
+	c.link = nil
+	c.f.links++
+	go f.connect(c.f, c.f.address, c)
+}
+
+// idleLink takes the connection to a call's server that was used last, nil = none may be used. A connection never carries the same
+// id twice: a late copy of the first answer could not be told from the second one. What bears no id needs one of its own.
+func (f *Forager) idleLink(c *call) *link {
+	s := c.f
+	if c.p.s.attempt == "" {
+		return nil
+	}
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		l := s.idle[i]
+		if c.p.carriedBy(l) {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
 		if l.dead || time.Since(l.usedAt) > l.keep {
 			f.drop(l)
 			continue
 		}
-		f.write(l, c)
+		return l
+	}
+	return nil
+}
+
+// carriedBy tells whether a connection has carried this part.
+func (p *part) carriedBy(l *link) bool { return p.first == l || slices.Contains(p.others, l) }
+
+// carry notes that a connection carries this part.
+func (p *part) carry(l *link) {
+	if p.first == nil {
+		p.first = l
 		return
 	}
-	s.links++
-	go f.connect(s, s.address, c)
+	p.others = append(p.others, l)
 }
 
 func (f *Forager) connect(s *flower, address string, c *call) {
@@ -103,14 +180,15 @@
 		f.drop(l)
 	case c.over:
 		s.idle = append(s.idle, l)
-	default:
-		f.write(l, c)
+	case !f.write(l, c):
+		f.callEnded(c, brain.ConnectFailed, nil)
 	}
 }
 
-// write sends a sub-request over a connection.
-func (f *Forager) write(l *link, c *call) {
+// write sends a sub-request over a connection. It tells false where the connection has ended without taking a byte.
+func (f *Forager) write(l *link, c *call) bool {
 	s := c.p.s
+	c.p.carry(l)
 	c.link, c.rested = l, time.Since(l.usedAt) > rests
 	left := span(c.until - f.now())
 	b := append(f.room[:0], s.method...)
@@ -129,21 +207,42 @@
 	b = append(b, "\r\n\r\n"...)
 	b = append(b, s.body...)
 	f.room = b[:0]
-	l.take(c)
+	l.begin(c)
 	if len(b) <= smallRequest {
-		l.c.SetWriteDeadline(time.Time{})
-		if _, err := l.c.Write(b); err != nil {
-			l.c.Close() // the reader finds it out
-		}
-		return
+		return f.writeAtOnce(l, b)
 	}
-	f.room = nil
+	f.room, l.large = nil, true
 	go func() {
 		l.c.SetWriteDeadline(time.Now().Add(left))
-		if _, err := l.c.Write(b); err != nil {
-			l.c.Close()
+		n, err := l.c.Write(b)
+		l.handedOver(n)
+		if err != nil {
+			l.c.Close() // the reader finds it out
 		}
 	}()
+	return true
+}
+
+// writeAtOnce writes a small request. What a large one before it may have left in the connection's buffers holds the owner up for
+// a moment only.
+func (f *Forager) writeAtOnce(l *link, b []byte) bool {
+	limit := time.Time{}
+	if l.large {
+		limit = time.Now().Add(ownerWrite)
+	}
+	l.c.SetWriteDeadline(limit)
+	n, err := l.c.Write(b)
+	l.handedOver(n)
+	if err == nil {
+		return true
+	}
+	if n > 0 {
+		l.c.Close() // the reader finds it out
+		return true
+	}
+	l.answered() // nothing is due: nothing was sent
+	f.drop(l)
+	return false
 }
 
 // read takes answers until the connection ends. What comes while no answer is due, or beyond one, belongs to no request:
@@ -151,9 +250,7 @@
 func (f *Forager) read(l *link) {
 	for {
 		_, err := l.r.Peek(1)
-		l.mu.Lock()
-		c := l.call
-		l.mu.Unlock()
+		c := l.due()
 		if err != nil || c == nil {
 			l.c.Close()
 			f.do(func() { f.lost(l, brain.Reset) })
@@ -170,7 +267,7 @@
 		if l.r.Buffered() > 0 {
 			keep = 0
 		}
-		l.take(nil)
+		l.answered()
 		if !f.do(func() { f.answered(l, c, outcome, resp, keep) }) {
 			l.c.Close()
 			return
@@ -184,10 +281,7 @@
 
 // lost takes the end of a connection.
 func (f *Forager) lost(l *link, outcome brain.Outcome) {
-	l.mu.Lock()
-	c := l.call
-	l.call = nil
-	l.mu.Unlock()
+	c, outcome := l.broken(outcome)
 	f.drop(l)
 	if c != nil && !c.over {
 		f.callEnded(c, outcome, nil)
@@ -204,13 +298,13 @@
 			f.relist()
 		}
 	}
-	if keep > 0 && s.listed && !l.dead {
+	if keep > 0 && s.listed && !l.dead && l.reusable() {
 		l.usedAt, l.keep = time.Now(), keep
 		s.idle = append(s.idle, l)
 	} else {
 		f.drop(l)
 	}
-	if c.over {
+	if c.over || c.link != l {
 		fasthttp.ReleaseResponse(resp)
 		return
 	}
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -66,6 +66,9 @@
 	out   int
 	in    *fasthttp.Response
 
+	first  *link // the connection that carried it first, then the others
+	others []*link
+
 	awaits brain.Time // since when it waits for a connection, 0 = it does not
 	tenant pollen.Tenant
 }
