--- /dev/null
+++ b/forager/bench_test.go
@@ -0,0 +1,102 @@
+package forager
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"oxbowspan/comb"
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/internal/ground"
+	"oxbowspan/waggle"
+)
+
+// BenchmarkRequest takes one request after the other from a client to a server over loopback.
+func BenchmarkRequest(b *testing.B) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go answerAll(c)
+		}
+	}()
+	set := &boot.Settings{IPAddress: "127.0.0.1", Zone: "z", InternalPorts: []int{7000, 7010}, FirstStart: true}
+	f := New(set, ground.TCP{}, zerolog.Nop())
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.wg.Go(f.own)
+	f.wg.Go(func() { f.serve(front) })
+	f.do(func() {
+		f.putInForce(&comb.Configuration{Version: 1, Services: []comb.Service{{Name: "s"}}, Routes: []comb.Route{
+			{Hostname: "h", PathPrefix: "/", RouteKind: comb.Retryable, TimeoutMS: 900, TargetMS: 90, Service: "s", Attempts: 2}}}, 1)
+		f.takeReports(&dance.News{Whole: true, Settled: true, Warm: true, Reports: []*dance.Report{
+			{Instance: "i", Service: "s", Address: server.Addr().String(), Zone: "z", State: uint32(waggle.Ready), Sequence: 1}}})
+	})
+	c, err := net.Dial("tcp", front.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := bufio.NewReader(c)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		c.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: 900\r\nX-Attempt-Id: " + strconv.Itoa(1000000+i) + "\r\n\r\n"))
+		if err := skipAnswer(r); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.StopTimer()
+	c.Close()
+	front.Close()
+	server.Close()
+	f.clients.closeAll()
+	close(f.stopped)
+	f.wg.Wait()
+}
+
+// answerAll answers requests without a body, each with its id.
+func answerAll(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	id := ""
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if rest, ok := bytes.CutPrefix(line, []byte("X-Attempt-Id: ")); ok {
+			id = string(bytes.TrimSpace(rest))
+		}
+		if len(line) == 2 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nab")
+		}
+	}
+}
+
+// skipAnswer reads an answer with a body of two bytes.
+func skipAnswer(r *bufio.Reader) error {
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) == 2 {
+			_, err := r.Discard(2)
+			return err
+		}
+	}
+}
