A request without a connection is not sent once its answer is out

And a request for which no connection had come up was answered 504, "may have run", though not a byte had been handed over. Change: such a connection goes to the idle ones. A sub-request counts as perhaps run once it has a connection; without one its request may be answered 503. Ruled out: ending the making of a connection; the next request uses it.

--- a/forager/answers_test.go
+++ b/forager/answers_test.go
@@ -68,6 +68,7 @@
 	Servers int // of each service
 	Script  []serverStep
 	Writes  []writeStep
+	Dials   []time.Duration
 	Clients [][]clientStep
 	Kill    time.Duration // the gatherer's process is killed then and begins again; 0 = never
 }
@@ -130,6 +131,9 @@
 var drawPlay = rapid.Custom(func(t *rapid.T) play {
 	p := play{Servers: rapid.IntRange(1, 2).Draw(t, "servers"), Script: rapid.SliceOfN(drawServer, 1, 12).Draw(t, "script"),
 		Writes: rapid.SliceOfN(drawWrite, 1, 8).Draw(t, "writes")}
+	for range rapid.IntRange(1, 3).Draw(t, "dials") {
+		p.Dials = append(p.Dials, time.Duration(rapid.SampledFrom([]int{0, 0, 0, 20, 120}).Draw(t, "dial takes"))*time.Millisecond)
+	}
 	for range rapid.IntRange(1, 3).Draw(t, "clients") {
 		p.Clients = append(p.Clients, rapid.SliceOfN(drawClient, 1, 8).Draw(t, "requests"))
 	}
@@ -162,9 +166,11 @@
 	play    play
 	steps   int
 	writes  int
+	dials   int
 	asked   map[string]asked // by id
 	runs    map[string]int   // by service and id
 	answers map[string]int   // statuses, by id
+	over    map[string]time.Time
 	served  int
 	broken  string
 }
@@ -183,7 +189,7 @@
 }
 
 func perform(t *testing.T, p play) *world {
-	w := &world{play: p, asked: map[string]asked{}, runs: map[string]int{}, answers: map[string]int{}}
+	w := &world{play: p, asked: map[string]asked{}, runs: map[string]int{}, answers: map[string]int{}, over: map[string]time.Time{}}
 	synctest.Test(t, func(t *testing.T) { w.run(t) })
 	return w
 }
@@ -218,6 +224,13 @@
 		if w.play.Kill > 0 {
 			time.Sleep(w.play.Kill)
 			quit()
+			w.mu.Lock()
+			for id := range w.asked { // what its life before was asked is over
+				if w.over[id].IsZero() {
+					w.over[id] = time.Now()
+				}
+			}
+			w.mu.Unlock()
 			quit = w.start(t, reports)
 		}
 	}()
@@ -279,6 +292,11 @@
 var _ ground.Network = &faultyNetwork{}
 
 func (n *faultyNetwork) Dial(to string, limit time.Duration) (net.Conn, error) {
+	n.w.mu.Lock()
+	takes := n.w.play.Dials[n.w.dials%len(n.w.play.Dials)]
+	n.w.dials++
+	n.w.mu.Unlock()
+	time.Sleep(takes)
 	c, err := n.Host.Dial(to, limit)
 	if err != nil {
 		return nil, err
@@ -360,6 +378,7 @@
 		w.steps++
 		w.mu.Unlock()
 		id := q.Header.Get("X-Attempt-Id")
+		w.late(service, id)
 		body := []byte(nil)
 		if !step.Early {
 			if body, err = io.ReadAll(q.Body); err != nil {
@@ -502,6 +521,16 @@
 	}
 }
 
+// late sees that a request is not sent once it has been answered.
+func (w *world) late(service, id string) {
+	w.mu.Lock()
+	over, large := w.over[id], len(w.asked[id].body) > smallRequest // a large one may be on its way for longer
+	w.mu.Unlock()
+	if !over.IsZero() && time.Since(over) > 5*time.Millisecond && !large {
+		w.fault("%s got %s %v after it was answered", service, id, time.Since(over))
+	}
+}
+
 // client sends its requests, as many as are pipelined in one write, and reads their answers in order.
 func (w *world) client(name string, steps []clientStep) {
 	var c net.Conn
@@ -578,7 +607,7 @@
 	}
 	w.mu.Lock()
 	a := w.asked[id]
-	w.answers[id] = resp.StatusCode
+	w.answers[id], w.over[id] = resp.StatusCode, time.Now()
 	w.mu.Unlock()
 	if got := resp.Header.Get("X-Attempt-Id"); got != "" && got != id {
 		w.fault("MIXED: %s gets the answer to %s", id, got)
--- a/forager/links.go
+++ b/forager/links.go
@@ -180,6 +180,9 @@
 		f.drop(l)
 	case c.over:
 		s.idle = append(s.idle, l)
+	case c.p.s.over || c.p.in != nil: // answered meanwhile
+		s.idle = append(s.idle, l)
+		f.callEnded(c, brain.Moot, nil)
 	case !f.write(l, c):
 		f.callEnded(c, brain.ConnectFailed, nil)
 	}
@@ -339,7 +342,7 @@
 	if c.link != nil && resp == nil {
 		f.drop(c.link)
 	}
-	if !outcome.NeverRan() {
+	if !outcome.NeverRan() && c.link != nil { // on none, nothing was handed over
 		s.mayRun = true
 	}
 	switch {
--- a/forager/owner.go
+++ b/forager/owner.go
@@ -87,6 +87,10 @@
 	tenant pollen.Tenant
 }
 
+// mayRun tells whether a sub-request that has not ended may have run. One without a connection is never sent any more once its
+// search is over.
+func (c *call) mayRun() bool { return c != nil && c.link != nil }
+
 // flower is a server as this gatherer sees it.
 type flower struct {
 	id               brain.ServerID
@@ -332,7 +336,7 @@
 	}
 	r := reply{kind: replyShed, advice: span(advice)}
 	for _, p := range s.parts {
-		s.mayRun = s.mayRun || p.out > 0
+		s.mayRun = s.mayRun || slices.ContainsFunc(p.calls, (*call).mayRun)
 	}
 	switch {
 	case s.mayRun && s.last != nil && !s.route.Gathered():
