--- a/forager/answers_test.go
+++ b/forager/answers_test.go
@@ -60,7 +60,7 @@
 // writeStep is what becomes of one write to a server.
 type writeStep struct {
 	Fails bool
-	At    int // bytes that get through before it fails, at most
+	At    int // so many bytes get through before it fails; below 0, all but so many
 	Slow  time.Duration
 }
 
@@ -120,7 +120,7 @@
 var drawWrite = rapid.Custom(func(t *rapid.T) writeStep {
 	w := writeStep{}
 	if rapid.IntRange(0, 5).Draw(t, "write fails") == 0 {
-		w.Fails, w.At = true, rapid.SampledFrom([]int{0, 1, 40, 300, 9000, 20000, 1 << 20}).Draw(t, "fails at")
+		w.Fails, w.At = true, rapid.SampledFrom([]int{0, 1, 40, 300, 9000, 20000, -1, -5}).Draw(t, "fails at")
 	}
 	if rapid.IntRange(0, 5).Draw(t, "slow") == 0 {
 		w.Slow = time.Duration(rapid.SampledFrom([]int{1, 30, 400}).Draw(t, "slow for")) * time.Millisecond
@@ -324,9 +324,13 @@
 	if len(b) > smallRequest && step.Slow > 0 {
 		half = len(b) / 2
 	}
-	if step.Fails && step.At < len(b) {
-		n, _ := c.Conn.Write(b[:step.At])
-		if step.At > smallRequest {
+	at := step.At
+	if at < 0 {
+		at += len(b)
+	}
+	if step.Fails && at < len(b) {
+		n, _ := c.Conn.Write(b[:at])
+		if at > smallRequest {
 			time.Sleep(step.Slow)
 		}
 		c.Conn.Close()
@@ -393,6 +397,13 @@
 			}
 		}
 		time.Sleep(step.Work)
+		if !step.Early {
+			c.SetReadDeadline(time.Now().Add(time.Microsecond))
+			if _, err := r.Peek(1); err == nil {
+				w.fault("%s got a request behind one that it had not answered", service)
+			}
+			c.SetReadDeadline(time.Time{})
+		}
 		if step.runs() {
 			w.mu.Lock()
 			w.runs[service+" "+id]++
