A request that nobody can be offered is not held to its deadline

Failing test: TestWhatWasNeverOfferedIsToldSo.

Change: a search that no connection has carried, with none being made and none awaited for its tenant, is given up a quarter of its target after it came, with the promise that it has not run and the usual advice. Decisions stay in brain; it is told that the search left. Ruled out: giving up at once (servers that come back within that time serve it); counting what is being connected (a new connection to a sound server takes a few milliseconds).

--- a/forager/owner.go
+++ b/forager/owner.go
@@ -148,10 +148,11 @@
 	toldLoads bool
 }
 
-// due is a timer of brain's or the time limit of a call.
+// due is a timer of brain's, the time limit of a call, or of a search that was not offered.
 type due struct {
-	timer brain.TimerID
-	call  *call
+	timer     brain.TimerID
+	call      *call
+	unoffered *search
 }
 
 // figures that the platform states nowhere.
@@ -244,7 +245,9 @@
 			return
 		}
 		d := f.timers.Pop()
-		if d.call == nil {
+		if d.unoffered != nil {
+			f.unoffered(d.unoffered, now)
+		} else if d.call == nil {
 			f.handle(brain.TimerFired{Timer: d.timer})
 		} else if !d.call.over {
 			f.callEnded(d.call, brain.TimedOut, nil)
@@ -306,6 +309,7 @@
 	}
 	f.handle(ev)
 	f.awaits(s, f.now())
+	f.watchUnoffered(s, f.now())
 }
 
 // answer gives a search what is in.
