Experiment hollow: what control costs by servers, gatherers, control machines and routes

Hollow gatherers (questions for news) and servers (heartbeats) run by the hundred or thousand in one process and speak the real protocol to built control machines on loopback. Ruled out: real gatherers (a process each). Tests play the hollow nodes on the simulated network: all servers, changes, drainings and silences reach all, and the loss of a control machine costs none its work.

--- a/internal/lab/cli.go
+++ b/internal/lab/cli.go
@@ -148,7 +148,7 @@
 func newRun(stdout, stderr io.Writer, with func(func(*Archive) error) error) *cobra.Command {
 	var quick bool
 	var seed uint64
-	var program string
+	var program, sizes string
 	c := &cobra.Command{Use: "run EXPERIMENT", Short: "Play an experiment", Args: command.Words(1, "EXPERIMENT"), ValidArgs: Names(),
 		Long: "run plays an experiment and keeps its results. It ends with 1 at the first thing that the program did wrong,\n" +
 			"with 3 if the experiment itself could not be played.",
@@ -156,6 +156,7 @@
 	c.Flags().BoolVar(&quick, "quick", false, "at a scale that ends within 40 s")
 	c.Flags().Uint64Var(&seed, "seed", 1, "what data, searches and faults are drawn from")
 	c.Flags().StringVar(&program, "program", "", "the built gatherer; the one beside this tool if not given")
+	c.Flags().StringVar(&sizes, "sizes", "", "sizes of one's own, for experiments that take any (hollow)")
 	c.RunE = func(_ *cobra.Command, args []string) error {
 		x, known := experiments[args[0]]
 		if !known {
@@ -179,7 +180,7 @@
 		defer os.RemoveAll(dir)
 		r := newRecord(x.Name)
 		r.Seed, r.Quick, r.Program = seed, quick, strings.TrimSpace(string(version))
-		e := &Env{Seed: seed, Quick: quick, Program: program, Dir: dir, Record: r, Out: stderr}
+		e := &Env{Seed: seed, Quick: quick, Sizes: sizes, Program: program, Dir: dir, Record: r, Out: stderr}
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 		defer stop()
 		found := x.Run(ctx, e)
--- /dev/null
+++ b/internal/lab/hollow_test.go
@@ -0,0 +1,112 @@
+package lab
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oxbowspan/dance"
+	"oxbowspan/internal/colony"
+)
+
+// hollowSystem is three control machines on a simulated network, with hollow servers and gatherers round them.
+func hollowSystem(t *testing.T, servers, gatherers int, play func(c *colony.Colony, f *hollowFleet)) {
+	t.Helper()
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		c := colony.New(dir, 7, 3, 0)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			c.Stop()
+			time.Sleep(5 * time.Second)
+		}()
+		var control, inner []string
+		for _, m := range c.Hives {
+			control, inner = append(control, m.Control()), append(inner, net.JoinHostPort(m.IP, "7100"))
+		}
+		f := newHollowFleet(context.Background(), c.Meadow.Host("10.0.9.5"), control, inner, c.Beat)
+		defer f.end()
+		for c.Replace(c.Hives[0], 0, hollowConfig(1, 5)) != http.StatusOK {
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.addServers(servers, 5)
+		time.Sleep(3 * c.Beat)
+		f.addGatherers(gatherers, time.Second)
+		time.Sleep(3 * c.Beat)
+		play(c, f)
+	})
+}
+
+// Hollow servers are heard and hollow gatherers are told: all servers, each change, each draining, each silence.
+func TestHollowNodesHearAllNews(t *testing.T) {
+	const servers, gatherers = 12, 7
+	hollowSystem(t, servers, gatherers, func(c *colony.Colony, f *hollowFleet) {
+		if n := f.listLength.Load(); n != servers {
+			t.Errorf("the longest list holds %d servers of %d", n, servers)
+		}
+		if f.crowdBytes.Load() == 0 {
+			t.Error("no list of all gatherers came")
+		}
+		if f.unacked.Load() > 0 || f.abandoned.Load() > 0 {
+			t.Errorf("%d heartbeats were not acknowledged and %d questions given up on a calm system", f.unacked.Load(), f.abandoned.Load())
+		}
+		m := &hollowMeasure{}
+		m.changes(f, func(version uint64) bool {
+			return c.Replace(c.Hives[version%3], version-1, hollowConfig(version, 5)) == http.StatusOK
+		})
+		for what, r := range map[string]reach{"change": m.change, "draining": m.drain, "silence": m.silence} {
+			if r.missing > 0 || r.failed > 0 {
+				t.Errorf("%s: %s", what, r)
+			}
+		}
+		if m.change.all > 100 || m.drain.all > 100 {
+			t.Errorf("a change takes %v ms and a draining %v ms on a simulated network", m.change.all, m.drain.all)
+		}
+		beat := float64(c.Beat / time.Millisecond)
+		if m.silence.all < 3*beat || m.silence.all > 5*beat {
+			t.Errorf("a silence is everywhere after %v ms", m.silence.all)
+		}
+		if m.configIn < float64(len(hollowConfig(2, 5))) || m.serverIn < 30 {
+			t.Errorf("a gatherer is sent %v bytes for a change and %v for a draining", m.configIn, m.serverIn)
+		}
+	})
+}
+
+// A control machine that dies costs no hollow node its work.
+func TestHollowNodesGoOnToAnotherControlMachine(t *testing.T) {
+	hollowSystem(t, 9, 6, func(c *colony.Colony, f *hollowFleet) {
+		c.Hives[0].Kill(true)
+		time.Sleep(5 * time.Second)
+		a := f.await(func(n *dance.News) bool { return n.Version >= 2 })
+		if got := c.Replace(c.Hives[1], 1, hollowConfig(2, 5)); got != http.StatusOK {
+			t.Fatalf("the change is answered %d", got)
+		}
+		at := time.Now()
+		f.reached(a, 5*time.Second)
+		if took, missing := a.since(at); missing > 0 {
+			t.Errorf("the change came to %d gatherers of %d", len(took), len(f.gatherers))
+		}
+		for _, s := range f.servers {
+			s.turn.take()
+			if old := time.Since(s.ackedAt); old > 2*c.Beat {
+				t.Errorf("server %s was last acknowledged %v ago", s.id, old)
+			}
+			s.turn.give()
+		}
+	})
+}
+
+func TestReadSizes(t *testing.T) {
+	got, err := readSizes("3/300/30/50,5/1000/100/10")
+	if err != nil || len(got) != 2 || got[1] != (hollowSize{5, 1000, 100, 10}) {
+		t.Errorf("%v, %v", got, err)
+	}
+	if _, err := readSizes("3/300"); err == nil {
+		t.Error("a size that is cut short is read")
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -53,6 +53,7 @@
 type Env struct {
 	Seed    uint64
 	Quick   bool   // a scale that ends within 40 s
+	Sizes   string // sizes of one's own, for experiments that take any; "" = the experiment's
 	Program string // the built gatherer
 	Dir     string // for files; it goes when the run ends
 	Record  *Record
@@ -125,6 +126,13 @@
 	l.h.RecordValue(min(max(d.Microseconds(), 1), time.Minute.Microseconds()))
 }
 
+// reset forgets what was added.
+func (l *Latency) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.h.Reset()
+}
+
 // Record is what a run leaves in the archive.
 type Record struct {
 	ID         string             `json:"id"`
@@ -195,6 +203,14 @@
 
 // Latency keeps a latency record under a name.
 func (r *Record) Latency(name string, l *Latency) {
+	row := l.row(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Latencies = append(r.Latencies, row)
+}
+
+// row sums up what was added.
+func (l *Latency) row(name string) LatencyRow {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ms := func(q float64) float64 { return float64(l.h.ValueAtQuantile(q)) / 1000 }
@@ -202,9 +218,7 @@
 	for _, q := range []float64{0, 10, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99} {
 		row.Points = append(row.Points, [2]float64{q, ms(q)})
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.Latencies = append(r.Latencies, row)
+	return row
 }
 
 // Row adds a row to a table, which it makes where there is none yet.
