--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -23,7 +23,7 @@
 process, which speak the real protocol (questions for news, heartbeats) and do nothing else. For each size it records what a
 control machine spends (processor, memory, bytes in and out), what control costs a gatherer in bytes, how long an
 acknowledgement of a heartbeat takes, and how long a changed configuration, a draining and a silence take to reach every
-gatherer. Each size is played for a bounded time. The programs are those beside the gatherer. Sizes of one's own are written as
+gatherer. One real gatherer runs beside them: its memory and processor, calm and while servers restart. Each size is played for a bounded time. The programs are those beside the gatherer. Sizes of one's own are written as
 control/servers/gatherers/routes, with commas between.`, Run: runHollow})
 }
 
@@ -52,6 +52,8 @@
 	hollowReach     = 20 * time.Second
 	hollowIntervals = 3 // between heartbeats, until all is known
 	hollowTries     = 20
+	hollowRestarts  = 24                     // of servers,
+	hollowRestartAt = 250 * time.Millisecond // one in so long: each is news of its own
 )
 
 func runHollow(ctx context.Context, e *Env) error {
@@ -106,6 +108,16 @@
 	acked, unacked           int64
 	abandoned                int64
 	load                     float64 // of the whole machine, as the system tells it
+	real                     realGatherer
+	perRestart               float64 // processor seconds of a control machine for one server's restart
+}
+
+// realGatherer is what a real gatherer without clients spends.
+type realGatherer struct {
+	processor  float64 // cores, while nothing changes
+	perRestart float64 // processor seconds for one server's restart
+	memory     int64
+	peak       int64
 }
 
 // reach is how long news took to the gatherers, in milliseconds.
@@ -139,7 +151,7 @@
 // hollowOf plays one size.
 func (e *Env) hollowOf(ctx context.Context, name string, size hollowSize) (*hollowMeasure, error) {
 	conf := hollowConfig(1, size.routes)
-	sys, err := e.startSystem(name, size.control, 0, false, conf, func(*colony.Colony) {})
+	sys, err := e.startSystem(name, size.control, 1, false, conf, func(*colony.Colony) {})
 	if err != nil {
 		return nil, err
 	}
@@ -161,7 +173,11 @@
 	f.pause(hollowIntervals * f.beat)
 	f.addGatherers(size.gatherers, 2*time.Second)
 	f.pause(hollowIntervals*f.beat + 2*time.Second)
-	if err := m.calm(f, pids, time.Duration(e.Scale(4, 10))*time.Second); err != nil {
+	real := sys.gather[0].Process.Pid
+	if err := m.calm(f, pids, real, time.Duration(e.Scale(4, 10))*time.Second); err != nil {
+		return nil, err
+	}
+	if err := m.restarts(f, pids, real); err != nil {
 		return nil, err
 	}
 	order := func(version uint64) bool { // by any control machine, as an operator does
@@ -179,7 +195,7 @@
 }
 
 // calm measures what the control machines and gatherers spend while nothing changes.
-func (m *hollowMeasure) calm(f *hollowFleet, pids []int, last time.Duration) error {
+func (m *hollowMeasure) calm(f *hollowFleet, pids []int, real int, last time.Duration) error {
 	type spent struct{ cpu, wakes, in, out float64 }
 	read := func() ([]spent, error) {
 		all := make([]spent, len(pids))
@@ -201,6 +217,10 @@
 	if err != nil {
 		return err
 	}
+	realBefore, err := ReadUsage(real)
+	if err != nil {
+		return err
+	}
 	in, out := f.gathererBytes()
 	acked, unacked, abandoned := f.acked.Load(), f.unacked.Load(), f.abandoned.Load()
 	f.acks.reset()
@@ -211,6 +231,11 @@
 	if err != nil {
 		return err
 	}
+	realAfter, err := ReadUsage(real)
+	if err != nil {
+		return err
+	}
+	m.real = realGatherer{processor: (realAfter.CPU - realBefore.CPU).Seconds() / took, memory: realAfter.RSS, peak: realAfter.Peak}
 	m.load = loadAverage()
 	for i := range pids {
 		cpu := (after[i].cpu - before[i].cpu) / took
@@ -227,6 +252,42 @@
 	return nil
 }
 
+// restarts measures what the restart of a server costs a control machine and a real gatherer, beyond what they spend at rest.
+func (m *hollowMeasure) restarts(f *hollowFleet, pids []int, real int) error {
+	cpu := func() (control, gatherer float64, err error) {
+		for _, pid := range pids {
+			u, err := ReadUsage(pid)
+			if err != nil {
+				return 0, 0, err
+			}
+			control += u.CPU.Seconds() / float64(len(pids))
+		}
+		u, err := ReadUsage(real)
+		return control, u.CPU.Seconds(), err
+	}
+	control, gatherer, err := cpu()
+	if err != nil {
+		return err
+	}
+	began, n := time.Now(), 0
+	for i := range hollowRestarts {
+		if f.servers[(7*i+3)%len(f.servers)].restart() {
+			n++
+		}
+		f.pause(hollowRestartAt)
+	}
+	took := time.Since(began).Seconds()
+	controlNow, gathererNow, err := cpu()
+	if err != nil {
+		return err
+	}
+	m.perRestart = (controlNow - control - took*m.processor) / float64(max(n, 1))
+	m.real.perRestart = (gathererNow - gatherer - took*m.real.processor) / float64(max(n, 1))
+	u, err := ReadUsage(real)
+	m.real.memory, m.real.peak = max(m.real.memory, u.RSS), u.Peak
+	return err
+}
+
 // changes measures how long each kind of news takes to all gatherers, and its bytes.
 func (m *hollowMeasure) changes(f *hollowFleet, order func(version uint64) bool) {
 	for i := range hollowChanges {
@@ -332,6 +393,9 @@
 		strconv.FormatInt(m.crowdBytes, 10), strconv.FormatInt(m.abandoned, 10))...)
 	r.Row("Milliseconds to half and to all gatherers, the worst of a few", append(head, "change acknowledged", "draining acknowledged", "last heartbeat of one that fell silent"),
 		append(row, m.change.String(), m.drain.String(), m.silence.String())...)
+	r.Row("A real gatherer without clients, and the restart of a server", append(head, "gatherer: cores", "MB held", "at its peak", "ms of processor a restart",
+		"control machine: ms of processor a restart"), append(row, text(m.real.processor, 4), text(float64(m.real.memory)/1e6, 0), text(float64(m.real.peak)/1e6, 0),
+		text(1000*m.real.perRestart, 1), text(1000*m.perRestart, 1))...)
 	r.Figure(size.String()+": cores of a control machine", m.processor)
 	r.Figure(size.String()+": bytes in and out of a control machine a second", m.in+m.out)
 	r.Figure(size.String()+": bytes held by a control machine", float64(m.memory))
--- a/internal/lab/hollow_nodes.go
+++ b/internal/lab/hollow_nodes.go
@@ -190,8 +190,8 @@
 		f.lanes = append(f.lanes, &lane{f: f, turn: newToken(), at: i % len(f.control), net: countedNetwork{f.net, &counter{}}})
 	}
 	for i := range n {
-		s := &hollowServer{f: f, turn: newToken(), lane: f.lanes[i%lanes], id: fmt.Sprintf("i-%08x", rand.Uint32()), service: f.service(i),
-			address: fmt.Sprintf("10.%d.%d.%d:8080", 64+i>>16, i>>8&255, i&255), zone: "zone-" + strconv.Itoa(i%3)}
+		s := &hollowServer{f: f, turn: newToken(), lane: f.lanes[i%lanes], id: instanceID(), service: f.service(i),
+			address: fmt.Sprintf("127.%d.%d.%d:8080", 250+i>>16, i>>8&255, i&255), zone: "zone-" + strconv.Itoa(i%3)}
 		f.servers = append(f.servers, s)
 		f.wg.Go(func() {
 			if f.pause(f.beat * time.Duration(i) / time.Duration(n)) {
@@ -217,7 +217,7 @@
 
 // hollowSelf draws a new life at a gatherer's address.
 func hollowSelf(no int) *dance.Forager {
-	return &dance.Forager{Life: rand.Uint64() | 1, Address: fmt.Sprintf("10.32.%d.%d:7101", no>>8, no&255), Zone: "zone-" + strconv.Itoa(no%3)}
+	return &dance.Forager{Life: rand.Uint64() | 1, Address: fmt.Sprintf("127.249.%d.%d:7101", no>>8, no&255), Zone: "zone-" + strconv.Itoa(no%3)}
 }
 
 // run asks for news until the fleet ends.
@@ -418,6 +418,18 @@
 	return s.heartbeat()
 }
 
+// restart signs the server's life off and begins another at its address. It tells whether both were acknowledged.
+func (s *hollowServer) restart() bool {
+	s.turn.take()
+	_, ok := s.lane.post("/-/instances/"+s.id+"/sign-off", []byte("{}"))
+	s.id, s.sequence, s.draining, s.silent = instanceID(), 0, false, false
+	s.turn.give()
+	_, acked := s.heartbeat()
+	return ok && acked
+}
+
+func instanceID() string { return fmt.Sprintf("i-%08x", rand.Uint32()) }
+
 // fallSilent ends the heartbeats and returns when the last one was acknowledged.
 func (s *hollowServer) fallSilent() time.Time {
 	s.turn.take()
--- /dev/null
+++ b/kin/kin_bench_test.go
@@ -0,0 +1,37 @@
+package kin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What a gatherer spends on naming others and holders, by number of gatherers, for docs/CAPACITY.md:
+//
+//	go test -run xxx -bench . -benchmem ./kin
+
+func benchNames(kind string, n int) (out []Name) {
+	for i := range n {
+		out = append(out, Name(fmt.Sprintf("%s-%d", kind, i)))
+	}
+	return out
+}
+
+func BenchmarkKin(b *testing.B) {
+	for _, n := range []int{100, 1000, 3300} {
+		all, servers := benchNames("gatherer", n), benchNames("server", 72)
+		run := func(name string, what func()) {
+			b.Run(fmt.Sprintf("%s/gatherers=%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					what()
+				}
+			})
+		}
+		run("watched", func() { Watched(all[0], all, Few) })
+		run("holder", func() { Holder("server-1", all) })
+		run("seats at 72 servers of 280 connections", func() { Seated(all[0], all, servers, Seats(280)) })
+		d := NewDuties(all[0])
+		run("told of all", func() { d.Told(all, time.Second) })
+	}
+}
--- /dev/null
+++ b/waggle/table_bench_test.go
@@ -0,0 +1,84 @@
+package waggle
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What a holder of reports spends, by number of servers, for docs/CAPACITY.md:
+//
+//	go test -run xxx -bench Table -benchmem ./waggle
+
+const benchBeat = 1200 * time.Millisecond
+
+var benchSizes = []int{1000, 10_000, 96_000}
+
+// benchTable is a table of so many servers that were all heard a moment ago.
+func benchTable(servers int) (*Table, []Report, time.Duration) {
+	t, all, now := NewTable(benchBeat), make([]Report, servers), time.Hour
+	for i := range all {
+		all[i] = Report{Instance: InstanceID(fmt.Sprintf("i-%08x", i)), Service: ServiceID(fmt.Sprint("service-", i/8)),
+			Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255), Zone: "zone-1", Version: "v1", Slots: 3, Sequence: 1, HeardAt: now}
+		t.Take(all[i], "")
+	}
+	return t, all, now
+}
+
+func BenchmarkTable(b *testing.B) {
+	for _, servers := range benchSizes {
+		t, all, now := benchTable(servers)
+		next := 0
+		heartbeat := func() {
+			i := next % servers
+			next++
+			all[i].Sequence++
+			t.Take(all[i], "")
+		}
+		run := func(name string, what func()) {
+			b.Run(fmt.Sprintf("%s/servers=%d", name, servers), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					what()
+				}
+			})
+		}
+		run("heartbeat", heartbeat)
+		run("heartbeat and what it changed", func() { // as a control machine takes one: Changed looks at all
+			before := t.Cursor()
+			heartbeat()
+			t.Changed(before)
+		})
+		run("what changed since the last heartbeat", func() { t.Changed(t.Cursor() - 1) })
+		run("what a hundredth of the heartbeats told", func() {
+			after := t.Cursor()
+			for range servers / 100 {
+				heartbeat()
+			}
+			t.Heard(after, "other", func(string) bool { return false })
+		})
+		run("whole list", func() { t.Changed(0) })
+		run("tidy", func() { t.Tidy(now) })
+		run("digests", func() { t.Digests() })
+		run("range", func() { t.Range(3) })
+		run("first heard", func() { // succeeds looks at all for one at its address
+			r := all[0]
+			r.Instance, r.Address = InstanceID(fmt.Sprint("new-", next)), fmt.Sprint("new-", next)
+			next++
+			t.Take(r, "")
+			delete(t.reports, r.Instance)
+		})
+	}
+}
+
+// BenchmarkTableMemory tells the bytes that a table holds for each server.
+func BenchmarkTableMemory(b *testing.B) {
+	for _, servers := range benchSizes {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				benchTable(servers)
+			}
+		})
+	}
+}
