Hollow run ends when it is broken off

Cause: broken off by a signal, a run waited without a bound for a hollow gatherer that had already ended (seen in its goroutines). Ruled out: the control processes.

--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -52,6 +52,7 @@
 	hollowReach     = 20 * time.Second
 	hollowIntervals = 3 // between heartbeats, until all is known
 	hollowTries     = 20
+	hollowReplace   = 3 * time.Second // until a gatherer that took another's place is known to all
 	hollowRestarts  = 24                     // of servers,
 	hollowRestartAt = 250 * time.Millisecond // one in so long: each is news of its own
 )
@@ -325,8 +326,11 @@
 	}
 	for range hollowChanges {
 		m.replacedIn = max(m.replacedIn, f.sentFor(func() {
-			f.gatherers[0].replace <- struct{}{}
-			f.pause(3 * time.Second)
+			select {
+			case f.gatherers[0].replace <- struct{}{}:
+			case <-f.ctx.Done():
+			}
+			f.pause(hollowReplace)
 		}))
 	}
 	m.listBytes, m.listLength, m.crowdBytes = f.listBytes.Load(), f.listLength.Load(), f.crowdBytes.Load()
