--- a/forager/unoffered.go
+++ b/forager/unoffered.go
@@ -12,6 +12,7 @@
 	unofferedShare = 0.25
 	clientTravel   = 8 * time.Millisecond // of the share, for the ways from and to the client
 	leastUnoffered = 5 * time.Millisecond
+	callsAwaited   = 2 // of each server, by a gatherer that has just begun: it may hear of servers at any moment
 )
 
 // unofferedAfter is how long a request to a route may wait for its first offer.
@@ -37,12 +38,15 @@
 	f.timers.Push(int64(now+unofferedAfter(s.route)), due{unoffered: s})
 }
 
+// begins tells whether this gatherer has begun so lately that it need not know all servers yet.
+func (f *Forager) begins(now brain.Time) bool { return now < ticks(callsAwaited*f.set.Beat()) }
+
 // unoffered gives up a search that nobody could be offered: no server can be asked, and brain waits for one to come back.
 func (f *Forager) unoffered(s *search, now brain.Time) {
 	was, mayBe := s.offered()
 	switch {
 	case s.over || was:
-	case mayBe:
+	case mayBe || f.begins(now):
 		f.watchUnoffered(s, now)
 	default:
 		f.handle(brain.SearchLeft{Search: s.id})
