--- a/forager/unoffered.go
+++ b/forager/unoffered.go
@@ -31,7 +31,9 @@
 	if s.over {
 		return
 	}
-	switch s.offered().Judge() {
+	wait := s.offered()
+	wait.Fresh = offer.Fresh(span(now), f.set.Beat())
+	switch wait.Judge() {
 	case offer.LookAgain:
 		f.watchUnoffered(s, now)
 	case offer.GiveUp:
--- a/offer/offer.go
+++ b/offer/offer.go
@@ -9,8 +9,14 @@
 	heldShare    = 0.25
 	clientTravel = 8 * time.Millisecond // of the share, for the ways from and to the client
 	leastHeld    = 5 * time.Millisecond
+	callsAwaited = 2 // heartbeats of each server, by a gatherer that has just begun: it may hear of servers at any moment
 )
 
+// Fresh tells whether a gatherer that has run for some time need not know all servers yet, as each calls once in an interval.
+func Fresh(running, heartbeatInterval time.Duration) bool {
+	return running < callsAwaited*heartbeatInterval
+}
+
 // HoldLimit is how long a request with a latency target may wait for its first offer. One without a target has no such limit.
 func HoldLimit(target time.Duration) (limit time.Duration, limited bool) {
 	if target <= 0 {
@@ -23,6 +29,7 @@
 type Wait struct {
 	Offered bool // a connection has carried a part
 	Pending bool // a connection is being made for a part, or one waits for its turn
+	Fresh   bool // its gatherer has just begun
 }
 
 // Verdict is what becomes of a request whose limit is over.
@@ -40,7 +47,7 @@
 	switch {
 	case w.Offered:
 		return Served
-	case w.Pending:
+	case w.Pending || w.Fresh:
 		return LookAgain
 	}
 	return GiveUp
--- a/offer/offer_test.go
+++ b/offer/offer_test.go
@@ -19,9 +19,16 @@
 }
 
 func TestOnlyWhatNobodyCanBeOfferedIsGivenUp(t *testing.T) {
-	for wait, want := range map[Wait]Verdict{{}: GiveUp, {Pending: true}: LookAgain, {Offered: true}: Served, {true, true}: Served} {
+	for wait, want := range map[Wait]Verdict{{}: GiveUp, {Pending: true}: LookAgain, {Offered: true}: Served, {Offered: true, Pending: true, Fresh: true}: Served, {Fresh: true}: LookAgain} {
 		if got := wait.Judge(); got != want {
 			t.Errorf("%+v: %d, want %d", wait, got, want)
 		}
 	}
 }
+
+func TestAGathererIsFreshForTwoHeartbeats(t *testing.T) {
+	interval := 1200 * time.Millisecond
+	if !Fresh(0, interval) || !Fresh(2*interval-1, interval) || Fresh(2*interval, interval) {
+		t.Error("fresh for another time than two intervals")
+	}
+}
