A call older than what the value remembers is unclear, not refused

Cause: the fate of an order was found among the last 128 versions (notes: 16); one that was taken and is sent again after more changes was refused, though it is agreed. The rule is now worked out from two facts: versions rise, and each names its base. A call is refused only where it can neither have been agreed nor be agreed later; one below the horizon, or on a base that is not there yet (a copy may be on its way when the base comes), is Unclear. The window in the value goes from 128 to 32 entries, as it goes along in every vote. A note is held against the configuration only where it would be new. Changed test: notes_test.go names the fields of NoteCall, which has one more.

--- a/swarm/model_test.go
+++ b/swarm/model_test.go
@@ -15,27 +15,48 @@
 type mistake int
 
 const (
-	none              mistake = iota
-	toldBeforeStored          // an answer is sent before it is on the disk
-	wipedKeepsName            // an emptied disk votes under its old identity
-	ballotsAgain              // a proposer that starts again uses the ballots of its life before
-	promisesForgotten         // an acceptor votes for ballots below what it promised
-	promisesLate              // a promise does not tell the vote that was cast
-	seatsAtOnce               // a set changes without a majority of the one before
-	twoSeatsAtOnce            // two members are exchanged in one turn, with no majority of the one before
-	votesAsDecided            // a vote that was cast is taken for decided
-	readUnproved              // what a majority promised is taken for decided without votes
-	strangerPromises          // an answer of another disk counts as that of the one asked
-	lowerVoteWins             // of two votes the one with the lower ballot is taken for the newest
-	outrunFirst               // a call sent again is held against the version in place before its fate is looked for
-	fatesForgotten            // a new configuration drops what is known of those before
-	refusedUndecided          // a call is refused beside a value that may yet lose
+	none                mistake = iota
+	toldBeforeStored            // an answer is sent before it is on the disk
+	wipedKeepsName              // an emptied disk votes under its old identity
+	ballotsAgain                // a proposer that starts again uses the ballots of its life before
+	promisesForgotten           // an acceptor votes for ballots below what it promised
+	promisesLate                // a promise does not tell the vote that was cast
+	seatsAtOnce                 // a set changes without a majority of the one before
+	twoSeatsAtOnce              // two members are exchanged in one turn, with no majority of the one before
+	votesAsDecided              // a vote that was cast is taken for decided
+	readUnproved                // what a majority promised is taken for decided without votes
+	strangerPromises            // an answer of another disk counts as that of the one asked
+	lowerVoteWins               // of two votes the one with the lower ballot is taken for the newest
+	outrunFirst                 // a call sent again is held against the version in place before its fate is looked for
+	fatesForgotten              // a new configuration drops what is known of those before
+	refusedUndecided            // a call is refused beside a value that may yet lose
+	refusedBelowHorizon         // a call older than all that the value remembers is refused
+	refusedAboveNewest          // a call on a version that is not there yet is refused, and a copy of it is still on its way
+	missingRefused              // a call older than all that the value remembers is refused where the ledger does not hold it
+	ledgerOfVotes               // the ledger is filled from votes
+	ledgerByVersion             // the ledger is asked for the version without the digest
+	windowByVersion             // the value is asked for the version without the digest
+	fitFirst                    // a note is held against the configuration that the machine knows before its fate is looked for
 )
 
 // call is an operator's, as it knows it.
 type call struct {
 	Call
-	taken, refused bool // answered so
+	note           *NoteCall // nil = it is a configuration
+	taken, refused bool      // answered so, for good
+}
+
+// agreedKey is a version of the configuration, or of a note, that was agreed.
+type agreedKey struct {
+	note string
+	past Past
+}
+
+func (c *call) key() agreedKey {
+	if c.note != nil {
+		return agreedKey{c.note.Name, c.note.past()}
+	}
+	return agreedKey{past: c.past()}
 }
 
 type machine struct {
@@ -47,6 +68,13 @@
 	life    ProposerID
 	number  uint64
 	rounds  []*running
+	ledger  Ledger
+}
+
+// learn has a machine know a value, and its ledger hold it.
+func (m *machine) learn(v *Value) {
+	m.known = v
+	m.ledger.Learn(v)
 }
 
 type running struct {
@@ -77,11 +105,18 @@
 	lives    uint64
 	version  Version
 	calls    []*call
+	agreed   map[agreedKey]bool
+	orders   bool // many calls, many sent again; values remember little
+	fromBook int  // calls that a ledger knew and the value did not
+	unclear  int  // calls that neither knew
 	broken   string
 }
 
+// remembered is how many versions a value remembers besides its own, in a world of orders.
+const remembered = 1
+
 func newWorld(seed uint64, n int, planted mistake) *world {
-	w := &world{r: rand.New(rand.NewPCG(seed, uint64(n))), planted: planted, decided: map[Turn]*Value{}}
+	w := &world{r: rand.New(rand.NewPCG(seed, uint64(n))), planted: planted, decided: map[Turn]*Value{}, agreed: map[agreedKey]bool{}}
 	var members []Member
 	for i := range n {
 		a := fmt.Sprint("m", i)
@@ -97,7 +132,7 @@
 }
 
 func (w *world) start(m *machine) {
-	m.state, m.up, m.known, m.rounds = m.disk, true, w.genesis, nil
+	m.state, m.up, m.known, m.rounds, m.ledger = m.disk, true, w.genesis, nil, Ledger{}
 	if v := m.disk.Value; v != nil && v.Turn > 0 {
 		m.known = &Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
 	}
@@ -130,6 +165,9 @@
 	switch k := w.r.IntN(100); {
 	case k < 6 && m.up:
 		w.begin(m)
+	case w.orders && k < 12 && m.up && len(m.rounds) < 4:
+		w.begin(m)
+	case w.orders && k < 14 && w.r.IntN(8) > 0:
 	case k < 8 || k < 24 && w.planted == ballotsAgain: // it crashes and starts again
 		w.start(m)
 	case k < 9 && w.whole(): // its disk is emptied
@@ -159,7 +197,14 @@
 	change := Change(func(v *Value) *Value { return v })
 	run := &running{m: m}
 	self := Member{m.disk.ID, m.address}
-	switch w.r.IntN(3) {
+	kind := w.r.IntN(3)
+	if w.orders {
+		kind = 3 + w.r.IntN(4)/3
+	}
+	switch kind {
+	case 3, 4:
+		run.call = w.order(m, kind == 4)
+		change = func(v *Value) *Value { return w.meet(run, v) }
 	case 0:
 		// A new call on top of what this machine knows, or one that had no clear answer, sent again here.
 		if open := slices.DeleteFunc(slices.Clone(w.calls), func(c *call) bool { return c.refused }); len(open) > 0 && w.r.IntN(4) == 0 {
@@ -211,6 +256,7 @@
 			}
 		}
 	}
+	m.rounds = slices.DeleteFunc(m.rounds, func(o *running) bool { _, lost := o.r.Lost(); return w.orders && lost })
 	if w.planted == votesAsDecided && m.state.Value != nil && m.state.Value.Turn > m.known.Turn {
 		m.known = m.state.Value
 		w.decide(m.known)
@@ -259,6 +305,9 @@
 		if back.OK {
 			w.store(n.to, next)
 		}
+		if back.OK && w.planted == ledgerOfVotes {
+			n.to.ledger.Learn(a.Value)
+		}
 		w.notes = append(w.notes, note{answer: &back, back: n.back})
 	case !slices.Contains(n.back.m.rounds, n.back):
 	case n.promise != nil:
@@ -281,12 +330,15 @@
 		if n.back.r.Accepted(*n.answer) {
 			v := n.back.r.Proposal()
 			w.decide(v)
+			if v.Turn >= n.back.m.known.Turn {
+				n.back.m.learn(v)
+			}
 			if n.back.r.Asked() && v.Settled() {
 				w.answered(n.back)
 			}
 			for _, m := range w.machines { // some are told
-				if (m == n.back.m || w.r.IntN(2) == 0) && m.up && v.Turn >= m.known.Turn {
-					m.known = v
+				if w.r.IntN(2) == 0 && m.up && v.Turn >= m.known.Turn {
+					m.learn(v)
 				}
 			}
 			n.back.m.rounds = slices.DeleteFunc(n.back.m.rounds, func(o *running) bool { return o == n.back })
@@ -309,28 +361,127 @@
 	}
 }
 
+// order is a new call of one of two operators, or one of any age that comes again: one without a clear answer that is sent
+// again, or a copy of any call that was long on its way.
+func (w *world) order(m *machine, note bool) *call {
+	if len(w.calls) > 0 && w.r.IntN(2) == 0 {
+		if w.r.IntN(2) == 0 {
+			return w.calls[len(w.calls)-1-w.r.IntN(min(len(w.calls), 4))]
+		}
+		return w.calls[w.r.IntN(len(w.calls))]
+	}
+	w.version++
+	digest := fmt.Sprint("d", w.version)
+	c := &call{}
+	switch {
+	case note:
+		parity := w.version % 2
+		c.note = &NoteCall{Name: "note", BasedOn: m.known.Note("note").Version, Digest: digest,
+			Fits: func(v *Value) bool { return v.Version/10%2 == parity }}
+	default:
+		c.Call = Call{Version: m.known.Version + 10 + Version(w.r.IntN(3)), BasedOn: m.known.Version, Digest: digest}
+		if w.r.IntN(8) == 0 { // on top of one whose answer is still to come
+			c.BasedOn = c.Version
+			c.Version += 10
+		}
+	}
+	w.calls = append(w.calls, c)
+	return c
+}
+
+// meet has a round's call meet the newest value, with what is planted.
+func (w *world) meet(run *running, v *Value) (next *Value) {
+	c := run.call
+	if c.note == nil {
+		next, run.fate = c.Meet(v)
+		belowHorizon := run.fate == Unclear && c.BasedOn < v.Version
+		aboveNewest := run.fate == Unclear && c.BasedOn > v.Version
+		sameVersion := slices.ContainsFunc(v.Agreed(), func(p Past) bool { return p.Version == c.Version })
+		switch {
+		case w.planted == refusedBelowHorizon && belowHorizon, w.planted == refusedAboveNewest && aboveNewest:
+			run.fate = Outrun
+		case w.planted == windowByVersion && sameVersion:
+			next, run.fate = v, Taken
+		}
+		if next != v {
+			next.Past = next.Past[max(0, len(next.Past)-remembered):]
+		}
+		return next
+	}
+	if w.planted == fitFirst && run.m.known != w.genesis && !c.note.Fits(run.m.known) {
+		run.fate = Unfit
+		return v
+	}
+	next, _, run.fate = c.note.Meet(v)
+	if next != v {
+		i := slices.IndexFunc(next.Notes, func(n Note) bool { return n.Name == c.note.Name })
+		n := &next.Notes[i]
+		n.Past = n.Past[max(0, len(n.Past)-remembered):]
+	}
+	return next
+}
+
+// recall asks a machine's ledger for a call whose fate the value does not tell.
+func (w *world) recall(run *running) Fate {
+	c := run.call
+	holds := func(c *call) bool {
+		if c.note != nil {
+			return run.m.ledger.HoldsNote(*c.note)
+		}
+		return run.m.ledger.HoldsCall(c.Call)
+	}
+	found := holds(c)
+	if w.planted == ledgerByVersion && c.note == nil {
+		found = slices.ContainsFunc(w.calls, func(o *call) bool { return o.note == nil && o.Version == c.Version && holds(o) })
+	}
+	switch {
+	case found:
+		w.fromBook++
+		return Taken
+	case w.planted == missingRefused && c.note == nil && c.BasedOn < run.m.known.Version:
+		return Outrun
+	}
+	w.unclear++
+	return Unclear
+}
+
 // answered has an operator hear what became of a call.
 func (w *world) answered(run *running) {
 	c := run.call
 	if c == nil {
 		return
 	}
-	c.taken, c.refused = c.taken || run.fate == Taken, c.refused || run.fate != Taken
+	if run.fate == Unclear {
+		run.fate = w.recall(run)
+	}
+	switch run.fate {
+	case Taken:
+		c.taken = true
+	case Unclear:
+	case Unfit: // for now: another configuration may come that it fits
+		if w.agreed[c.key()] && w.broken == "" {
+			w.broken = fmt.Sprintf("version %d of the note was agreed and is refused", c.key().past.Version)
+		}
+	default:
+		c.refused = true
+	}
 	w.fates(c)
+	for _, o := range w.calls {
+		if o != c && o.taken && c.taken && (o.note == nil) == (c.note == nil) && o.key().past.BasedOn == c.key().past.BasedOn && w.broken == "" {
+			w.broken = fmt.Sprintf("two changes on version %d are both acknowledged", c.key().past.BasedOn)
+		}
+	}
 }
 
 // fates holds a call's answers against what was decided.
 func (w *world) fates(c *call) {
-	inForce := false
-	for _, v := range w.decided {
-		inForce = inForce || v.Digest == c.Digest
-	}
+	agreed := w.agreed[c.key()]
 	switch {
 	case w.broken != "":
-	case c.refused && inForce:
-		w.broken = fmt.Sprintf("version %d was refused and is agreed", c.Version)
-	case c.taken && !inForce:
-		w.broken = fmt.Sprintf("version %d was acknowledged and is not agreed", c.Version)
+	case c.refused && agreed:
+		w.broken = fmt.Sprintf("version %d was refused and is agreed", c.key().past.Version)
+	case c.taken && !agreed:
+		w.broken = fmt.Sprintf("version %d was acknowledged and is not agreed", c.key().past.Version)
 	}
 }
 
@@ -347,11 +498,19 @@
 			w.broken = fmt.Sprintf("turn %d follows another set than that of the turn before", v.Turn)
 		case v.Digest != before.Digest && v.BasedOn != before.Version:
 			w.broken = fmt.Sprintf("turn %d: version %d is based on %d, %d was in place", v.Turn, v.Version, v.BasedOn, before.Version)
-		case v.Digest != before.Digest && before.Digest != "" && !v.Fate(before.Version, before.BasedOn, before.Digest):
+		case v.Digest != before.Digest && before.Digest != "" && !slices.Contains(v.Agreed(), Call{before.Version, before.BasedOn, before.Digest, nil}.past()):
 			w.broken = fmt.Sprintf("turn %d has forgotten version %d", v.Turn, before.Version)
 		}
 	}
 	w.decided[v.Turn] = v
+	for _, p := range v.Agreed() {
+		w.agreed[agreedKey{past: p}] = true
+	}
+	for _, n := range v.Notes {
+		for _, p := range n.Agreed() {
+			w.agreed[agreedKey{n.Name, p}] = true
+		}
+	}
 	for _, c := range w.calls {
 		w.fates(c)
 	}
@@ -405,6 +564,63 @@
 	}
 }
 
+// playOrders plays a world of orders.
+func playOrders(seed uint64, steps int, planted mistake) *world {
+	w := newWorld(seed, 3+2*int(seed%2), planted)
+	w.orders = true
+	for range steps {
+		if w.step(); w.broken != "" {
+			break
+		}
+	}
+	return w
+}
+
+// Calls of two operators, many of them under one number and many on one base, sent to all machines at once, sent again at any
+// age, with copies that were long on their way: each is agreed once or never, acknowledged only if it is agreed, refused only
+// if it never is, and of two on one base one at most is acknowledged.
+func TestOrdersAndTheirCopies(t *testing.T) {
+	versions, fromBook, unclear, both := 0, 0, 0, 0
+	for seed := range uint64(1000) {
+		w := playOrders(seed, 2500, none)
+		if w.broken != "" {
+			t.Fatalf("seed %d: %s", seed, w.broken)
+		}
+		versions, fromBook, unclear = versions+len(w.agreed), fromBook+w.fromBook, unclear+w.unclear
+		bases := map[agreedKey]int{}
+		for _, c := range w.calls {
+			bases[agreedKey{c.key().note, Past{Version: c.key().past.Version, BasedOn: c.key().past.BasedOn}}]++
+		}
+		for _, n := range bases {
+			if n > 1 {
+				both++
+			}
+		}
+	}
+	t.Logf("%d versions agreed, %d calls found in ledgers, %d unclear, %d numbers given twice", versions, fromBook, unclear, both)
+	if versions < 3000 || fromBook < 30 || unclear < 600 || both < 3000 {
+		t.Fatal("too few to tell")
+	}
+}
+
+func TestPlantedMistakesWithOrdersAreFound(t *testing.T) {
+	for name, m := range map[string]mistake{"refused below the horizon": refusedBelowHorizon, "refused above the newest": refusedAboveNewest,
+		"what the ledger lacks is refused": missingRefused, "a ledger filled from votes": ledgerOfVotes, "a ledger without digests": ledgerByVersion,
+		"a window without digests": windowByVersion, "whether it fits comes before its fate": fitFirst} {
+		found := false
+		for seed := range uint64(3000) {
+			if w := playOrders(seed, 2500, m); w.broken != "" {
+				t.Logf("%s: seed %d: %s", name, seed, w.broken)
+				found = true
+				break
+			}
+		}
+		if !found {
+			t.Errorf("%s: no check finds it", name)
+		}
+	}
+}
+
 // Rounds end: with no messages lost, each round decides or is ended by a higher ballot.
 func TestARoundAloneDecides(t *testing.T) {
 	w := newWorld(1, 3, none)
--- a/swarm/notes_test.go
+++ b/swarm/notes_test.go
@@ -17,7 +17,7 @@
 		v = next
 	}
 	call := func(name string, basedOn Version, text string) (Version, Fate) {
-		next, at, fate := NoteCall{name, basedOn, "d" + text, []byte(text)}.Meet(v)
+		next, at, fate := NoteCall{Name: name, BasedOn: basedOn, Digest: "d" + text, Body: []byte(text)}.Meet(v)
 		if next != v {
 			step(next)
 		}
--- a/swarm/types.go
+++ b/swarm/types.go
@@ -43,8 +43,9 @@
 	Digest           string
 }
 
-// KeptPasts is how many agreed configurations a value remembers besides its own, so that a call sent again finds its fate.
-const KeptPasts = 128
+// KeptPasts is how many agreed configurations a value remembers besides its own: those within can be told from others that
+// lost. They go along in every vote; a Ledger remembers more.
+const KeptPasts = 32
 
 // Value is what is agreed on at one turn.
 type Value struct {
@@ -83,11 +84,8 @@
 // WithNote returns the value of the next turn with a note changed. The value must be settled.
 func (v *Value) WithNote(name, digest string, body []byte) *Value {
 	old := v.Note(name)
-	note := Note{name, old.Version + 1, digest, body, old.Past}
-	if old.Version > 0 {
-		note.Past = append(slices.Clone(old.Past), Past{old.Version, old.Version - 1, old.Digest})
-		note.Past = note.Past[max(0, len(note.Past)-KeptNotes):]
-	}
+	past := old.Agreed()
+	note := Note{name, old.Version + 1, digest, body, past[max(0, len(past)-KeptNotes):]}
 	next := v.Settle()
 	next.Notes = slices.DeleteFunc(slices.Clone(v.Notes), func(n Note) bool { return n.Name == name })
 	next.Notes = append(next.Notes, note)
@@ -106,20 +104,26 @@
 	})
 }
 
-// Fate tells whether a configuration is this value's or was agreed on before it.
-func (v *Value) Fate(version, basedOn Version, digest string) bool {
-	p := Past{version, basedOn, digest}
-	return v.Digest != "" && Past{v.Version, v.BasedOn, v.Digest} == p || slices.Contains(v.Past, p)
+// Agreed is the configurations that the value remembers, the oldest first, its own last.
+func (v *Value) Agreed() []Past {
+	if v.Digest == "" {
+		return v.Past
+	}
+	return append(slices.Clone(v.Past), Past{v.Version, v.BasedOn, v.Digest})
+}
+
+// Agreed is the versions that the note remembers, the oldest first, its own last.
+func (n Note) Agreed() []Past {
+	if n.Version == 0 {
+		return n.Past
+	}
+	return append(slices.Clone(n.Past), Past{n.Version, n.Version - 1, n.Digest})
 }
 
 // WithConfig returns the value of the next turn with another configuration. The value must be settled.
 func (v *Value) WithConfig(version, basedOn Version, digest string, body []byte) *Value {
-	next := &Value{v.Turn + 1, v.Members, v.Members, version, basedOn, digest, body, v.Past, v.Notes}
-	if v.Digest != "" {
-		next.Past = append(slices.Clone(v.Past), Past{v.Version, v.BasedOn, v.Digest})
-		next.Past = next.Past[max(0, len(next.Past)-KeptPasts):]
-	}
-	return next
+	past := v.Agreed()
+	return &Value{v.Turn + 1, v.Members, v.Members, version, basedOn, digest, body, past[max(0, len(past)-KeptPasts):], v.Notes}
 }
 
 // WithMembers returns the value of the next turn with another set of acceptors. The value must be settled.
