Orders and documents: their fate first, unclear where it is not known

Cause: a document of tenants was held against the configuration that the machine remembered, before its fate was looked for: one that was taken and is sent again after another configuration got 400; an order older than what the value remembers got 412. Documents are now held against the configuration of the value that the round found, and only where they would be new. An order whose fate the value does not tell is looked up in this machine's ledger, filled by learn from decided values: found is 200, else 503. A body that was cut off on its way is answered 408 (send it again) rather than 400, as another copy of it may have been agreed; one that is too long 413. NotAbove names the base. Ruled out: an answer 412 for an order on a version that is not in place yet: a copy on its way would be agreed once that version is.

--- a/hive/calls.go
+++ b/hive/calls.go
@@ -33,7 +33,7 @@
 	mux.HandleFunc("POST /-/instances/{id}/sign-off", instances.signOff)
 	mux.HandleFunc("POST /-/configuration/replace", configuration.replace)
 	mux.HandleFunc("GET /-/configuration/read", configuration.read)
-	tenants := &noteCalls{h, comb.TenantsNote, checkTenants}
+	tenants := &noteCalls{h, comb.TenantsNote, checkTenants, unfitTenants}
 	mux.HandleFunc("POST /-/tenants/replace", tenants.replace)
 	mux.HandleFunc("GET /-/tenants/read", tenants.read)
 	views := &viewCalls{h}
@@ -44,7 +44,7 @@
 	mux.HandleFunc("GET /-/events/read", views.events)
 	figures := &figureCalls{h}
 	mux.HandleFunc("GET /-/tenants/explain", figures.tenants)
-	pins := &noteCalls{h, comb.PinsNote, checkPins}
+	pins := &noteCalls{h, comb.PinsNote, checkPins, fitsAny}
 	mux.HandleFunc("POST /-/pins/replace", pins.replace)
 	mux.HandleFunc("GET /-/pins/read", pins.read)
 	mux.HandleFunc("GET /-/judgement/explain", figures.judgement)
@@ -162,13 +162,66 @@
 // configurationCalls are what the operator wants.
 type configurationCalls struct{ h *Hive }
 
-func (c *configurationCalls) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configBytes))
+// readOrder reads the body of an order and the version that it builds on. A body that was cut off on its way says nothing
+// of the order: another copy of it may have been agreed, so that it is not refused for good.
+func readOrder(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, basedOn swarm.Version, ok bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		refuse(w, http.StatusRequestEntityTooLarge, "the document is longer than "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, 0, false
+	case err != nil:
+		refuse(w, http.StatusRequestTimeout, "the document did not come whole: send it again")
+		return nil, 0, false
+	}
+	version, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, "the configuration's body can't be read whole")
+		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
+		return nil, 0, false
+	}
+	return body, swarm.Version(version), true
+}
+
+// orderLimit is how long an order may take: a long one is sent to others, and stored, for longer.
+func orderLimit(body []byte) time.Duration {
+	return agreeLimit + time.Duration(len(body)/1000)*time.Millisecond
+}
+
+func digestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return string(sum[:])
+}
+
+// recallFate asks the ledger for an order whose fate the newest value does not tell.
+func (h *Hive) recallFate(fate swarm.Fate, held func(l *swarm.Ledger) bool) swarm.Fate {
+	if fate != swarm.Unclear {
+		return fate
+	}
+	if found, ok := inquire(h, func() bool { return held(&h.ledger) }); ok && found {
+		return swarm.Taken
+	}
+	return swarm.Unclear
+}
+
+// refuseUnclear leaves an order without a clear answer.
+func refuseUnclear(w http.ResponseWriter, basedOn, inPlace swarm.Version) {
+	if basedOn > inPlace {
+		refuse(w, http.StatusServiceUnavailable, "version "+text(basedOn)+", on which it builds, is not in place yet: "+text(inPlace)+" is")
 		return
 	}
-	basedOn, ok := basedOnVersion(w, r)
+	refuse(w, http.StatusServiceUnavailable, "its fate is not known any more: version "+text(inPlace)+" is in place")
+}
+
+func text(v swarm.Version) string { return strconv.FormatUint(uint64(v), 10) }
+
+func acknowledge(w http.ResponseWriter, version swarm.Version) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Write([]byte(`{"version":` + text(version) + `}`))
+}
+
+func (c *configurationCalls) replace(w http.ResponseWriter, r *http.Request) {
+	body, basedOn, ok := readOrder(w, r, configBytes)
 	if !ok {
 		return
 	}
@@ -177,13 +230,13 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	// What is wrong with it by itself was wrong whenever it was sent: it was never taken.
 	if faults := conf.Check(); len(faults) > 0 {
 		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
 		return
 	}
-	sum := sha256.Sum256(body)
-	call := swarm.Call{Version: swarm.Version(conf.Version), BasedOn: swarm.Version(basedOn), Digest: string(sum[:]), Body: body}
-	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
+	call := swarm.Call{Version: swarm.Version(conf.Version), BasedOn: basedOn, Digest: digestOf(body), Body: body}
+	ctx, cancel := context.WithTimeout(r.Context(), orderLimit(body))
 	defer cancel()
 	var fate swarm.Fate
 	var inPlace swarm.Version
@@ -194,17 +247,20 @@
 		next, fate = call.Meet(v)
 		return next
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
-	case fate == swarm.Outrun:
-		refuse(w, http.StatusPreconditionFailed, "version "+strconv.FormatUint(uint64(inPlace), 10)+" is in place")
-	case fate == swarm.NotAbove:
-		refuse(w, http.StatusBadRequest, "the version is not above "+strconv.FormatUint(uint64(inPlace), 10))
-	default:
+		return
+	}
+	switch c.h.recallFate(fate, func(l *swarm.Ledger) bool { return l.HoldsCall(call) }) {
+	case swarm.Taken:
 		c.h.log.Info().Uint64("version", conf.Version).Uint64("turn", uint64(v.Turn)).Dur("took", time.Since(began)).Msg("config: acknowledged")
-		w.Header().Set("Content-Type", "application/json")
-		w.Write([]byte(`{"version":` + strconv.FormatUint(conf.Version, 10) + `}`))
+		acknowledge(w, call.Version)
+	case swarm.NotAbove:
+		refuse(w, http.StatusBadRequest, "the version is not above "+text(basedOn)+", on which it builds")
+	case swarm.Outrun:
+		refuse(w, http.StatusPreconditionFailed, "version "+text(inPlace)+" is in place")
+	default:
+		refuseUnclear(w, basedOn, inPlace)
 	}
 }
 
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -58,6 +58,7 @@
 	// The owner's.
 	known     *swarm.Value      // decided, or what a round may start from
 	confirmed bool              // known was decided
+	ledger    swarm.Ledger      // of decided values; bounded by itself
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
 	voted     swarm.Turn        // the newest turn that this acceptor voted for
--- a/hive/notes.go
+++ b/hive/notes.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"oxbowspan/comb"
 	"oxbowspan/dance"
@@ -24,62 +21,48 @@
 type noteCalls struct {
 	h     *Hive
 	name  string
-	check func(body []byte, c *comb.Configuration) []string // all that is wrong with it, a sentence each; c nil = there is none yet
-}
-
-func basedOnVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
-	basedOn, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
-	}
-	return basedOn, err == nil
-}
-
-// configuration is the one that this hive knows to be agreed; nil = there is none.
-func (h *Hive) configuration() *comb.Configuration {
-	if !h.confirmed || h.known.Digest == "" {
-		return nil
-	}
-	conf, _ := comb.Read(h.known.Body)
-	return conf
+	check func(body []byte) []string                      // all that is wrong with it by itself, a sentence each
+	unfit func(body []byte, beside *swarm.Value) []string // all that is wrong with it beside a value's configuration
 }
 
 func (c *noteCalls) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noteBytes))
-	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, "the document can't be read whole, or is longer than "+strconv.Itoa(noteBytes)+" bytes")
-		return
-	}
-	basedOn, ok := basedOnVersion(w, r)
+	body, basedOn, ok := readOrder(w, r, noteBytes)
 	if !ok {
 		return
 	}
-	conf, _ := inquire(c.h, c.h.configuration)
-	if faults := c.check(body, conf); len(faults) > 0 {
+	// What is wrong with it by itself was wrong whenever it was sent: it was never taken.
+	if faults := c.check(body); len(faults) > 0 {
 		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
 		return
 	}
-	sum := sha256.Sum256(body)
-	call := swarm.NoteCall{Name: c.name, BasedOn: swarm.Version(basedOn), Digest: string(sum[:]), Body: body}
-	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
+	var unfit []string
+	call := swarm.NoteCall{Name: c.name, BasedOn: basedOn, Digest: digestOf(body), Body: body, Fits: func(v *swarm.Value) bool {
+		unfit = c.unfit(body, v)
+		return len(unfit) == 0
+	}}
+	ctx, cancel := context.WithTimeout(r.Context(), orderLimit(body))
 	defer cancel()
 	var fate swarm.Fate
 	var at swarm.Version
-	_, err = c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
+	_, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
 		var next *swarm.Value
 		next, at, fate = call.Meet(v)
 		return next
 	})
-	text := strconv.FormatUint(uint64(at), 10)
-	switch {
-	case err != nil:
+	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
-	case fate != swarm.Taken:
-		refuse(w, http.StatusPreconditionFailed, "version "+text+" is in place")
+		return
+	}
+	switch c.h.recallFate(fate, func(l *swarm.Ledger) bool { return l.HoldsNote(call) }) {
+	case swarm.Taken:
+		c.h.log.Info().Str("name", c.name).Uint64("version", uint64(basedOn+1)).Msg("notes: acknowledged")
+		acknowledge(w, basedOn+1)
+	case swarm.Unfit:
+		refuse(w, http.StatusBadRequest, strings.Join(unfit, "; "))
+	case swarm.Outrun, swarm.NotAbove:
+		refuse(w, http.StatusPreconditionFailed, "version "+text(at)+" is in place")
 	default:
-		c.h.log.Info().Str("name", c.name).Uint64("version", uint64(at)).Msg("notes: acknowledged")
-		w.Header().Set("Content-Type", "application/json")
-		w.Write([]byte(`{"version":` + text + `}`))
+		refuseUnclear(w, basedOn, at)
 	}
 }
 
@@ -101,19 +84,31 @@
 	w.Write(n.Body)
 }
 
-func checkTenants(body []byte, c *comb.Configuration) []string {
+func checkTenants(body []byte) []string {
+	t, err := comb.ReadTenants(body)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	return t.Check()
+}
+
+// unfitTenants holds tenants against the configuration of the value that a round found, not one that this hive remembers.
+func unfitTenants(body []byte, beside *swarm.Value) []string {
+	if beside.Digest == "" {
+		return nil
+	}
 	t, err := comb.ReadTenants(body)
 	if err != nil {
 		return []string{err.Error()}
 	}
-	faults := t.Check()
-	if len(faults) == 0 && c != nil {
-		faults = t.Against(c)
+	c, err := comb.Read(beside.Body)
+	if err != nil {
+		return nil
 	}
-	return faults
+	return t.Against(c)
 }
 
-func checkPins(body []byte, _ *comb.Configuration) []string {
+func checkPins(body []byte) []string {
 	p, err := comb.ReadPins(body)
 	if err != nil {
 		return []string{err.Error()}
@@ -121,6 +116,9 @@
 	return p.Check()
 }
 
+// fitsAny is for documents that the configuration does not bear on.
+func fitsAny([]byte, *swarm.Value) []string { return nil }
+
 // figureCalls tell operators what gatherers say of themselves. Each hive tells of those that ask it; whoever wants all asks all.
 type figureCalls struct{ h *Hive }
 
--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -74,6 +74,7 @@
 	}
 	old := h.known
 	h.known, h.confirmed = v, true
+	h.ledger.Learn(v)
 	for _, m := range v.Voters() {
 		h.meet(m.Address)
 	}
