Power cuts beside long bodies, and acceptors that put bodies in

Cause: bodies now lie apart from votes; no test cut the power while one was written, nor asked an acceptor for a body it lacks. TestPowerFailsInTheMiddleOfAWrite keeps its checks and plays a second kind, a body of its own for each vote, held against its version.

--- /dev/null
+++ b/hive/bodies_test.go
@@ -0,0 +1,88 @@
+package hive
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"oxbowspan/dance"
+	"oxbowspan/internal/boot"
+	"oxbowspan/internal/meadow"
+	"oxbowspan/swarm"
+)
+
+// acceptor is a control machine that is asked for promises and votes alone.
+func acceptor(t *testing.T) *Hive {
+	t.Helper()
+	set := &boot.Settings{IPAddress: "10.0.1.1", InternalPorts: []int{7100, 7109}, SeedAddresses: []string{"10.0.1.1:8700"}, FirstStart: true,
+		DataDirectory: t.TempDir(), BeatIntervalMS: 1000}
+	set.Listen.Control = "10.0.1.1:8700"
+	h, err := New(set, meadow.New(nil).Host("10.0.1.1"), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { close(h.stopped); h.store.Close() })
+	return h
+}
+
+func (h *Hive) promiseOf(number uint64, has ...string) *dance.Promise {
+	told := make(chan *dance.Promise, 1)
+	h.prepare(&dance.Prepare{To: uint64(h.self), Ballot: &dance.Ballot{Number: number}, HaveBodies: dance.FromDigests(has)},
+		func(p *dance.Promise) { told <- p })
+	return <-told
+}
+
+func (h *Hive) voteOf(number uint64, v *dance.Value) *dance.Accepted {
+	told := make(chan *dance.Accepted, 1)
+	h.accept(&dance.Accept{To: uint64(h.self), Ballot: &dance.Ballot{Number: number}, Value: v}, func(a *dance.Accepted) { told <- a })
+	return <-told
+}
+
+// An acceptor puts in the bodies that an Accept leaves out, where it holds them, and votes for nothing that lacks one.
+func TestAnAcceptorPutsInTheBodiesThatItHolds(t *testing.T) {
+	h := acceptor(t)
+	members := []swarm.Member{{ID: h.self, Address: h.address}}
+	first := &swarm.Value{Turn: 1, Members: members, Prior: members, Version: 1, Digest: "d1", Body: []byte("one"),
+		Notes: []swarm.Note{{Name: "x", Version: 1, Digest: "dx", Body: []byte("note")}}}
+	if p := h.promiseOf(1); !p.Ok || p.Value != nil || len(p.HaveBodies) != 0 {
+		t.Fatalf("an empty acceptor promises %v", p)
+	}
+	if !h.voteOf(1, dance.FromValue(first)).Ok {
+		t.Fatal("a whole value is not voted for")
+	}
+	p := h.promiseOf(2, "d1", "dx")
+	if len(p.HaveBodies) != 2 || !p.Value.BodyLeftOut || !p.Value.Notes[0].BodyLeftOut {
+		t.Fatalf("it promises %v", p)
+	}
+	later := *first
+	later.Turn = 2
+	if !h.voteOf(2, dance.FromValue(&later, dance.ToDigests(p.HaveBodies)...)).Ok {
+		t.Fatal("a value whose bodies it holds is not voted for")
+	}
+	p = h.promiseOf(3)
+	if got := dance.ToValue(p.Value); got == nil || got.Turn != 2 || string(got.Body) != "one" || string(got.Note("x").Body) != "note" {
+		t.Fatalf("it voted for %v", p.Value)
+	}
+	strange := later
+	strange.Digest, strange.Body = "d2", []byte("two")
+	if a := h.voteOf(3, dance.FromValue(&strange, "d2")); a.Ok {
+		t.Error("it voted for a value that lacks its body")
+	}
+	if got := dance.ToValue(h.promiseOf(4).Value); got.Digest != "d1" || string(got.Body) != "one" {
+		t.Errorf("afterwards it holds %v", got)
+	}
+}
+
+// A proposer of the program before names the configuration alone: notes come whole.
+func TestAProposerThatNamesTheConfigurationAlone(t *testing.T) {
+	h := acceptor(t)
+	members := []swarm.Member{{ID: h.self, Address: h.address}}
+	v := &swarm.Value{Turn: 1, Members: members, Prior: members, Version: 1, Digest: "d1", Body: []byte("one"),
+		Notes: []swarm.Note{{Name: "x", Version: 1, Digest: "dx", Body: []byte("note")}}}
+	h.voteOf(1, dance.FromValue(v))
+	told := make(chan *dance.Promise, 1)
+	h.prepare(&dance.Prepare{To: uint64(h.self), Ballot: &dance.Ballot{Number: 2}, Have: []byte("d1")}, func(p *dance.Promise) { told <- p })
+	if p := <-told; !p.Value.BodyLeftOut || string(p.Value.Notes[0].Body) != "note" {
+		t.Errorf("it is told %v", p.Value)
+	}
+}
--- a/internal/wax/wax_test.go
+++ b/internal/wax/wax_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 
@@ -159,6 +161,15 @@
 // Power fails while a vote is written: of the pages that were not synced, each is there or not or torn. The state before or
 // the one after comes back, never a stranger and never a mixture.
 func TestPowerFailsInTheMiddleOfAWrite(t *testing.T) {
+	t.Run("one body", func(t *testing.T) { powerFails(t, vote, func(v *swarm.Value) bool { return string(v.Body) == "{}" }) })
+	t.Run("a body of its own for each", func(t *testing.T) {
+		powerFails(t, func(n uint64) func(swarm.State) swarm.State { return longVote(n, swarm.Version(n), 10000) }, func(v *swarm.Value) bool {
+			return len(v.Body) == 10000 && strings.HasPrefix(string(v.Body), fmt.Sprint(v.Version, " "))
+		})
+	})
+}
+
+func powerFails(t *testing.T, vote func(n uint64) func(swarm.State) swarm.State, whole func(v *swarm.Value) bool) {
 	const page = 4096
 	dir := t.TempDir()
 	path := filepath.Join(dir, fileName)
@@ -207,6 +218,8 @@
 			t.Fatalf("vote %d cut off: %v, set aside as %q", n, err, aside)
 		}
 		switch got := back.State(); {
+		case got.Value != nil && !whole(got.Value):
+			t.Fatalf("vote %d cut off: version %d comes back with a body of %d bytes", n, got.Value.Version, len(got.Value.Body))
 		case got.ID != 77:
 			t.Fatalf("vote %d cut off: comes back as %d", n, got.ID)
 		case got.Accepted.Number == n && got.Value.Turn == swarm.Turn(n):
