A decided value is told without the bodies that its reader voted for

Cause, measured: a change of 10,000 routes sent 10.1 MB between three control machines, six bodies: two in votes, four in pulses that say that it is decided, to machines that had just voted for it. A pulse now leaves the bodies out for a peer that says that it puts them in, from its vote or from what it knows; one that lacks a body says so, and the next pulse goes at once and whole. A peer of the program before is told it whole. Ruled out: a pulse with the digest alone (members, notes and past ones are small and may differ). Not cut: a read sends one body, to the acceptor whose promise had not come.

--- a/hive/bodies_test.go
+++ b/hive/bodies_test.go
@@ -86,3 +86,36 @@
 		t.Errorf("it is told %v", p.Value)
 	}
 }
+
+// A peer that puts bodies in is told the value without them, and whole after it has said that it lacks one; a peer of the
+// program before is told it whole. What lacks a body is not learned.
+func TestAValueIsToldWholeToWhoLacksABody(t *testing.T) {
+	h := acceptor(t)
+	members := []swarm.Member{{ID: h.self, Address: h.address}}
+	v := &swarm.Value{Turn: 3, Members: members, Prior: members, Version: 1, Digest: "d1", Body: []byte("one")}
+	h.known, h.confirmed = v, true
+	able, old := &peer{putsIn: true, kick: make(chan struct{}, 1)}, &peer{}
+	bare := h.tellValue(able)
+	if !bare.BodyLeftOut || h.tellValue(old).BodyLeftOut {
+		t.Fatalf("one that puts bodies in is told %v", bare)
+	}
+	reader := acceptor(t)
+	if !reader.takeValue(bare) || reader.confirmed {
+		t.Fatal("a value that lacks its body is learned")
+	}
+	h.toldBack(able, &dance.PulseBack{LacksBody: true})
+	if len(able.kick) != 1 {
+		t.Error("the next pulse does not go at once")
+	}
+	if whole := h.tellValue(able); whole.BodyLeftOut || reader.takeValue(whole) || string(reader.known.Body) != "one" {
+		t.Errorf("it is told %v", whole)
+	}
+	voter := acceptor(t)
+	voter.vote.Store(v)
+	if voter.takeValue(bare) || voter.known.Version != 1 || string(voter.known.Body) != "one" {
+		t.Error("who has voted for it does not know its body")
+	}
+	if voter.takeValue(dance.FromValue(&swarm.Value{Turn: 2, Digest: "d0"}, "d0")) {
+		t.Error("the body of a value older than its own is asked for")
+	}
+}
--- a/hive/hive.go
+++ b/hive/hive.go
@@ -59,7 +59,8 @@
 	killed   chan struct{}
 	turn     chan struct{} // holds one token: this hive's rounds go one at a time
 	wg       sync.WaitGroup
-	voteTurn atomic.Uint64 // of the vote on the disk; written before the vote is told
+	vote     atomic.Pointer[swarm.Value] // on the disk; written before the vote is told; nil = none
+	voteTurn atomic.Uint64               // of the vote on the disk; written before the vote is told
 
 	// The owner's.
 	known     *swarm.Value      // decided, or what a round may start from
@@ -154,6 +155,7 @@
 		// Whether it was decided is not known. The set before it was.
 		h.voted = v.Turn
 		h.voteTurn.Store(uint64(v.Turn))
+		h.vote.Store(v)
 		if v.Turn > 0 {
 			h.known = &swarm.Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
 		}
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -32,6 +32,9 @@
 	crowdAt time.Duration            // when all of them were last named
 	differ  []int                    // ranges of reports in which it differs
 	digests time.Duration            // when digests were last sent
+	putsIn  bool                     // the bodies that a told value leaves out
+	lacks   bool                     // a body of the value that it was told: it is told whole
+	asks    bool                     // this hive lacks one of the value that the peer told, and asks for all of it
 	silent  map[string]time.Duration // how long it has not heard others, by address, as it last told
 }
 
@@ -50,7 +53,7 @@
 
 func (h *Hive) me() *dance.Hive {
 	return &dance.Hive{Id: uint64(h.self), Address: h.address, Control: h.set.Listen.Control, Zone: h.set.Zone,
-		Voter: swarm.Has(h.known.Members, h.self)}
+		Voter: swarm.Has(h.known.Members, h.self), PutsIn: true}
 }
 
 // meet makes a hive known.
@@ -72,10 +75,7 @@
 // hurry has what changed told to all hives now.
 func (h *Hive) hurry() {
 	for _, p := range h.peers {
-		select {
-		case p.kick <- struct{}{}:
-		default:
-		}
+		p.hurry()
 	}
 }
 
@@ -118,11 +118,12 @@
 
 // pulse makes what one hive is to be told now.
 func (h *Hive) pulse(p *peer, now time.Duration) outgoingPulse {
-	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn)}
+	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn), LacksBody: p.asks}
+	p.asks = false
 	if !h.confirmed {
 		m.Turn = 0
 	} else if p.turn < h.known.Turn && p.heardAt > 0 {
-		m.Value = dance.FromValue(h.known, "")
+		m.Value = h.tellValue(p)
 	}
 	upTo := h.table.Cursor()
 	sent := map[waggle.InstanceID]bool{}
@@ -188,9 +189,8 @@
 		}
 		p.silent[o.Address] = time.Duration(o.SilentMs) * time.Millisecond
 	}
-	if m.Value != nil {
-		h.learn(dance.ToValue(m.Value, nil))
-	}
+	p.lacks = p.lacks || m.LacksBody
+	back.LacksBody = h.takeValue(m.Value)
 	urgent, changed := false, h.table.Cursor()
 	for _, r := range m.Reports {
 		in := toReport(r, now)
@@ -220,7 +220,7 @@
 	}
 	if h.confirmed {
 		if back.Turn = uint64(h.known.Turn); h.known.Turn > p.turn {
-			back.Value = dance.FromValue(h.known, "")
+			back.Value = h.tellValue(p)
 		}
 	}
 	return back
@@ -239,9 +239,7 @@
 	if m.Unknown {
 		p.crowd = 0
 	}
-	if m.Value != nil {
-		h.learn(dance.ToValue(m.Value, nil))
-	}
+	h.toldBack(p, m)
 	h.contact.Answered(p.id, quorum.Answer{Life: m.Life, SentAt: sent.sentAt, Turn: swarm.Turn(max(m.Voted, m.Turn))}, h.known.Turn)
 	h.verified(now)
 	for _, no := range m.Differ {
@@ -281,6 +279,7 @@
 		p.has, p.turn, p.crowd = 0, 0, 0
 	}
 	h.contact.Began(swarm.AcceptorID(from.Id), life)
+	p.putsIn = from.PutsIn
 	p.life, p.id, p.control, p.zone = life, swarm.AcceptorID(from.Id), from.Control, from.Zone
 	p.heardAt, p.turn = max(now, 1), turn
 }
--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -56,6 +56,7 @@
 			return
 		}
 		if told.OK {
+			h.vote.Store(value)
 			h.voteTurn.Store(uint64(value.Turn)) // before anybody is told
 			go h.do(func() { h.hasVoted(value.Turn, dance.ToBallot(m.Ballot)) })
 		}
