--- a/forager/owner.go
+++ b/forager/owner.go
@@ -66,6 +66,9 @@
 	out   int
 	in    *fasthttp.Response
 
+	first  *link // the connection that carried it first, then the others
+	others []*link
+
 	awaits brain.Time // since when it waits for a connection, 0 = it does not
 	tenant pollen.Tenant
 }
@@ -84,6 +87,10 @@
 	tenant pollen.Tenant
 }
 
+// mayRun tells whether a sub-request that has not ended may have run. One without a connection is never sent any more once its
+// search is over.
+func (c *call) mayRun() bool { return c != nil && c.link != nil }
+
 // flower is a server as this gatherer sees it.
 type flower struct {
 	id               brain.ServerID
@@ -141,10 +148,11 @@
 	toldLoads bool
 }
 
-// due is a timer of brain's or the time limit of a call.
+// due is a timer of brain's, the time limit of a call, or of a search that was not offered.
 type due struct {
-	timer brain.TimerID
-	call  *call
+	timer     brain.TimerID
+	call      *call
+	unoffered *search
 }
 
 // figures that the platform states nowhere.
@@ -237,7 +245,9 @@
 			return
 		}
 		d := f.timers.Pop()
-		if d.call == nil {
+		if d.unoffered != nil {
+			f.unoffered(d.unoffered, now)
+		} else if d.call == nil {
 			f.handle(brain.TimerFired{Timer: d.timer})
 		} else if !d.call.over {
 			f.callEnded(d.call, brain.TimedOut, nil)
@@ -299,6 +309,7 @@
 	}
 	f.handle(ev)
 	f.awaits(s, f.now())
+	f.watchUnoffered(s, f.now())
 }
 
 // answer gives a search what is in.
@@ -329,7 +340,7 @@
 	}
 	r := reply{kind: replyShed, advice: span(advice)}
 	for _, p := range s.parts {
-		s.mayRun = s.mayRun || p.out > 0
+		s.mayRun = s.mayRun || slices.ContainsFunc(p.calls, (*call).mayRun)
 	}
 	switch {
 	case s.mayRun && s.last != nil && !s.route.Gathered():
