A change of members that is known to be decided is confirmed by the new set alone

Cause: between a change of the members and its confirmation a round asked for promises of a majority of the set before, also where it knew the change to be decided. Ruled out: dropping the majority of the set before for values that were only found in votes; whether these lose is not known. Change: what follows a value known to be decided is voted for by a majority of its members, so promises of such a majority show it.

--- /dev/null
+++ b/swarm/replication_test.go
@@ -0,0 +1,135 @@
+package swarm
+
+import (
+	"testing"
+	"time"
+)
+
+func membersOf(ids ...AcceptorID) (out []Member) {
+	for _, id := range ids {
+		out = append(out, Member{ID: id})
+	}
+	return out
+}
+
+// One member of five was exchanged, which is decided and not yet confirmed. The one that left is gone, and two of the others
+// are lost: of the set before only two answer, of the new one three. Who knows the change to be decided confirms it with
+// these three; who does not know it can't.
+func TestAChangeKnownToBeDecidedIsConfirmedByItsOwnSet(t *testing.T) {
+	before := &Value{Turn: 4, Members: membersOf(1, 2, 3, 4, 5), Prior: membersOf(1, 2, 3, 4, 5)}
+	change := before.WithMembers(membersOf(9, 2, 3, 4, 5))
+	for _, known := range []*Value{change, before} {
+		round := NewRound(Ballot{7, 1}, known, func(v *Value) *Value { return v })
+		var accepts []Member
+		for _, id := range []AcceptorID{9, 4, 5} {
+			if to := round.Promised(Promise{From: id, OK: true, Promised: Ballot{7, 1}, Accepted: Ballot{5, 1}, Value: change}); to != nil {
+				accepts = to
+			}
+		}
+		if known == before {
+			if accepts != nil {
+				t.Error("a change that may lose yet is followed without the majority of the set before")
+			}
+			continue
+		}
+		if accepts == nil {
+			t.Error("a change known to be decided still waits for the majority of the set before")
+			continue
+		}
+		if p := round.Proposal(); !p.Settled() || p.Turn != 6 {
+			t.Errorf("the proposal is turn %d, settled %v", p.Turn, p.Settled())
+		}
+		decided := false
+		for _, id := range []AcceptorID{9, 4, 5} {
+			decided = round.Accepted(Accepted{From: id, OK: true})
+		}
+		if !decided {
+			t.Error("the confirmation is not decided by the new set")
+		}
+	}
+}
+
+func TestWhatProvesACopy(t *testing.T) {
+	d := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
+	for what, c := range map[string]struct {
+		copy Copy
+		want bool
+	}{
+		"the vote that decided":        {Copy{3, Ballot{5, 1}}, true},
+		"a later vote":                 {Copy{4, Ballot{9, 1}}, true},
+		"an older turn":                {Copy{2, Ballot{4, 1}}, false},
+		"the turn at a lower ballot":   {Copy{3, Ballot{4, 7}}, false},
+		"an older turn, higher ballot": {Copy{2, Ballot{9, 1}}, false},
+		"an empty disk":                {Copy{}, false},
+	} {
+		if got := d.ProvenBy(c.copy); got != c.want {
+			t.Errorf("%s: %v", what, got)
+		}
+	}
+	if (Decision{Value: d.Value}).ProvenBy(Copy{3, Ballot{5, 1}}) {
+		t.Error("a copy is proven though the ballot of the decision is not known")
+	}
+	if lacking := d.Lacking(map[AcceptorID]Copy{1: {3, Ballot{5, 1}}, 2: {3, Ballot{4, 1}}}); len(lacking) != 2 {
+		t.Errorf("lacking: %v", lacking)
+	}
+}
+
+func TestWhoMayLeave(t *testing.T) {
+	full := Copy{3, Ballot{5, 1}}
+	settled := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
+	changed := Decision{&Value{Turn: 3, Members: membersOf(9, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
+	for what, c := range map[string]struct {
+		decision Decision
+		own      Copy
+		others   map[AcceptorID]Copy
+		want     Stay
+	}{
+		"all hold it":                  {settled, full, map[AcceptorID]Copy{2: full, 3: full}, MayGo},
+		"its own copy need not":        {settled, Copy{}, map[AcceptorID]Copy{2: full, 3: full}, MayGo},
+		"one is away":                  {settled, full, map[AcceptorID]Copy{2: full}, IncompleteCopies},
+		"one is behind":                {settled, full, map[AcceptorID]Copy{2: full, 3: {2, Ballot{3, 1}}}, IncompleteCopies},
+		"a vote is not resolved":       {settled, Copy{4, Ballot{8, 1}}, map[AcceptorID]Copy{2: full, 3: full}, UnresolvedVote},
+		"its place is given, not sure": {changed, full, map[AcceptorID]Copy{9: full, 2: full, 3: full}, UnconfirmedSet},
+	} {
+		if got, _ := c.decision.MayLeave(1, c.own, c.others); got != c.want {
+			t.Errorf("%s: %v, want %v", what, got, c.want)
+		}
+	}
+}
+
+// A member that is in contact and never stores is tried for again and again, each time later; one that comes anew is tried
+// for soon; a round of another machine counts as a try; where nothing lacks there is none.
+func TestRepairsPauseLongerAndRestWhenNothingLacks(t *testing.T) {
+	var r Repair
+	lacking := membersOf(3)
+	var at []time.Duration
+	for now := time.Duration(0); now < 4*time.Minute; now += 100 * time.Millisecond {
+		if r.Due(now, 7, lacking, Ballot{5, 1}, 0.5) {
+			at = append(at, now)
+			r.Tried(now, 0.5)
+		}
+	}
+	if at[0] > 2*RepairWait {
+		t.Errorf("the first round comes after %v", at[0])
+	}
+	if len(at) < 6 || len(at) > 14 {
+		t.Errorf("%d rounds in four minutes: %v", len(at), at)
+	}
+	for i := 2; i < len(at); i++ {
+		if gap := at[i] - at[i-1]; gap < at[i-1]-at[i-2] && gap < RepairPauseMax {
+			t.Errorf("the pause before round %d is %v, shorter than the one before", i, gap)
+		}
+	}
+	now := 4 * time.Minute
+	r.Due(now, 7, membersOf(3, 4), Ballot{5, 1}, 0)
+	if !r.Due(now+RepairWait, 7, membersOf(3, 4), Ballot{5, 1}, 0) {
+		t.Error("another that lacks is not tried for soon")
+	}
+	now += RepairWait
+	if r.Due(now, 7, membersOf(3, 4), Ballot{6, 2}, 0) {
+		t.Error("the round of another machine does not count as a try")
+	}
+	if r.Due(now+time.Hour, 7, nil, Ballot{6, 2}, 0) {
+		t.Error("a round is owed though nothing lacks")
+	}
+}
--- a/swarm/round.go
+++ b/swarm/round.go
@@ -67,7 +67,7 @@
 			r.newest = p.Value
 		}
 	}
-	if !decides(r.newest, func(id AcceptorID) bool { return r.promised[id] }) {
+	if !r.enough() {
 		return nil
 	}
 	switch r.proposal = r.newest; {
@@ -79,6 +79,17 @@
 	return r.proposal.Voters()
 }
 
+// enough tells whether those who have promised show every value that may have been decided. What follows a value that is
+// known to be decided needs a majority of its members, whoever voted before them: a majority of these is enough. Of a value
+// that was only found in votes it is not known whether the set before it gave way: majorities of both sets are needed.
+func (r *Round) enough() bool {
+	has := func(id AcceptorID) bool { return r.promised[id] }
+	if r.newest.Same(r.known) {
+		return Majority(r.known.Members, has)
+	}
+	return decides(r.newest, has)
+}
+
 // Proposal is what the Accepts carry; nil = not yet known.
 func (r *Round) Proposal() *Value { return r.proposal }
 
