A machine that restarts with a lost vote no longer proposes an empty value over what was agreed

Cause: after a restart a round started from a value made up of its newest vote: "the turn before it, with the acceptors before". That turn need not have been decided: a round may follow a value that it only found in votes. Where both votes lost (turns 7 and 8, turn 6 decided), and the promises of the others came before its own (a slow disk of its own is enough), the round held the others' turn 6 for older than what it knew, and had the empty turn 7 decided: the whole configuration was gone. Ruled out: a fault of the model's rounds or of the new rule for confirmations; the trace shows the made-up turn decided. Change: State.Start gives the acceptors before the vote with no turn, so whatever they show is newer; a value at the turn of one known to be decided does not take its place. The model in model_test.go starts its machines by the same function (it had the same line written out).

--- a/hive/hive.go
+++ b/hive/hive.go
@@ -137,12 +137,9 @@
 		turn: make(chan struct{}, 1), known: swarm.Genesis(genesis), table: waggle.NewTable(set.Beat()),
 		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, servers: map[string]string{}, events: circularbuffer.New[event](keptEvents), notesAt: map[string]noteAt{}, ballot: state.Promised.Number}
 	if v := state.Value; v != nil {
-		// Whether it was decided is not known. The set before it was.
-		h.voted = v.Turn
-		if v.Turn > 0 {
-			h.known = &swarm.Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
-		}
+		h.voted = v.Turn // whether it was decided is not known
 	}
+	h.known = state.Start(h.known)
 	h.turn <- struct{}{}
 	h.recall(store.Hints())
 	return h, nil
--- a/swarm/acceptor.go
+++ b/swarm/acceptor.go
@@ -55,6 +55,16 @@
 	return s, Accepted{s.ID, true, s.Promised}
 }
 
+// Start is what a round may start from after a restart, where nothing is known to be decided: the acceptors of the turn
+// before the newest vote, or the genesis. It tells no turn: the value before a vote may itself have been found in votes that
+// lost. A majority of these acceptors shows what was decided.
+func (s State) Start(genesis *Value) *Value {
+	if s.Value == nil || s.Value.Turn == 0 {
+		return genesis
+	}
+	return &Value{Members: s.Value.Prior, Prior: s.Value.Prior}
+}
+
 // Changed tells whether a state must be stored before the answer that came with it is told.
 func (s State) Changed(from State) bool {
 	return s.Promised != from.Promised || s.Accepted != from.Accepted || s.Value != from.Value
--- a/swarm/model_test.go
+++ b/swarm/model_test.go
@@ -97,10 +97,7 @@
 }
 
 func (w *world) start(m *machine) {
-	m.state, m.up, m.known, m.rounds = m.disk, true, w.genesis, nil
-	if v := m.disk.Value; v != nil && v.Turn > 0 {
-		m.known = &Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
-	}
+	m.state, m.up, m.known, m.rounds = m.disk, true, m.disk.Start(w.genesis), nil
 	if w.planted != ballotsAgain {
 		w.lives++
 		m.life, m.number = ProposerID(w.lives), m.disk.Promised.Number
--- a/swarm/replication.go
+++ b/swarm/replication.go
@@ -20,10 +20,31 @@
 	return Copy{s.Value.Turn, s.Accepted}
 }
 
-// Decision is a value that is known to be decided, and a ballot at which it was; the zero Ballot = at which is not known.
+// Decision is a value that is known to be decided, and the lowest and the highest ballot at which it is known to have been:
+// a round that proposes a value again decides it again. Zero ballots = at which is not known.
 type Decision struct {
-	Value  *Value
-	Ballot Ballot
+	Value       *Value
+	First, Last Ballot
+}
+
+// DecidedAt returns the decision with one more ballot at which its value was decided; the zero Ballot tells nothing.
+func (d Decision) DecidedAt(b Ballot) Decision {
+	if b == (Ballot{}) {
+		return d
+	}
+	if d.First == (Ballot{}) || b.Compare(d.First) < 0 {
+		d.First = b
+	}
+	if b.Compare(d.Last) > 0 {
+		d.Last = b
+	}
+	return d
+}
+
+// Resolves tells whether the fate of an acceptor's newest vote is known: it is decided, or can't be any more. A vote for a
+// later turn is lost once a round of a higher ballot has decided the earlier one again: it would have found what was decided.
+func (d Decision) Resolves(own Copy) bool {
+	return own.Turn <= d.Value.Turn || own.Ballot.Compare(d.Last) < 0
 }
 
 // ProvenBy tells whether a disk with such a copy holds the decision's value or one that follows it. The turn alone does not
@@ -32,7 +53,7 @@
 	if d.Value.Turn == 0 {
 		return true // nothing was agreed yet
 	}
-	return d.Ballot != (Ballot{}) && c.Turn >= d.Value.Turn && c.Ballot.Compare(d.Ballot) >= 0
+	return d.First != (Ballot{}) && c.Turn >= d.Value.Turn && c.Ballot.Compare(d.First) >= 0
 }
 
 // Lacking are the members whose copies are not proven. Copies are what members said of their disks; one that said nothing
@@ -73,7 +94,7 @@
 // MayLeave tells whether a member may end for good, perhaps with its disk, and if not, why, and whose copies lack. Own is
 // what its disk holds, copies are what the others said of theirs of late.
 func (d Decision) MayLeave(self AcceptorID, own Copy, copies map[AcceptorID]Copy) (Stay, []Member) {
-	if own.Turn > d.Value.Turn {
+	if !d.Resolves(own) {
 		return UnresolvedVote, nil
 	}
 	if !d.Value.Settled() {
--- a/swarm/replication_test.go
+++ b/swarm/replication_test.go
@@ -50,7 +50,7 @@
 }
 
 func TestWhatProvesACopy(t *testing.T) {
-	d := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
+	d := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{5, 1}}
 	for what, c := range map[string]struct {
 		copy Copy
 		want bool
@@ -76,8 +76,9 @@
 
 func TestWhoMayLeave(t *testing.T) {
 	full := Copy{3, Ballot{5, 1}}
-	settled := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
-	changed := Decision{&Value{Turn: 3, Members: membersOf(9, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}}
+	settled := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{5, 1}}
+	changed := Decision{&Value{Turn: 3, Members: membersOf(9, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{5, 1}}
+	again := settled.DecidedAt(Ballot{9, 2}) // by a round that did not find the vote of turn 4
 	for what, c := range map[string]struct {
 		decision Decision
 		own      Copy
@@ -89,6 +90,7 @@
 		"one is away":                  {settled, full, map[AcceptorID]Copy{2: full}, IncompleteCopies},
 		"one is behind":                {settled, full, map[AcceptorID]Copy{2: full, 3: {2, Ballot{3, 1}}}, IncompleteCopies},
 		"a vote is not resolved":       {settled, Copy{4, Ballot{8, 1}}, map[AcceptorID]Copy{2: full, 3: full}, UnresolvedVote},
+		"a vote that has lost":         {again, Copy{4, Ballot{8, 1}}, map[AcceptorID]Copy{2: full, 3: full}, MayGo},
 		"its place is given, not sure": {changed, full, map[AcceptorID]Copy{9: full, 2: full, 3: full}, UnconfirmedSet},
 	} {
 		if got, _ := c.decision.MayLeave(1, c.own, c.others); got != c.want {
@@ -133,3 +135,20 @@
 		t.Error("a round is owed though nothing lacks")
 	}
 }
+
+// A machine restarts with a vote for turn 8 on its disk that was lost: its round had followed a value of turn 7 that was voted
+// for and never decided. Turn 6 is decided by the two others, whose promises come before its own. What is agreed next holds
+// what was agreed.
+func TestARestartBelievesInNoTurnBeforeItsVote(t *testing.T) {
+	members := membersOf(1, 2, 3)
+	agreed := &Value{Turn: 6, Members: members, Prior: members, Version: 40, Digest: "agreed"}
+	vote := agreed.WithConfig(50, 40, "lost", nil).WithConfig(60, 50, "lost too", nil)
+	restarted := State{ID: 1, Promised: Ballot{24, 1}, Accepted: Ballot{24, 1}, Value: vote}
+	round := NewRound(Ballot{27, 9}, restarted.Start(Genesis(members)), func(v *Value) *Value { return v })
+	for _, id := range []AcceptorID{2, 3} {
+		round.Promised(Promise{From: id, OK: true, Promised: Ballot{27, 9}, Accepted: Ballot{26, 2}, Value: agreed})
+	}
+	if p := round.Proposal(); p == nil || !p.Same(agreed) {
+		t.Fatalf("proposed is %+v, agreed was turn 6", p)
+	}
+}
--- a/swarm/round.go
+++ b/swarm/round.go
@@ -63,7 +63,7 @@
 	r.promised[p.From] = true
 	// The newest is the one with the highest ballot; one known to be decided stands until a later turn shows.
 	if p.Value != nil && p.Accepted.Compare(r.highest) > 0 {
-		if r.highest = p.Accepted; p.Value.Turn >= r.known.Turn {
+		if r.highest = p.Accepted; p.Value.Turn > r.known.Turn {
 			r.newest = p.Value
 		}
 	}
