Copies are completed after every return and join; a member goes when those who stay hold what it held

Each copy came only with the next change. Not failing before: a cut that heals (the vote waits in the connection), the planned replacement with all disks quick, the long cut with a second loss. Ruled out: sending the old Accept again to those behind (they may have promised a higher ballot); trusting what a machine knows. Accepts outlive the decision, for the slower disks. A vote that has lost for sure no longer counts as unresolved, which kept a spare's rounds going.

--- a/hive/hive.go
+++ b/hive/hive.go
@@ -60,6 +60,9 @@
 	confirmed bool              // known was decided
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
+	decision  swarm.Decision    // known, and at which ballots it was decided
+	copy      swarm.Copy        // what this machine's disk holds
+	repair    swarm.Repair      // when a round is owed for copies that lack
 	voted     swarm.Turn        // the newest turn that this acceptor voted for
 	votedAt   time.Duration
 	table     *waggle.Table
@@ -139,7 +142,7 @@
 	if v := state.Value; v != nil {
 		h.voted = v.Turn // whether it was decided is not known
 	}
-	h.known = state.Start(h.known)
+	h.known, h.copy = state.Start(h.known), state.Copy()
 	h.turn <- struct{}{}
 	h.recall(store.Hints())
 	return h, nil
@@ -219,7 +222,7 @@
 	select {
 	case <-ctx.Done():
 		h.log.Info().Msg("hive: leaving")
-		h.giveSeat()
+		h.leave()
 		end, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		control.Close()
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -17,21 +17,24 @@
 	kick    chan struct{}
 	quit    context.CancelFunc
 
-	id      swarm.AcceptorID
-	control string
-	zone    string
-	life    uint64                   // of its process
-	metAt   time.Duration            // when this hive first tried to reach it
-	heardAt time.Duration            // 0 = never
-	listed  bool                     // among those that foragers are told of
-	turn    swarm.Turn               // that it knows
-	has     waggle.Cursor            // up to which it has this hive's reports
-	crowd   uint64                   // up to which number it has the foragers that ask this hive,
-	told    uint64                   // and up to which the pulse on its way names them whole
-	crowdAt time.Duration            // when all of them were last named
-	differ  []int                    // ranges of reports in which it differs
-	digests time.Duration            // when digests were last sent
-	silent  map[string]time.Duration // how long it has not heard others, by address, as it last told
+	id        swarm.AcceptorID
+	control   string
+	zone      string
+	life      uint64                   // of its process
+	metAt     time.Duration            // when this hive first tried to reach it
+	heardAt   time.Duration            // 0 = never
+	listed    bool                     // among those that foragers are told of
+	turn      swarm.Turn               // that it knows
+	has       waggle.Cursor            // up to which it has this hive's reports
+	crowd     uint64                   // up to which number it has the foragers that ask this hive,
+	told      uint64                   // and up to which the pulse on its way names them whole
+	crowdAt   time.Duration            // when all of them were last named
+	differ    []int                    // ranges of reports in which it differs
+	digests   time.Duration            // when digests were last sent
+	copy      swarm.Copy               // what its disk holds,
+	tellsCopy bool                     // where it tells that
+	leaving   bool                     // it was told to end
+	silent    map[string]time.Duration // how long it has not heard others, by address, as it last told
 }
 
 // crowdEvery is how often a hive names the foragers that ask it to the others: they are lost after four times as long.
@@ -116,7 +119,7 @@
 
 // pulse makes what one hive is to be told now.
 func (h *Hive) pulse(p *peer, now time.Duration) outgoingPulse {
-	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn)}
+	m := &dance.Pulse{From: h.meWithCopy(), Life: h.life, Turn: uint64(h.known.Turn)}
 	if !h.confirmed {
 		m.Turn = 0
 	} else if p.turn < h.known.Turn && p.heardAt > 0 {
@@ -170,7 +173,7 @@
 
 // pulsed takes what another hive tells and answers it.
 func (h *Hive) pulsed(m *dance.Pulse, now time.Duration) *dance.PulseBack {
-	back := &dance.PulseBack{From: h.me(), Life: h.life}
+	back := &dance.PulseBack{From: h.meWithCopy(), Life: h.life}
 	from := m.From
 	if from == nil || from.Address == h.address {
 		return back
@@ -189,6 +192,7 @@
 	if m.Value != nil {
 		h.learn(dance.ToValue(m.Value, nil))
 	}
+	h.toldCopy(p, from, swarm.Turn(m.Turn))
 	urgent, changed := false, h.table.Cursor()
 	for _, r := range m.Reports {
 		in := toReport(r, now)
@@ -240,6 +244,7 @@
 	if m.Value != nil {
 		h.learn(dance.ToValue(m.Value, nil))
 	}
+	h.toldCopy(p, m.From, swarm.Turn(m.Turn))
 	for _, no := range m.Differ {
 		if no < waggle.Ranges && !slices.Contains(p.differ, int(no)) {
 			p.differ = append(p.differ, int(no))
--- /dev/null
+++ b/hive/replication.go
@@ -0,0 +1,86 @@
+package hive
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oxbowspan/dance"
+	"oxbowspan/swarm"
+)
+
+// meWithCopy is what this hive tells other hives of itself: what its disk holds, and since which ballot the value that it
+// knows is decided.
+func (h *Hive) meWithCopy() *dance.Hive {
+	m := h.me()
+	m.StoredTurn, m.StoredBallot, m.Leaving = uint64(h.copy.Turn), dance.FromBallot(h.copy.Ballot), h.leaving
+	if h.confirmed {
+		m.DecidedBallot = dance.FromBallot(h.decision.First)
+	}
+	return m
+}
+
+// toldCopy takes what another hive tells of its disk, and since which ballot the turn that it knows is decided.
+func (h *Hive) toldCopy(p *peer, from *dance.Hive, turn swarm.Turn) {
+	p.tellsCopy, p.leaving = from.StoredBallot != nil, from.Leaving
+	p.copy = swarm.Copy{Turn: swarm.Turn(from.StoredTurn), Ballot: dance.ToBallot(from.StoredBallot)}
+	h.decidedAt(turn, dance.ToBallot(from.DecidedBallot))
+}
+
+// decidedAt notes a ballot at which a turn was decided.
+func (h *Hive) decidedAt(turn swarm.Turn, at swarm.Ballot) {
+	if h.confirmed && turn == h.known.Turn {
+		h.decision = h.decision.DecidedAt(at)
+	}
+}
+
+// copies are what the acceptors in contact said of their disks, and what this machine's holds.
+func (h *Hive) copies(now time.Duration) map[swarm.AcceptorID]swarm.Copy {
+	out := map[swarm.AcceptorID]swarm.Copy{h.self: h.copy}
+	for _, p := range h.peers {
+		if p.tellsCopy && p.id != 0 && p.heardAt > 0 && now-p.heardAt < settledFor {
+			out[p.id] = p.copy
+		}
+	}
+	return out
+}
+
+// owesCopies tells whether this hive owes a round that stores the agreed value again, for members in contact whose copies
+// are not proven. It looks each time, so that a copy counts as lacking from when it was first seen.
+func (h *Hive) owesCopies(now time.Duration) bool {
+	if !h.confirmed || !swarm.Has(h.known.Members, h.self) || !h.settled(now) {
+		return false
+	}
+	copies := h.copies(now)
+	lacking := slices.DeleteFunc(h.decision.Lacking(copies), func(m swarm.Member) bool {
+		_, told := copies[m.ID]
+		return !told
+	})
+	return h.repair.Due(now, h.known.Turn, lacking, h.copy.Ballot, rand.Float64())
+}
+
+// Stored is what this machine's disk holds. It waits for the disk. For tests and the emulator.
+func (h *Hive) Stored() (swarm.State, bool) {
+	states := make(chan swarm.State, 1)
+	err := h.store.Update(func(s swarm.State) swarm.State { return s }, func(s swarm.State, _ error) { states <- s })
+	if err != nil {
+		return swarm.State{}, false
+	}
+	select {
+	case s := <-states:
+		return s, true
+	case <-time.After(time.Second):
+		return swarm.State{}, false
+	}
+}
+
+// Known is the newest value that this hive knows to be agreed; nil = none. For tests and the emulator.
+func (h *Hive) Known() *swarm.Value {
+	known, _ := inquire(h, func() *swarm.Value {
+		if !h.confirmed {
+			return nil
+		}
+		return h.known
+	})
+	return known
+}
--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -62,6 +62,9 @@
 // hasVoted notes a vote: if its fate is not heard of soon, this hive finds it out.
 func (h *Hive) hasVoted(turn swarm.Turn, b swarm.Ballot) {
 	h.ballot = max(h.ballot, b.Number)
+	if b.Compare(h.copy.Ballot) > 0 {
+		h.copy = swarm.Copy{Turn: turn, Ballot: b}
+	}
 	if turn > h.voted {
 		h.voted, h.votedAt = turn, h.now()
 	}
@@ -73,7 +76,7 @@
 		return
 	}
 	old := h.known
-	h.known, h.confirmed = v, true
+	h.known, h.confirmed, h.decision = v, true, swarm.Decision{Value: v}
 	for _, m := range v.Voters() {
 		h.meet(m.Address)
 	}
@@ -129,7 +132,7 @@
 		}
 		v, changed, err := h.round(ctx, swarm.NewRound(start.ballot, start.known, change))
 		if err == nil {
-			h.ask(func() { h.learn(v) })
+			h.ask(func() { h.learn(v); h.decidedAt(v.Turn, start.ballot) })
 			if v.Settled() && changed {
 				return v, nil
 			}
@@ -167,8 +170,13 @@
 		if p == nil {
 			return
 		}
+		limit, end := ctx, func() {}
+		if f.GetAccept() != nil { // it outlives the decision: the slower members' disks are to hold the value, too
+			limit, end = context.WithTimeout(context.Background(), callLimit)
+		}
 		go func() {
-			a, err := p.call.Call(ctx, f)
+			defer end()
+			a, err := p.call.Call(limit, f)
 			if err != nil {
 				return
 			}
@@ -219,15 +227,16 @@
 	}
 }
 
-// owe starts a round where this hive owes one: to find out the fate of a vote, or to get a seat.
+// owe starts a round where this hive owes one: to find out the fate of a vote, to get a seat, or to complete copies.
 func (h *Hive) owe(now time.Duration) {
-	if h.trying || now < h.tryAt || h.leaving {
+	incomplete := h.owesCopies(now)
+	if h.trying || now < h.tryAt {
 		return
 	}
-	unresolved := h.voted > h.known.Turn && now-h.votedAt > resolveWait || !h.confirmed && (h.voted > 0 || !h.set.FirstStart)
-	seatless := h.wantsSeat(now)
+	unresolved := !h.confirmed && (h.voted > 0 || !h.set.FirstStart) || h.confirmed && !h.decision.Resolves(h.copy) && now-h.votedAt > resolveWait
+	seatless := !h.leaving && h.wantsSeat(now)
 	unsettled := h.confirmed && !h.known.Settled() && now-h.votedAt > resolveWait
-	if !unresolved && !seatless && !unsettled {
+	if !unresolved && !seatless && !unsettled && !incomplete {
 		return
 	}
 	h.trying = true
@@ -241,6 +250,9 @@
 		_, err := h.propose(ctx, change)
 		h.do(func() {
 			h.trying = false
+			if incomplete {
+				h.repair.Tried(h.now(), rand.Float64())
+			}
 			h.tryAt = h.now() + time.Duration(rand.Int64N(int64(resolveWait)))
 			if err != nil {
 				h.tryAt += resolveWait
--- a/hive/seats.go
+++ b/hive/seats.go
@@ -1,7 +1,6 @@
 package hive
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -88,38 +87,3 @@
 	}
 	return h.claim(now).change(h.known) != h.known
 }
-
-// successor says who is to have the seat of this hive, which leaves from now on; nil = nobody.
-func (h *Hive) successor() *swarm.Member {
-	h.leaving = true
-	now := h.now()
-	if !h.confirmed || !swarm.Has(h.known.Members, h.self) {
-		return nil
-	}
-	var to *swarm.Member
-	for _, p := range h.peers {
-		if p.heardAt > 0 && now-p.heardAt < settledFor && p.id != 0 && !swarm.Has(h.known.Members, p.id) && !h.seat(p.address) {
-			to = &swarm.Member{ID: p.id, Address: p.address}
-		}
-	}
-	return to
-}
-
-// giveSeat hands this hive's seat to one that lives and has none, before this hive ends: it may end for good.
-func (h *Hive) giveSeat() {
-	to, _ := inquire(h, h.successor)
-	if to == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	h.propose(ctx, func(v *swarm.Value) *swarm.Value {
-		i := slices.IndexFunc(v.Members, func(m swarm.Member) bool { return m.ID == h.self })
-		if i < 0 || swarm.Has(v.Members, to.ID) {
-			return v
-		}
-		members := slices.Clone(v.Members)
-		members[i] = *to
-		return v.WithMembers(members)
-	})
-}
