A machine completes its own copy by the Accept that decided; a round of all only where that is refused

Ruled out: longer waits alone (a disk may be slower than any); rounds by one chosen member (it still writes on all disks). Change: a decided value at a ballot at which it was decided can only have been proposed as it is, so a machine whose copy lacks takes the Accept of that ballot itself, as if it came late (Decision.Late): one write on its own disk, no message, no new ballot; refused if it has promised more since. Only what still lacks after 1.6 to 3.2 s gets a round of all. The model takes late Accepts, with one more planted mistake: taken at another ballot than the one that decided. The members view names members that are not known to hold what is agreed, and counts a disk as one that may be lost only with its copy proven and the set confirmed.

--- a/hive/hive.go
+++ b/hive/hive.go
@@ -62,6 +62,7 @@
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
 	decision  swarm.Decision    // known, and at which ballots it was decided
 	copy      swarm.Copy        // what this machine's disk holds
+	late      swarm.Repair      // when this machine's own copy is to be completed
 	repair    swarm.Repair      // when a round is owed for copies that lack
 	voted     swarm.Turn        // the newest turn that this acceptor voted for
 	votedAt   time.Duration
@@ -143,6 +144,8 @@
 		h.voted = v.Turn // whether it was decided is not known
 	}
 	h.known, h.copy = state.Start(h.known), state.Copy()
+	h.decision = swarm.Decision{Value: h.known}
+	h.late, h.repair = swarm.Repair{Wait: lateWait}, swarm.Repair{Wait: repairWait}
 	h.turn <- struct{}{}
 	h.recall(store.Hints())
 	return h, nil
--- a/hive/replication.go
+++ b/hive/replication.go
@@ -15,7 +15,7 @@
 	m := h.me()
 	m.StoredTurn, m.StoredBallot, m.Leaving = uint64(h.copy.Turn), dance.FromBallot(h.copy.Ballot), h.leaving
 	if h.confirmed {
-		m.DecidedBallot = dance.FromBallot(h.decision.First)
+		m.DecidedBallot, m.DecidedLast = dance.FromBallot(h.decision.First), dance.FromBallot(h.decision.Last)
 	}
 	return m
 }
@@ -25,6 +25,7 @@
 	p.tellsCopy, p.leaving = from.StoredBallot != nil, from.Leaving
 	p.copy = swarm.Copy{Turn: swarm.Turn(from.StoredTurn), Ballot: dance.ToBallot(from.StoredBallot)}
 	h.decidedAt(turn, dance.ToBallot(from.DecidedBallot))
+	h.decidedAt(turn, dance.ToBallot(from.DecidedLast))
 }
 
 // decidedAt notes a ballot at which a turn was decided.
@@ -45,6 +46,13 @@
 	return out
 }
 
+// How long a lacking copy is given, and up to as much more by lot. The machine that lacks it is the first to act: it costs the
+// others nothing. A round of all is for what it can't do by itself.
+const (
+	lateWait   = 400 * time.Millisecond // an Accept on its way is not overtaken
+	repairWait = 1600 * time.Millisecond
+)
+
 // owesCopies tells whether this hive owes a round that stores the agreed value again, for members in contact whose copies
 // are not proven. It looks each time, so that a copy counts as lacking from when it was first seen.
 func (h *Hive) owesCopies(now time.Duration) bool {
@@ -56,9 +64,37 @@
 		_, told := copies[m.ID]
 		return !told
 	})
+	h.completeOwn(now, lacking)
 	return h.repair.Due(now, h.known.Turn, lacking, h.copy.Ballot, rand.Float64())
 }
 
+// completeOwn has this machine's disk take the Accept that decided the agreed value, where that never reached it. Where it
+// has promised a higher ballot since, it refuses, and a round completes the copy.
+func (h *Hive) completeOwn(now time.Duration, lacking []swarm.Member) {
+	own := slices.DeleteFunc(slices.Clone(lacking), func(m swarm.Member) bool { return m.ID != h.self })
+	if !h.late.Due(now, h.known.Turn, own, h.copy.Ballot, rand.Float64()) {
+		return
+	}
+	h.late.Tried(now, rand.Float64())
+	a, ok := h.decision.Late(h.self)
+	if !ok {
+		return
+	}
+	taken, decision := false, h.decision
+	h.store.Update(func(s swarm.State) swarm.State {
+		if decision.ProvenBy(s.Copy()) {
+			return s // it came after all
+		}
+		next, back := s.Accept(a)
+		taken = back.OK
+		return next
+	}, func(_ swarm.State, err error) {
+		if taken && err == nil {
+			go h.do(func() { h.hasVoted(a.Value.Turn, a.Ballot) })
+		}
+	})
+}
+
 // Stored is what this machine's disk holds. It waits for the disk. For tests and the emulator.
 func (h *Hive) Stored() (swarm.State, bool) {
 	states := make(chan swarm.State, 1)
--- a/hive/views.go
+++ b/hive/views.go
@@ -91,7 +91,7 @@
 	Version uint64   `json:"version"`
 	Settled bool     `json:"settled"` // in contact with a majority
 	Whole   bool     `json:"whole"`   // no change of the acceptors is under way
-	Bears   int      `json:"bears"`   // disks that may be lost now, with a majority left that hears each other
+	Bears   int      `json:"bears"`   // disks that may be lost now, with a majority left that hears each other and holds what is agreed
 	Members []Member `json:"members"`
 }
 
@@ -100,6 +100,7 @@
 	Identity string  `json:"identity"`
 	Address  string  `json:"address"`
 	SilentS  float64 `json:"silent_s"`
+	Complete bool    `json:"complete"` // it said that its disk holds what is agreed
 }
 
 func (c *viewCalls) members(w http.ResponseWriter, _ *http.Request) {
@@ -107,7 +108,8 @@
 		h := c.h
 		now := h.now()
 		out := Members{Hive: h.address, Turn: uint64(h.known.Turn), Version: uint64(h.known.Version), Settled: h.confirmed && h.settled(now), Whole: h.known.Settled()}
-		heard := 0
+		proven := 0
+		lacking := h.decision.Lacking(h.copies(now))
 		for _, m := range h.known.Members {
 			silent := time.Duration(0)
 			if m.ID != h.self {
@@ -116,12 +118,15 @@
 					silent = now - p.heardAt
 				}
 			}
-			if silent < settledFor {
-				heard++
+			complete := h.confirmed && !swarm.Has(lacking, m.ID)
+			if complete && silent < settledFor {
+				proven++
 			}
-			out.Members = append(out.Members, Member{strconv.FormatUint(uint64(m.ID), 16), m.Address, silent.Seconds()})
+			out.Members = append(out.Members, Member{strconv.FormatUint(uint64(m.ID), 16), m.Address, silent.Seconds(), complete})
+		}
+		if out.Whole {
+			out.Bears = max(proven-(len(h.known.Members)/2+1), 0)
 		}
-		out.Bears = max(heard-(len(h.known.Members)/2+1), 0)
 		return out
 	})
 }
--- a/internal/colony/repair_test.go
+++ b/internal/colony/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"oxbowspan/hive"
 	"oxbowspan/swarm"
 )
 
@@ -163,9 +165,15 @@
 		if incomplete(c, 1) == "" {
 			t.Fatal("the newcomer has its copy though its disk is full")
 		}
+		if got := bears(t, c, c.Hives[1]); got != 0 {
+			t.Errorf("%d disks may be lost, says a view, though a member holds no copy", got)
+		}
 		room()
 		t.Logf("all copies are complete %v after there is room", complete(t, c, 1, 2*swarm.RepairPauseMax))
 		time.Sleep(granted)
+		if got := bears(t, c, c.Hives[1]); got != 1 {
+			t.Errorf("%d disks may be lost, says a view, with all copies complete", got)
+		}
 		c.Hives[1].Kill(true)
 		c.Hives[1].Wipe()
 		powerOff(t, c)
@@ -176,6 +184,14 @@
 	})
 }
 
+// bears is how many disks may be lost, as a machine of the core tells operators.
+func bears(t *testing.T, c *Colony, m *HiveMachine) int {
+	t.Helper()
+	var view hive.Members
+	must(t, json.Unmarshal(c.Read(m, "/-/members/read"), &view))
+	return view.Bears
+}
+
 // at tells whether a member is this machine.
 func (m *HiveMachine) at(o swarm.Member) bool { return o.Address == m.settings().Internal(0) }
 
--- a/internal/entrance/views.go
+++ b/internal/entrance/views.go
@@ -107,7 +107,11 @@
 			}
 			fmt.Fprintf(w, "%s: turn %d, version %d, %s; disks that may be lost now: %d\n", m.Hive, m.Turn, m.Version, state, m.Bears)
 			for _, v := range m.Members {
-				fmt.Fprintf(w, "  %s\t%s\theard %.1f s ago\n", v.Identity, v.Address, v.SilentS)
+				holds := ""
+				if !v.Complete {
+					holds = ", not known to hold what is agreed"
+				}
+				fmt.Fprintf(w, "  %s\t%s\theard %.1f s ago%s\n", v.Identity, v.Address, v.SilentS, holds)
 			}
 		}
 	}); err != nil {
--- a/swarm/repair_test.go
+++ b/swarm/repair_test.go
@@ -27,6 +27,7 @@
 	leavesUnconfirmed                  // it goes as soon as its place is given, before that is confirmed
 	leavesOnKnowledge                  // it goes as soon as those who stay know the value
 	acceptUnprepared                   // copies are completed by an Accept with a ballot that nobody promised
+	lateAtOwnBallot                    // a late Accept is taken at the ballot that the acceptor promised last
 	neverCompleted                     // copies are completed by the next change alone
 	identityKept                       // a machine whose disk was lost says that its copy is the one before
 	confirmsUndecidedSet               // a change of members that was found in votes is confirmed as if it were decided
@@ -340,6 +341,15 @@
 			}
 			return true
 		}
+		if a, ok := n.decision.Late(self.ID); ok && Has(lacking, self.ID) && c.r.IntN(4) > 0 {
+			if c.planted == lateAtOwnBallot && n.disk.Promised.Compare(a.Ballot) > 0 {
+				a.Ballot = n.disk.Promised
+			}
+			next, back := n.disk.Accept(a)
+			if n.disk = next; back.OK {
+				return true
+			}
+		}
 		c.begin(n, identity, "")
 	}
 	return true
@@ -677,7 +687,7 @@
 	for name, m := range map[string]repairMistake{"knowledge held for a copy": knowledgeIsProof, "a copy proven by its turn": turnIsProof,
 		"a newcomer counted before its copy": newcomerCounts, "leaves with the only copy": leavesAtOnce,
 		"leaves before the set is confirmed": leavesUnconfirmed, "leaves when those who stay only know": leavesOnKnowledge,
-		"completed by an accept without a ballot": acceptUnprepared, "copies never completed": neverCompleted,
+		"completed by an accept without a ballot": acceptUnprepared, "a late accept at another ballot": lateAtOwnBallot, "copies never completed": neverCompleted,
 		"a lost disk's copy still counts": identityKept} {
 		began, found := time.Now(), false
 		for seed := range uint64(30000) {
--- a/swarm/replication.go
+++ b/swarm/replication.go
@@ -67,6 +67,16 @@
 	return out
 }
 
+// Late is the Accept that decided the value, for an acceptor that it has not reached: at a ballot at which the value is known
+// to have been decided it can only have been proposed as it is, so the message is one that may still come. There is none
+// where no such ballot is known, or where the acceptor is no voter of the value.
+func (d Decision) Late(to AcceptorID) (a Accept, ok bool) {
+	if d.Last == (Ballot{}) || !Has(d.Value.Voters(), to) {
+		return Accept{}, false
+	}
+	return Accept{to, d.Last, d.Value}, true
+}
+
 // Stay is why a member that is told to end should not go yet.
 type Stay uint8
 
@@ -108,35 +118,32 @@
 	return MayGo, nil
 }
 
-// How long a lacking copy is given to be told of before a round is owed for it, and the longest pause between two rounds
-// that did not help.
-const (
-	RepairWait     = 500 * time.Millisecond // above the pause between two heartbeats
-	RepairPauseMax = 10 * time.Second
-)
+// RepairPauseMax is the longest pause between two attempts to complete copies that did not help.
+const RepairPauseMax = 10 * time.Second
 
-// Repair tells when a round is owed that stores the decided value again, for members in contact whose copies lack. It
-// keeps what was last seen and tried. The zero Repair has seen nothing.
+// Repair tells when an attempt is owed to complete copies that lack. It keeps what was last seen and tried. One with a Wait
+// and nothing else has seen nothing.
 type Repair struct {
+	Wait    time.Duration // that a lacking copy is given before the first attempt, and up to as much more by lot
 	turn    Turn
 	lacking []Member // at the last look
 	stored  Ballot   // of this machine's own copy at the last look
 	tries   int
-	own     bool          // this machine's own round was the last try
+	own     bool          // this machine's own attempt was the last
 	at      time.Duration // no round before
 }
 
-// Due tells whether a round is owed now. Lacking are the members in contact whose copies are not proven; stored is the
+// Due tells whether an attempt is owed now. Lacking are the members in contact whose copies are not proven; stored is the
 // ballot of this machine's own copy: where it rises, a round stored the value anew, whoever's it was. Lot is drawn from
 // [0, 1), so that not all who see it begin at once.
 func (r *Repair) Due(now time.Duration, turn Turn, lacking []Member, stored Ballot, lot float64) bool {
 	if len(lacking) == 0 {
-		*r = Repair{}
+		*r = Repair{Wait: r.Wait}
 		return false
 	}
 	isNew := func(m Member) bool { return !Has(r.lacking, m.ID) }
 	if r.turn != turn || slices.ContainsFunc(lacking, isNew) {
-		*r = Repair{turn: turn, stored: stored, at: now + time.Duration((1+lot)*float64(RepairWait))}
+		*r = Repair{Wait: r.Wait, turn: turn, stored: stored, at: now + time.Duration((1+lot)*float64(r.Wait))}
 	}
 	r.lacking = lacking
 	if stored.Compare(r.stored) > 0 {
@@ -149,15 +156,15 @@
 	return now >= r.at
 }
 
-// Tried notes that this machine's own round has ended.
+// Tried notes that this machine's own attempt has ended.
 func (r *Repair) Tried(now time.Duration, lot float64) {
 	r.own = true
 	r.tried(now, lot)
 }
 
-// tried has the next round wait twice as long as the one before, up to a bound.
+// tried has the next attempt wait twice as long as the one before, up to a bound.
 func (r *Repair) tried(now time.Duration, lot float64) {
 	r.tries++
-	pause := min(RepairWait<<min(r.tries, 10), RepairPauseMax)
+	pause := min(r.Wait<<min(r.tries, 10), RepairPauseMax)
 	r.at = now + time.Duration((1+lot)*float64(pause))
 }
--- a/swarm/replication_test.go
+++ b/swarm/replication_test.go
@@ -74,6 +74,26 @@
 	}
 }
 
+// The Accept that decided a value may come late: it is taken by one who promised no more since, and by nobody else.
+func TestALateAcceptCompletesACopy(t *testing.T) {
+	v := &Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}
+	d := Decision{Value: v}
+	if _, ok := d.Late(3); ok {
+		t.Error("there is an Accept though no ballot of the decision is known")
+	}
+	d = d.DecidedAt(Ballot{5, 1}).DecidedAt(Ballot{7, 2})
+	if _, ok := d.Late(9); ok {
+		t.Error("there is an Accept for one who is no voter")
+	}
+	a, ok := d.Late(3)
+	for promised, want := range map[Ballot]bool{{6, 9}: true, {7, 2}: true, {8, 1}: false} {
+		next, back := State{ID: 3, Promised: promised}.Accept(a)
+		if !ok || back.OK != want || d.ProvenBy(next.Copy()) != want {
+			t.Errorf("promised %v: taken %v, proven %v", promised, back.OK, d.ProvenBy(next.Copy()))
+		}
+	}
+}
+
 func TestWhoMayLeave(t *testing.T) {
 	full := Copy{3, Ballot{5, 1}}
 	settled := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{5, 1}}
@@ -102,7 +122,8 @@
 // A member that is in contact and never stores is tried for again and again, each time later; one that comes anew is tried
 // for soon; a round of another machine counts as a try; where nothing lacks there is none.
 func TestRepairsPauseLongerAndRestWhenNothingLacks(t *testing.T) {
-	var r Repair
+	const wait = 500 * time.Millisecond
+	r := Repair{Wait: wait}
 	lacking := membersOf(3)
 	var at []time.Duration
 	for now := time.Duration(0); now < 4*time.Minute; now += 100 * time.Millisecond {
@@ -111,7 +132,7 @@
 			r.Tried(now, 0.5)
 		}
 	}
-	if at[0] > 2*RepairWait {
+	if at[0] > 2*wait {
 		t.Errorf("the first round comes after %v", at[0])
 	}
 	if len(at) < 15 || len(at) > 25 {
@@ -124,10 +145,10 @@
 	}
 	now := 4 * time.Minute
 	r.Due(now, 7, membersOf(3, 4), Ballot{5, 1}, 0)
-	if !r.Due(now+RepairWait, 7, membersOf(3, 4), Ballot{5, 1}, 0) {
+	if !r.Due(now+wait, 7, membersOf(3, 4), Ballot{5, 1}, 0) {
 		t.Error("another that lacks is not tried for soon")
 	}
-	now += RepairWait
+	now += wait
 	if r.Due(now, 7, membersOf(3, 4), Ballot{6, 2}, 0) {
 		t.Error("the round of another machine does not count as a try")
 	}
