--- a/hive/replication.go
+++ b/hive/replication.go
@@ -56,7 +56,7 @@
 // owesCopies tells whether this hive owes a round that stores the agreed value again, for members in contact whose copies
 // are not proven. It looks each time, so that a copy counts as lacking from when it was first seen.
 func (h *Hive) owesCopies(now time.Duration) bool {
-	if !h.confirmed || !swarm.Has(h.known.Members, h.self) || !h.settled(now) {
+	if !h.confirmed || !swarm.Has(h.known.Members, h.self) || !h.inContact(now) {
 		return false
 	}
 	copies := h.copies(now)
@@ -90,6 +90,7 @@
 		return next
 	}, func(_ swarm.State, err error) {
 		if taken && err == nil {
+			h.voteTurn.Store(uint64(a.Value.Turn)) // before anybody is told
 			go h.do(func() { h.hasVoted(a.Value.Turn, a.Ballot) })
 		}
 	})
--- a/swarm/replication.go
+++ b/swarm/replication.go
@@ -48,12 +48,16 @@
 }
 
 // ProvenBy tells whether a disk with such a copy holds the decision's value or one that follows it. The turn alone does not
-// tell: a vote of the same turn at a lower ballot may be for another value, or lose against one.
+// tell: a vote of the same turn at a lower ballot may be for another value, or lose against one. A vote for a later turn that
+// has lost proves nothing either: its holder would go on telling of a turn that never was.
 func (d Decision) ProvenBy(c Copy) bool {
 	if d.Value.Turn == 0 {
 		return true // nothing was agreed yet
 	}
-	return d.First != (Ballot{}) && c.Turn >= d.Value.Turn && c.Ballot.Compare(d.First) >= 0
+	if c.Turn > d.Value.Turn {
+		return d.Last != (Ballot{}) && c.Ballot.Compare(d.Last) >= 0
+	}
+	return d.First != (Ballot{}) && c.Turn == d.Value.Turn && c.Ballot.Compare(d.First) >= 0
 }
 
 // Lacking are the members whose copies are not proven. Copies are what members said of their disks; one that said nothing
--- a/swarm/replication_test.go
+++ b/swarm/replication_test.go
@@ -50,13 +50,14 @@
 }
 
 func TestWhatProvesACopy(t *testing.T) {
-	d := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{5, 1}}
+	d := Decision{&Value{Turn: 3, Members: membersOf(1, 2, 3), Prior: membersOf(1, 2, 3)}, Ballot{5, 1}, Ballot{8, 1}}
 	for what, c := range map[string]struct {
 		copy Copy
 		want bool
 	}{
 		"the vote that decided":        {Copy{3, Ballot{5, 1}}, true},
 		"a later vote":                 {Copy{4, Ballot{9, 1}}, true},
+		"a later vote that has lost":   {Copy{4, Ballot{7, 1}}, false},
 		"an older turn":                {Copy{2, Ballot{4, 1}}, false},
 		"the turn at a lower ballot":   {Copy{3, Ballot{4, 7}}, false},
 		"an older turn, higher ballot": {Copy{2, Ballot{9, 1}}, false},
