--- a/hive/hive.go
+++ b/hive/hive.go
@@ -56,11 +56,13 @@
 	killed   chan struct{}
 	turn     chan struct{} // holds one token: this hive's rounds go one at a time
 	wg       sync.WaitGroup
-	voteTurn atomic.Uint64 // of the vote on the disk; written before the vote is told
+	vote     atomic.Pointer[swarm.Value] // on the disk; written before the vote is told; nil = none
+	voteTurn atomic.Uint64               // of the vote on the disk; written before the vote is told
 
 	// The owner's.
 	known     *swarm.Value      // decided, or what a round may start from
 	confirmed bool              // known was decided
+	ledger    swarm.Ledger      // of decided values; bounded by itself
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
 	decision  swarm.Decision    // known, and at which ballots it was decided
@@ -152,6 +154,7 @@
 		// Whether it was decided is not known.
 		h.voted, h.known = v.Turn, swarm.Restarted(v)
 		h.voteTurn.Store(uint64(v.Turn))
+		h.vote.Store(v)
 	}
 	h.copy, h.decision = state.Copy(), swarm.Decision{Value: h.known}
 	h.late, h.repair = swarm.Repair{Wait: lateWait}, swarm.Repair{Wait: repairWait}
--- a/hive/replication.go
+++ b/hive/replication.go
@@ -91,6 +91,7 @@
 	}, func(_ swarm.State, err error) {
 		if taken && err == nil {
 			h.voteTurn.Store(uint64(a.Value.Turn)) // before anybody is told
+			h.vote.Store(a.Value)
 			go h.do(func() { h.hasVoted(a.Value.Turn, a.Ballot) })
 		}
 	})
