--- a/hive/replication.go
+++ b/hive/replication.go
@@ -15,7 +15,10 @@
 	m := h.me()
 	m.StoredTurn, m.StoredBallot, m.Leaving = uint64(h.copy.Turn), dance.FromBallot(h.copy.Ballot), h.leaving
 	if h.confirmed {
-		m.DecidedBallot, m.DecidedLast = dance.FromBallot(h.decision.First), dance.FromBallot(h.decision.Last)
+		m.DecidedBallot = dance.FromBallot(h.decision.First)
+		if h.decision.Last != h.decision.First {
+			m.DecidedLast = dance.FromBallot(h.decision.Last)
+		}
 	}
 	return m
 }
