--- a/hive/hive.go
+++ b/hive/hive.go
@@ -65,6 +65,10 @@
 	ledger    swarm.Ledger      // of decided values; bounded by itself
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
+	decision  swarm.Decision    // known, and at which ballots it was decided
+	copy      swarm.Copy        // what this machine's disk holds
+	late      swarm.Repair      // when this machine's own copy is to be completed
+	repair    swarm.Repair      // when a round is owed for copies that lack
 	contact   *quorum.Contact
 	touching  bool // in contact, when last looked
 	verify    verifications
@@ -152,6 +156,8 @@
 		h.voteTurn.Store(uint64(v.Turn))
 		h.vote.Store(v)
 	}
+	h.copy, h.decision = state.Copy(), swarm.Decision{Value: h.known}
+	h.late, h.repair = swarm.Repair{Wait: lateWait}, swarm.Repair{Wait: repairWait}
 	h.turn <- struct{}{}
 	h.recall(store.Hints())
 	return h, nil
@@ -231,7 +237,7 @@
 	select {
 	case <-ctx.Done():
 		h.log.Info().Msg("hive: leaving")
-		h.giveSeat()
+		h.leave()
 		end, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		control.Close()
