--- a/dance/values_test.go
+++ b/dance/values_test.go
@@ -1,6 +1,7 @@
 package dance
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -41,3 +42,34 @@
 		t.Error("a value without a configuration leaves one out")
 	}
 }
+
+// BenchmarkAccept tells how long an Accept is, and what making and reading it takes, with its body and without, by the body's
+// size.
+func BenchmarkAccept(b *testing.B) {
+	for _, size := range []int{2 << 10, 170 << 10, 1700 << 10} {
+		v := sample()
+		v.Body = make([]byte, size)
+		v.Past = nil
+		for i := range swarm.KeptPasts {
+			v.Past = append(v.Past, swarm.Past{Version: swarm.Version(i + 2), BasedOn: swarm.Version(i + 1), Digest: string(make([]byte, 32))})
+		}
+		for name, has := range map[string][]string{"whole": nil, "left out": Digests(v)} {
+			b.Run(fmt.Sprintf("%s/body=%d", name, size), func(b *testing.B) {
+				b.ReportAllocs()
+				length := 0
+				for range b.N {
+					text, err := proto.Marshal(&Accept{To: 1, Ballot: FromBallot(swarm.Ballot{Number: 9, By: 1}), Value: FromValue(v, has...)})
+					if err != nil {
+						b.Fatal(err)
+					}
+					m := &Accept{}
+					if proto.Unmarshal(text, m) != nil || ToValue(m.Value, v) == nil {
+						b.Fatal("it can't be read")
+					}
+					length = len(text)
+				}
+				b.ReportMetric(float64(length), "wire-B")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/wax/vote_bench_test.go
@@ -0,0 +1,53 @@
+package wax
+
+import (
+	"fmt"
+	"os"
+	"testing"
+
+	"oxbowspan/swarm"
+)
+
+// BenchmarkStore tells what a promise, a vote for the same version and one for a new version write, by the body's size. The
+// disk is memory, so that times are the processor's.
+func BenchmarkStore(b *testing.B) {
+	for _, size := range []int{2 << 10, 170 << 10, 1700 << 10} {
+		for name, step := range map[string]func(n uint64) func(swarm.State) swarm.State{
+			"promise":          func(n uint64) func(swarm.State) swarm.State { return promise(n) },
+			"vote again":       func(n uint64) func(swarm.State) swarm.State { return longVote(n, 1, size) },
+			"vote for another": func(n uint64) func(swarm.State) swarm.State { return longVote(n, swarm.Version(n), size) },
+		} {
+			b.Run(fmt.Sprintf("%s/body=%d", name, size), func(b *testing.B) {
+				dir, err := os.MkdirTemp("/dev/shm", "wax")
+				if err != nil {
+					dir = b.TempDir()
+				}
+				defer os.RemoveAll(dir)
+				s, _, err := Open(dir, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer s.Close()
+				act := func(n uint64) {
+					done := make(chan error, 1)
+					if s.Update(step(n), func(_ swarm.State, err error) { done <- err }) != nil || <-done != nil {
+						b.Fatal("not stored")
+					}
+				}
+				first := make(chan error, 1)
+				s.Update(longVote(1, 1, size), func(_ swarm.State, err error) { first <- err })
+				if err := <-first; err != nil {
+					b.Fatal(err)
+				}
+				before := s.db.Stats()
+				b.ResetTimer()
+				for i := range b.N {
+					act(uint64(i + 2))
+				}
+				b.StopTimer()
+				after := s.db.Stats()
+				b.ReportMetric(float64(after.TxStats.GetPageAlloc()-before.TxStats.GetPageAlloc())/float64(b.N), "written-B/op")
+			})
+		}
+	}
+}
--- a/internal/wax/wax_test.go
+++ b/internal/wax/wax_test.go
@@ -161,7 +161,9 @@
 // Power fails while a vote is written: of the pages that were not synced, each is there or not or torn. The state before or
 // the one after comes back, never a stranger and never a mixture.
 func TestPowerFailsInTheMiddleOfAWrite(t *testing.T) {
-	t.Run("one body", func(t *testing.T) { powerFails(t, 60, vote, func(v *swarm.Value) bool { return string(v.Body) == "{}" }) })
+	t.Run("one body", func(t *testing.T) {
+		powerFails(t, 60, vote, func(v *swarm.Value) bool { return string(v.Body) == "{}" })
+	})
 	t.Run("a body of its own for each", func(t *testing.T) {
 		powerFails(t, 24, func(n uint64) func(swarm.State) swarm.State { return longVote(n, swarm.Version(n), 10000) }, func(v *swarm.Value) bool {
 			return len(v.Body) == 10000 && strings.HasPrefix(string(v.Body), fmt.Sprint(v.Version, " "))
