Clients that end midway in what they send

Cause: the drawn plays had clients that give up while they wait, none that ends in the midst of a head or a body. Change: one request in twelve (with what is pipelined beside it) is cut at any byte and its connection closed; a server must never see such a request.

--- a/forager/answers_test.go
+++ b/forager/answers_test.go
@@ -53,6 +53,7 @@
 	Body      int
 	Pipelined bool // goes out together with the next
 	GiveUp    time.Duration
+	Torn      int // above 0, the client ends after so many of 100 parts of what goes out together
 	Pause     time.Duration
 	Patience  time.Duration
 }
@@ -114,6 +115,9 @@
 	if rapid.IntRange(0, 9).Draw(t, "gives up") == 0 {
 		c.GiveUp = time.Duration(rapid.IntRange(1, 60).Draw(t, "after")) * time.Millisecond
 	}
+	if rapid.IntRange(0, 11).Draw(t, "torn") == 0 {
+		c.Torn = rapid.IntRange(1, 99).Draw(t, "torn at")
+	}
 	return c
 })
 
@@ -575,7 +579,7 @@
 		}
 		var text []byte
 		var batch []string
-		giveUp := time.Duration(0)
+		giveUp, torn := time.Duration(0), 0
 		for {
 			s := steps[i]
 			id := name + "-" + strconv.Itoa(i)
@@ -592,11 +596,18 @@
 			text = fmt.Appendf(text, "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s",
 				a.method, a.path, id, s.Patience/time.Millisecond, len(a.body), a.body)
 			batch = append(batch, id)
-			giveUp = cmp.Or(giveUp, s.GiveUp)
+			giveUp, torn = cmp.Or(giveUp, s.GiveUp), cmp.Or(torn, s.Torn)
 			if i++; !s.Pipelined || i == len(steps) {
 				break
 			}
 		}
+		if torn > 0 {
+			c.Write(text[:len(text)*torn/100])
+			time.Sleep(steps[i-1].Pause)
+			c.Close()
+			c = nil
+			continue
+		}
 		c.Write(text)
 		for _, id := range batch {
 			c.SetReadDeadline(time.Now().Add(cmp.Or(giveUp, 3*time.Second)))
