--- a/hive/hive.go
+++ b/hive/hive.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/emirpasic/gods/v2/queues/circularbuffer"
@@ -22,6 +23,7 @@
 	"oxbowspan/internal/ground"
 	"oxbowspan/internal/wax"
 	"oxbowspan/kin"
+	"oxbowspan/quorum"
 	"oxbowspan/swarm"
 	"oxbowspan/waggle"
 )
@@ -30,7 +32,7 @@
 const (
 	pulseEvery  = 400 * time.Millisecond  // to each other hive
 	callLimit   = 800 * time.Millisecond  // for an answer of another hive
-	settledFor  = 1500 * time.Millisecond // a hive counts as in contact so long after its last word
+	settledFor  = 1500 * time.Millisecond // another hive counts as heard so long after its last word
 	tidyEvery   = 400 * time.Millisecond
 	newsDelay   = 60 * time.Millisecond // what is not urgent is gathered so long
 	foragerLost = 4 * time.Second       // without a question, a forager is held to be gone
@@ -54,13 +56,17 @@
 	killed   chan struct{}
 	turn     chan struct{} // holds one token: this hive's rounds go one at a time
 	wg       sync.WaitGroup
+	voteTurn atomic.Uint64 // of the vote on the disk; written before the vote is told
 
 	// The owner's.
 	known     *swarm.Value      // decided, or what a round may start from
 	confirmed bool              // known was decided
 	ballot    uint64            // the highest number seen
 	notesAt   map[string]noteAt // since when each note's version is known here; as many as there are notes
-	voted     swarm.Turn        // the newest turn that this acceptor voted for
+	contact   *quorum.Contact
+	touching  bool // in contact, when last looked
+	verify    verifications
+	voted     swarm.Turn // the newest turn that this acceptor voted for
 	votedAt   time.Duration
 	table     *waggle.Table
 	foragers  map[uint64]*forager          // emptied of those not heard for a while
@@ -116,6 +122,8 @@
 	id    uint64
 	ask   *dance.Ask
 	until time.Duration
+
+	verifying bool // until a majority has answered what it was asked after the question came
 }
 
 // New opens the state and makes a hive that does nothing yet.
@@ -135,13 +143,11 @@
 	h := &Hive{set: set, net: on, log: log, store: store, self: state.ID, proposer: swarm.ProposerID(wax.Draw()), life: uint64(wax.Draw()),
 		address: set.Internal(boot.HivePort), start: time.Now(), cmds: make(chan func(), 1024), stopped: make(chan struct{}), killed: make(chan struct{}),
 		turn: make(chan struct{}, 1), known: swarm.Genesis(genesis), table: waggle.NewTable(set.Beat()),
-		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, servers: map[string]string{}, events: circularbuffer.New[event](keptEvents), notesAt: map[string]noteAt{}, ballot: state.Promised.Number}
+		foragers: map[uint64]*forager{}, peers: map[string]*peer{}, waiters: map[*waiter]bool{}, servers: map[string]string{}, events: circularbuffer.New[event](keptEvents), notesAt: map[string]noteAt{}, ballot: state.Promised.Number, contact: quorum.NewContact()}
 	if v := state.Value; v != nil {
-		// Whether it was decided is not known. The set before it was.
-		h.voted = v.Turn
-		if v.Turn > 0 {
-			h.known = &swarm.Value{Turn: v.Turn - 1, Members: v.Prior, Prior: v.Prior}
-		}
+		// Whether it was decided is not known.
+		h.voted, h.known = v.Turn, swarm.Restarted(v)
+		h.voteTurn.Store(uint64(v.Turn))
 	}
 	h.turn <- struct{}{}
 	h.recall(store.Hints())
@@ -174,17 +180,25 @@
 	}
 }
 
-// ask hands the owner a command and waits for its end.
+// ask hands the owner a command and waits for its end. A caller that the stop releases does not wait for the command, which
+// may still run: it must write nothing that the caller reads. What has an answer is asked by inquire.
 func (h *Hive) ask(f func()) bool {
-	done := make(chan struct{})
-	if !h.do(func() { f(); close(done) }) {
-		return false
+	_, done := inquire(h, func() struct{} { f(); return struct{}{} })
+	return done
+}
+
+// inquire hands the owner a question and waits for its answer. The answer travels through a channel: a caller that the stop
+// releases shares no variable with a question that still runs. It tells whether there was an answer.
+func inquire[T any](h *Hive, question func() T) (answer T, ok bool) {
+	answers := make(chan T, 1) // the owner waits for no caller
+	if !h.do(func() { answers <- question() }) {
+		return answer, false
 	}
 	select {
-	case <-done:
-		return true
+	case answer = <-answers:
+		return answer, true
 	case <-h.stopped:
-		return false
+		return answer, false
 	}
 }
 
@@ -236,14 +250,32 @@
 	h.store.Update(func(s swarm.State) swarm.State { time.Sleep(d); return s }, func(swarm.State, error) {})
 }
 
+// Freeze has the owner stand still for a time, as in a process that is frozen: what comes meanwhile is worked on afterwards.
+// With clock, the steady clock stands still as long, as on a machine that is suspended. For tests.
+func (h *Hive) Freeze(d time.Duration, clock bool) {
+	h.do(func() {
+		select {
+		case <-time.After(d):
+		case <-h.stopped:
+		}
+		if clock {
+			h.start = h.start.Add(d)
+		}
+	})
+}
+
 // Agreed is the newest turn and version that this hive knows to be agreed.
 func (h *Hive) Agreed() (turn swarm.Turn, version swarm.Version) {
-	h.ask(func() {
-		if h.confirmed {
-			turn, version = h.known.Turn, h.known.Version
+	known, _ := inquire(h, func() *swarm.Value {
+		if !h.confirmed {
+			return &swarm.Value{}
 		}
+		return h.known
 	})
-	return turn, version
+	if known == nil {
+		return 0, 0
+	}
+	return known.Turn, known.Version
 }
 
 // own is the owner: it works through the queue of commands.
@@ -275,7 +307,7 @@
 		h.tidyAt = now + tidyEvery
 		h.tidy(now)
 	}
-	next := h.tidyAt
+	next := min(h.tidyAt, h.watchContact(now), h.watchVerifications(now))
 	if h.newsAt != 0 {
 		if now >= h.newsAt {
 			h.newsAt = 0
@@ -330,6 +362,7 @@
 		}
 	}
 	h.spreads = kept
+	h.contact.Forget(now - 2*contactFor)
 	h.owe(now)
 	h.keepHints(now)
 }
@@ -387,7 +420,7 @@
 // tell answers the waiters for whom there is news.
 func (h *Hive) tell(now time.Duration) {
 	for w := range h.waiters {
-		if h.hasNews(w.ask) {
+		if !w.verifying && h.hasNews(w.ask) {
 			h.answer(w, now)
 		}
 	}
@@ -398,25 +431,10 @@
 		len(h.table.Changed(waggle.Cursor(a.Cursor))) > 0
 }
 
-// settled tells whether this hive is in contact with a majority of the acceptors.
-func (h *Hive) settled(now time.Duration) bool {
-	return swarm.Majority(h.known.Members, func(id swarm.AcceptorID) bool {
-		if id == h.self {
-			return true
-		}
-		for _, p := range h.peers {
-			if p.id == id && now-p.heardAt < settledFor && p.heardAt > 0 {
-				return true
-			}
-		}
-		return false
-	})
-}
-
 func (h *Hive) answer(w *waiter, now time.Duration) {
 	delete(h.waiters, w)
 	a := w.ask
-	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.confirmed && h.settled(now), Turn: a.Turn,
+	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.confirmed && !w.verifying && h.inContact(now), Turn: a.Turn,
 		Warm: now > 3*h.set.Beat(), Crowd: h.crowd}
 	if h.confirmed && uint64(h.known.Turn) > a.Turn {
 		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
@@ -466,8 +484,8 @@
 	case *dance.Frame_Accept:
 		h.accept(b.Accept, func(a *dance.Accepted) { c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_Accepted{Accepted: a}}) })
 	case *dance.Frame_Pulse:
-		var back *dance.PulseBack
-		if h.ask(func() { back = h.pulsed(b.Pulse, h.now()) }) {
+		back, ok := inquire(h, func() *dance.PulseBack { return h.pulsed(b.Pulse, h.now()) })
+		if ok {
 			c.Answer(f.Id, &dance.Frame{Body: &dance.Frame_PulseBack{PulseBack: back}})
 		}
 	case *dance.Frame_Ask:
@@ -491,7 +509,16 @@
 	}
 	w := &waiter{conn: c, id: id, ask: a, until: now + time.Duration(a.HoldMs)*time.Millisecond}
 	h.waiters[w] = true
-	if h.hasNews(a) || a.HoldMs == 0 {
+	switch {
+	case a.HiveLife != h.life && h.confirmed && h.inContact(now):
+		w.verifying, w.until = true, now+2*verifyLimit
+		h.verifyContact(now, func(verified bool) {
+			if h.waiters[w] {
+				w.verifying = !verified
+				h.answer(w, h.now())
+			}
+		})
+	case h.hasNews(a) || a.HoldMs == 0:
 		h.answer(w, now)
 	}
 }
