All Connection fields of a request count, beside "close" too

Cause: where one of them says close, only that was read; a field that another one named as the connection's own went along to the server (test). Change: all are read. Result: the test fails without the change and passes with it.

--- a/forager/forager_test.go
+++ b/forager/forager_test.go
@@ -100,7 +100,7 @@
 func TestWhatGoesAlong(t *testing.T) {
 	var q fasthttp.Request
 	q.Header.DisableNormalizing()
-	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\n" +
+	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\nConnection: close, x-yours\r\nX-Yours: 1\r\n" +
 		"X-Deadline-Remaining: 5\r\nX-Expected-Instance: z\r\nTE: trailers\r\nAccept: */*\r\n\r\n"
 	if err := q.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
@@ -111,7 +111,7 @@
 			t.Errorf("%q is missing in %q", want, got)
 		}
 	}
-	for _, not := range []string{"X-Mine", "Connection", "Deadline", "Expected", "TE:"} {
+	for _, not := range []string{"X-Mine", "X-Yours", "Connection", "Deadline", "Expected", "TE:"} {
 		if strings.Contains(got, not) {
 			t.Errorf("%q goes along in %q", not, got)
 		}
--- a/forager/front.go
+++ b/forager/front.go
@@ -367,7 +367,7 @@
 // passOn are the header lines that go along with a request.
 func passOn(q *fasthttp.Request) []byte {
 	var named [][]byte
-	if c := q.Header.Peek("Connection"); len(c) > 0 {
+	for _, c := range q.Header.PeekAll("Connection") {
 		for field := range bytes.SplitSeq(c, []byte(",")) {
 			if field = bytes.TrimSpace(field); !bytes.EqualFold(field, []byte("X-Attempt-Id")) { // answers are told apart by it
 				named = append(named, field)
