--- a/forager/answers_test.go
+++ b/forager/answers_test.go
@@ -53,6 +53,7 @@
 	Body      int
 	Pipelined bool // goes out together with the next
 	GiveUp    time.Duration
+	Torn      int // above 0, the client ends after so many of 100 parts of what goes out together
 	Pause     time.Duration
 	Patience  time.Duration
 }
@@ -77,14 +78,14 @@
 	few := func(label string, most int) bool { return rapid.IntRange(0, most).Draw(t, label) == 0 }
 	s := serverStep{Kind: "whole", Cut: 100, Work: time.Duration(rapid.IntRange(0, 30).Draw(t, "work")) * time.Millisecond}
 	if !few("calm", 2) {
-		s.Kind = rapid.SampledFrom([]string{"whole", "chunked", "503 marked", "429 marked", "400 marked", "421", "500", "503", "408", "429", "404", "no seal", "other",
+		s.Kind = rapid.SampledFrom([]string{"whole", "chunked", "503 marked", "503 marked", "503 marked", "429 marked", "400 marked", "421", "500", "503", "408", "429", "404", "no seal", "other",
 			"no id", "000", "silent", "ends unrun", "ends run"}).Draw(t, "kind")
 	}
 	if few("before", 4) {
 		s.Before = rapid.SampledFrom([]string{"100", "103", "103 length", "102 own", "503 unnamed", "408 unnamed", "other", "garbage", "late other"}).Draw(t, "what before")
 	}
 	if few("after", 3) {
-		s.After = rapid.SampledFrom([]string{"copy", "copy late", "copy next", "copy next but one", "garbage", "line end", "other next"}).Draw(t, "what after")
+		s.After = rapid.SampledFrom([]string{"copy", "copy late", "copy next", "copy next", "copy next", "copy next but one", "garbage", "line end", "other next"}).Draw(t, "what after")
 	}
 	if few("cut", 6) {
 		s.Cut = rapid.IntRange(0, 99).Draw(t, "cut at")
@@ -114,6 +115,9 @@
 	if rapid.IntRange(0, 9).Draw(t, "gives up") == 0 {
 		c.GiveUp = time.Duration(rapid.IntRange(1, 60).Draw(t, "after")) * time.Millisecond
 	}
+	if rapid.IntRange(0, 11).Draw(t, "torn") == 0 {
+		c.Torn = rapid.IntRange(1, 99).Draw(t, "torn at")
+	}
 	return c
 })
 
@@ -129,7 +133,7 @@
 })
 
 var drawPlay = rapid.Custom(func(t *rapid.T) play {
-	p := play{Servers: rapid.IntRange(1, 2).Draw(t, "servers"), Script: rapid.SliceOfN(drawServer, 1, 12).Draw(t, "script"),
+	p := play{Servers: rapid.SampledFrom([]int{1, 1, 2}).Draw(t, "servers"), Script: rapid.SliceOfN(drawServer, 1, 12).Draw(t, "script"),
 		Writes: rapid.SliceOfN(drawWrite, 1, 8).Draw(t, "writes")}
 	for range rapid.IntRange(1, 3).Draw(t, "dials") {
 		p.Dials = append(p.Dials, time.Duration(rapid.SampledFrom([]int{0, 0, 0, 20, 120}).Draw(t, "dial takes"))*time.Millisecond)
@@ -575,7 +579,7 @@
 		}
 		var text []byte
 		var batch []string
-		giveUp := time.Duration(0)
+		giveUp, torn := time.Duration(0), 0
 		for {
 			s := steps[i]
 			id := name + "-" + strconv.Itoa(i)
@@ -592,11 +596,18 @@
 			text = fmt.Appendf(text, "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s",
 				a.method, a.path, id, s.Patience/time.Millisecond, len(a.body), a.body)
 			batch = append(batch, id)
-			giveUp = cmp.Or(giveUp, s.GiveUp)
+			giveUp, torn = cmp.Or(giveUp, s.GiveUp), cmp.Or(torn, s.Torn)
 			if i++; !s.Pipelined || i == len(steps) {
 				break
 			}
 		}
+		if torn > 0 {
+			c.Write(text[:len(text)*torn/100])
+			time.Sleep(steps[i-1].Pause)
+			c.Close()
+			c = nil
+			continue
+		}
 		c.Write(text)
 		for _, id := range batch {
 			c.SetReadDeadline(time.Now().Add(cmp.Or(giveUp, 3*time.Second)))
--- a/forager/forager_test.go
+++ b/forager/forager_test.go
@@ -32,6 +32,7 @@
 		"chunks cut off":        {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", single, brain.Reset, true, false},
 		"without a length":      {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "\r\nab", single, brain.Reset, true, false},
 		"another's":             {"HTTP/1.1 200 OK\r\nX-Attempt-Id: p\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
+		"torn, then another's":  {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nA: bHTTP/1.1 200 OK\r\nX-Attempt-Id: p\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
 		"without an id":         {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
 		"a part without an id":  {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", gathered, brain.Reset, true, false},
 		"without a stamp":       {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nContent-Length: 2\r\n\r\nab", single, brain.Errored, false, true},
@@ -99,7 +100,7 @@
 func TestWhatGoesAlong(t *testing.T) {
 	var q fasthttp.Request
 	q.Header.DisableNormalizing()
-	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\n" +
+	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\nConnection: close, x-yours\r\nX-Yours: 1\r\n" +
 		"X-Deadline-Remaining: 5\r\nX-Expected-Instance: z\r\nTE: trailers\r\nAccept: */*\r\n\r\n"
 	if err := q.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
@@ -110,7 +111,7 @@
 			t.Errorf("%q is missing in %q", want, got)
 		}
 	}
-	for _, not := range []string{"X-Mine", "Connection", "Deadline", "Expected", "TE:"} {
+	for _, not := range []string{"X-Mine", "X-Yours", "Connection", "Deadline", "Expected", "TE:"} {
 		if strings.Contains(got, not) {
 			t.Errorf("%q goes along in %q", not, got)
 		}
