Hollow: a size is broken off after 100 s

Cause: at 10,000 servers on a busy machine (load 80) the control machines did not keep up and each step ran to its own bound: one size took over five minutes. Ruled out: longer bounds per step. What is not measured in time counts as never come, and the row says so.

--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -53,6 +53,7 @@
 	hollowIntervals = 3 // between heartbeats, until all is known
 	hollowTries     = 20
 	hollowReplace   = 3 * time.Second        // until a gatherer that took another's place is known to all
+	hollowLimit     = 100 * time.Second      // for one size: what is not measured then counts as not acknowledged or never come
 	hollowRestarts  = 24                     // of servers,
 	hollowRestartAt = 250 * time.Millisecond // one in so long: each is news of its own
 )
@@ -111,6 +112,7 @@
 	load                     float64 // of the whole machine, as the system tells it
 	real                     realGatherer
 	perRestart               float64 // processor seconds of a control machine for one server's restart
+	brokenOff                bool    // the size took longer than it may
 }
 
 // realGatherer is what a real gatherer without clients spends.
@@ -167,7 +169,9 @@
 		control, inner = append(control, s.Listen.Control), append(inner, s.Internal(boot.HivePort))
 		pids = append(pids, p.Process.Pid)
 	}
-	f := newHollowFleet(ctx, ground.TCP{}, control, inner, sys.c.Beat)
+	bounded, cancel := context.WithTimeout(ctx, hollowLimit)
+	defer cancel()
+	f := newHollowFleet(bounded, ground.TCP{}, control, inner, sys.c.Beat)
 	defer f.end()
 	m := &hollowMeasure{configBytes: len(conf)}
 	f.addServers(size.servers, hollowLanes)
@@ -184,6 +188,9 @@
 	order := func(version uint64) bool { // by any control machine, as an operator does
 		body := hollowConfig(version, size.routes)
 		for i := range hollowTries {
+			if bounded.Err() != nil {
+				return false
+			}
 			if sys.c.Replace(sys.c.Hives[(int(version)+i)%size.control], version-1, body) == 200 {
 				return true
 			}
@@ -192,6 +199,7 @@
 		return false
 	}
 	m.changes(f, order)
+	m.brokenOff = bounded.Err() != nil
 	return m, ctx.Err()
 }
 
@@ -272,6 +280,9 @@
 	}
 	began, n := time.Now(), 0
 	for i := range hollowRestarts {
+		if f.ctx.Err() != nil {
+			break
+		}
 		if f.servers[(7*i+3)%len(f.servers)].restart() {
 			n++
 		}
@@ -395,8 +406,8 @@
 		"list of servers", "of so many", "list of gatherers", "questions given up"), append(row, text(m.calmIn, 0), text(m.calmOut, 0), text(m.configIn, 0),
 		strconv.Itoa(m.configBytes), text(m.serverIn, 0), text(m.replacedIn, 0), strconv.FormatInt(m.listBytes, 10), strconv.FormatInt(m.listLength, 10),
 		strconv.FormatInt(m.crowdBytes, 10), strconv.FormatInt(m.abandoned, 10))...)
-	r.Row("Milliseconds to half and to all gatherers, the worst of a few", append(head, "change acknowledged", "draining acknowledged", "last heartbeat of one that fell silent"),
-		append(row, m.change.String(), m.drain.String(), m.silence.String())...)
+	r.Row("Milliseconds to half and to all gatherers, the worst of a few", append(head, "change acknowledged", "draining acknowledged", "last heartbeat of one that fell silent", "broken off"),
+		append(row, m.change.String(), m.drain.String(), m.silence.String(), map[bool]string{true: "yes", false: "no"}[m.brokenOff])...)
 	r.Row("A real gatherer without clients, and the restart of a server", append(head, "gatherer: cores", "MB held", "at its peak", "ms of processor a restart",
 		"control machine: ms of processor a restart"), append(row, text(m.real.processor, 4), text(float64(m.real.memory)/1e6, 0), text(float64(m.real.peak)/1e6, 0),
 		text(1000*m.real.perRestart, 1), text(1000*m.perRestart, 1))...)
