--- a/kin/kin_bench_test.go
+++ b/kin/kin_bench_test.go
@@ -18,7 +18,7 @@
 }
 
 func BenchmarkKin(b *testing.B) {
-	for _, n := range []int{100, 1000, 3300} {
+	for _, n := range []int{100, 300, 1000, 3300} {
 		all, servers := benchNames("gatherer", n), benchNames("server", 72)
 		run := func(name string, what func()) {
 			b.Run(fmt.Sprintf("%s/gatherers=%d", name, n), func(b *testing.B) {
@@ -31,6 +31,7 @@
 		run("watched", func() { Watched(all[0], all, Few) })
 		run("holder", func() { Holder("server-1", all) })
 		run("seats at 72 servers of 280 connections", func() { Seated(all[0], all, servers, Seats(280)) })
+		run("seats at 8 servers of 280 connections", func() { Seated(all[0], all, servers[:8], Seats(280)) })
 		d := NewDuties(all[0])
 		run("told of all", func() { d.Told(all, time.Second) })
 	}
