A lost vote for a later turn is not proposed again over what was decided

Of three acceptors one had voted for turn 5 and turn 6 on top of it, both lost; the other turn 5 was decided by the rest. A round heard the first one first and proposed turn 6 on top of what had lost: what was acknowledged at turn 5 would be gone. Found by reading; the models had not come upon the order of messages. Change: the vote with the highest ballot alone says what is newest; where it is of no later turn, what is known stands.

--- a/swarm/round.go
+++ b/swarm/round.go
@@ -61,9 +61,11 @@
 		return nil
 	}
 	r.promised[p.From] = true
-	// The newest is the one with the highest ballot; one known to be decided stands until a later turn shows.
+	// The newest is the one with the highest ballot, whatever was heard of before. Where that is of no later turn than one known
+	// to be decided, what is known stands: a vote for a later turn at a lower ballot has lost.
 	if p.Value != nil && p.Accepted.Compare(r.highest) > 0 {
-		if r.highest = p.Accepted; p.Value.Turn > r.known.Turn {
+		r.highest, r.newest = p.Accepted, r.known
+		if p.Value.Turn > r.known.Turn {
 			r.newest = p.Value
 		}
 	}
