A part without its request's id counts as the first answer of its connection

Cause: the protocol's example of a gathered part shows no id in the server's answer. Ruled out: taking such a part on a connection that brought an answer before: it may be a late copy. Change: a success without an id is a part where it is the first answer of its connection, which ends with it.

--- a/forager/answer.go
+++ b/forager/answer.go
@@ -23,8 +23,9 @@
 }
 
 // readAnswer reads one whole answer to a request. With an error, the bytes were no whole answer to this request: the
-// connection is of no more use and the request may have run. Keep is how long the connection may rest, 0 = not at all.
-func readAnswer(r *bufio.Reader, s *search, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
+// connection is of no more use and the request may have run. First says that the connection brought no answer before. Keep is how
+// long the connection may rest, 0 = not at all.
+func readAnswer(r *bufio.Reader, s *search, first bool, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
 	if err := readFinalHead(r, resp); err != nil {
 		return brain.Reset, 0, err
 	}
@@ -43,11 +44,11 @@
 			}
 		}
 	}
-	if !belongs(resp, s) {
+	if !belongs(resp, s, first) {
 		return brain.Reset, 0, eris.New("an answer to another request, or to nobody knows which")
 	}
 	keep = idleLimit
-	if resp.Header.ConnectionClose() || s.attempt == "" || status == fasthttp.StatusMisdirectedRequest {
+	if resp.Header.ConnectionClose() || len(resp.Header.Peek("X-Attempt-Id")) == 0 || status == fasthttp.StatusMisdirectedRequest {
 		keep = 0
 	}
 	if text := resp.Header.Peek("Keep-Alive"); len(text) > 0 && keep > 0 {
@@ -96,13 +97,15 @@
 }
 
 // belongs tells whether an answer is this request's own: it bears the request's id and no other (two stand in a head that was torn
-// off, with another's behind it). Only a 421 may bear none. Its connection ends with it, so that it can't be the late copy of an
-// earlier one; an answer of another kind without the id may be late, doubled or unasked for, and what it says of its request would
-// be taken for what became of this one.
-func belongs(resp *fasthttp.Response, s *search) bool {
+// off, with another's behind it). A 421 may bear none, and so may a success as a part of a gathered answer where it is the first
+// that its connection brings; the connection ends with it, so that neither is the late copy of an earlier answer. One of another
+// kind without the id may be late, doubled or unasked for, and what it says of its request would be taken for what became of this
+// one.
+func belongs(resp *fasthttp.Response, s *search, first bool) bool {
 	switch ids := resp.Header.PeekAll("X-Attempt-Id"); len(ids) {
 	case 0:
-		return s.attempt == "" || resp.StatusCode() == fasthttp.StatusMisdirectedRequest
+		firstPart := first && s.route.Gathered() && resp.StatusCode()/100 == 2
+		return s.attempt == "" || firstPart || resp.StatusCode() == fasthttp.StatusMisdirectedRequest
 	case 1:
 		return string(ids[0]) == s.attempt
 	}
--- a/forager/links.go
+++ b/forager/links.go
@@ -251,7 +251,7 @@
 // read takes answers until the connection ends. What comes while no answer is due, or beyond one, belongs to no request:
 // the connection is closed.
 func (f *Forager) read(l *link) {
-	for {
+	for first := true; ; first = false {
 		_, err := l.r.Peek(1)
 		c := l.due()
 		if err != nil || c == nil {
@@ -260,7 +260,7 @@
 			return
 		}
 		resp := fasthttp.AcquireResponse()
-		outcome, keep, err := readAnswer(l.r, c.p.s, resp)
+		outcome, keep, err := readAnswer(l.r, c.p.s, first, resp)
 		if err != nil {
 			fasthttp.ReleaseResponse(resp)
 			l.c.Close()
