--- a/forager/answers_test.go
+++ b/forager/answers_test.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// TestARequestThatWasNotHandedOverGoesOverTheNextConnection: of two requests that may not be repeated the second finds its connection
+// dead. Where not a byte of it was taken it is served all the same; where one was, it is not sent again, and nothing is promised.
+func TestARequestThatWasNotHandedOverGoesOverTheNextConnection(t *testing.T) {
+	for bytes, want := range map[int]int{0: http.StatusOK, 1: http.StatusGatewayTimeout} {
+		step := clientStep{Path: "/once/x", Patience: 300 * time.Millisecond, Pause: 10 * time.Millisecond}
+		w := perform(t, play{Servers: 1, Script: []serverStep{{Kind: "whole", Cut: 100}}, Writes: []writeStep{{}, {Fails: true, At: bytes}, {}},
+			Dials: []time.Duration{0}, Clients: [][]clientStep{{step, step}}})
+		if got := w.answers["0-1"]; w.broken != "" || w.answers["0-0"] != http.StatusOK || got != want {
+			t.Errorf("%d bytes taken: answered %d, want %d; %s", bytes, got, want, w.broken)
+		}
+	}
+}
+
 // world is one play's surroundings and records.
 type world struct {
 	mu      sync.Mutex
