Benchmark of the bytes of loads told between gatherers

Cause: at the size that decides the design each gatherer tells four others of every server that had a part in the last quarter of a second; the bytes of it were not measured.

--- a/internal/lab/vote_bench_test.go
+++ b/internal/lab/vote_bench_test.go
@@ -39,3 +39,24 @@
 		}
 	}
 }
+
+// BenchmarkLoads tells the bytes of one telling of unfinished parts from a gatherer to one that watches it, by servers that had any:
+//
+//	go test -run xxx -bench Loads -benchmem ./internal/lab
+func BenchmarkLoads(b *testing.B) {
+	for _, servers := range []int{10, 100, 1000, 16_900} {
+		m := &dance.Loads{Life: 1 << 60}
+		for i := range servers {
+			m.Loads = append(m.Loads, &dance.Load{Instance: fmt.Sprintf("i-%08x", uint32(i)*2654435761), Milliparts: 700})
+		}
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := proto.Marshal(m); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(proto.Size(m)), "bytes")
+		})
+	}
+}
