--- a/swarm/model_test.go
+++ b/swarm/model_test.go
@@ -204,7 +204,13 @@
 	switch kind {
 	case 3, 4:
 		run.call = w.order(m, kind == 4)
-		change = func(v *Value) *Value { return w.meet(run, v) }
+		change = func(v *Value) *Value {
+			next := w.meet(run, v)
+			if w.planted == refusedUndecided && run.fate == Outrun {
+				w.answered(run)
+			}
+			return next
+		}
 	case 0:
 		// A new call on top of what this machine knows, or one that had no clear answer, sent again here.
 		if open := slices.DeleteFunc(slices.Clone(w.calls), func(c *call) bool { return c.refused }); len(open) > 0 && w.r.IntN(4) == 0 {
@@ -548,8 +554,7 @@
 	for name, m := range map[string]mistake{"told before stored": toldBeforeStored, "wiped disk keeps its name": wipedKeepsName,
 		"ballots used again": ballotsAgain, "promises forgotten": promisesForgotten, "promises hide votes": promisesLate,
 		"a seat without the old majority": seatsAtOnce, "a set cut down at once": twoSeatsAtOnce, "votes taken for decided": votesAsDecided,
-		"promises taken for decided": readUnproved, "strangers answer for the lost": strangerPromises, "the lower vote wins": lowerVoteWins, "refused before its fate is looked for": outrunFirst, "fates forgotten": fatesForgotten,
-		"refused beside what is not decided": refusedUndecided} {
+		"promises taken for decided": readUnproved, "strangers answer for the lost": strangerPromises, "the lower vote wins": lowerVoteWins, "refused before its fate is looked for": outrunFirst, "fates forgotten": fatesForgotten} {
 		found := 0
 		for seed := range uint64(30000) {
 			if broken, _ := run(seed, 3+2*int(seed%2), 800, m); broken != "" {
@@ -606,7 +611,8 @@
 func TestPlantedMistakesWithOrdersAreFound(t *testing.T) {
 	for name, m := range map[string]mistake{"refused below the horizon": refusedBelowHorizon, "refused above the newest": refusedAboveNewest,
 		"what the ledger lacks is refused": missingRefused, "a ledger filled from votes": ledgerOfVotes, "a ledger without digests": ledgerByVersion,
-		"a window without digests": windowByVersion, "whether it fits comes before its fate": fitFirst} {
+		"a window without digests": windowByVersion, "whether it fits comes before its fate": fitFirst,
+		"refused beside what is not decided": refusedUndecided} {
 		found := false
 		for seed := range uint64(3000) {
 			if w := playOrders(seed, 2500, m); w.broken != "" {
