--- a/swarm/model_test.go
+++ b/swarm/model_test.go
@@ -71,10 +71,11 @@
 	ledger  Ledger
 }
 
-// learn has a machine know a value, and its ledger hold it.
-func (m *machine) learn(v *Value) {
-	m.known = v
-	m.ledger.Learn(v)
+// learn has a machine know a value, and in a world of orders its ledger hold it.
+func (w *world) learn(m *machine, v *Value) {
+	if m.known = v; w.orders {
+		m.ledger.Learn(v)
+	}
 }
 
 type running struct {
@@ -331,14 +332,14 @@
 			v := n.back.r.Proposal()
 			w.decide(v)
 			if v.Turn >= n.back.m.known.Turn {
-				n.back.m.learn(v)
+				w.learn(n.back.m, v)
 			}
 			if n.back.r.Asked() && v.Settled() {
 				w.answered(n.back)
 			}
 			for _, m := range w.machines { // some are told
-				if w.r.IntN(2) == 0 && m.up && v.Turn >= m.known.Turn {
-					m.learn(v)
+				if (m == n.back.m || w.r.IntN(2) == 0) && m.up && v.Turn >= m.known.Turn {
+					w.learn(m, v)
 				}
 			}
 			n.back.m.rounds = slices.DeleteFunc(n.back.m.rounds, func(o *running) bool { return o == n.back })
