--- a/forager/forager_test.go
+++ b/forager/forager_test.go
@@ -32,6 +32,7 @@
 		"chunks cut off":        {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", single, brain.Reset, true, false},
 		"without a length":      {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\n" + seal + "\r\nab", single, brain.Reset, true, false},
 		"another's":             {"HTTP/1.1 200 OK\r\nX-Attempt-Id: p\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
+		"torn, then another's":  {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nA: bHTTP/1.1 200 OK\r\nX-Attempt-Id: p\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
 		"without an id":         {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", single, brain.Reset, true, false},
 		"a part without an id":  {"HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab", gathered, brain.Reset, true, false},
 		"without a stamp":       {"HTTP/1.1 200 OK\r\nX-Attempt-Id: q\r\nContent-Length: 2\r\n\r\nab", single, brain.Errored, false, true},
@@ -55,7 +56,7 @@
 	} {
 		resp := fasthttp.AcquireResponse()
 		from := bufio.NewReader(strings.NewReader(k.text))
-		outcome, keep, err := readAnswer(from, &search{method: "GET", attempt: "q", route: k.to}, resp)
+		outcome, keep, err := readAnswer(from, &search{method: "GET", attempt: "q", route: k.to}, false, resp)
 		if (err != nil) != k.broken || outcome != k.outcome || (keep > 0) != k.keep {
 			t.Errorf("%s: outcome %d, kept %v, error %v", what, outcome, keep, err)
 		}
@@ -99,7 +100,7 @@
 func TestWhatGoesAlong(t *testing.T) {
 	var q fasthttp.Request
 	q.Header.DisableNormalizing()
-	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\n" +
+	text := "GET /x HTTP/1.1\r\nHost: h.example:80\r\nX-Attempt-Id: q\r\nx-odd-Name: v\r\nConnection: keep-alive, x-mine\r\nX-Mine: 1\r\nConnection: close, x-yours\r\nX-Yours: 1\r\n" +
 		"X-Deadline-Remaining: 5\r\nX-Expected-Instance: z\r\nTE: trailers\r\nAccept: */*\r\n\r\n"
 	if err := q.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
@@ -110,7 +111,7 @@
 			t.Errorf("%q is missing in %q", want, got)
 		}
 	}
-	for _, not := range []string{"X-Mine", "Connection", "Deadline", "Expected", "TE:"} {
+	for _, not := range []string{"X-Mine", "X-Yours", "Connection", "Deadline", "Expected", "TE:"} {
 		if strings.Contains(got, not) {
 			t.Errorf("%q goes along in %q", not, got)
 		}
@@ -132,9 +133,28 @@
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
 		s := &search{method: "GET", attempt: "q", route: &route{Route: &comb.Route{Service: "s"}}}
-		outcome, _, err := readAnswer(bufio.NewReader(strings.NewReader(text)), s, resp)
+		outcome, _, err := readAnswer(bufio.NewReader(strings.NewReader(text)), s, false, resp)
 		if err == nil && outcome == brain.Answered && string(resp.Header.Peek("X-Attempt-Id")) != "q" {
 			t.Fatalf("%q was taken for the answer to q", text)
 		}
 	})
 }
+
+// A server that leaves the id out of the parts of gathered answers serves all the same, with a connection for each: only the
+// first answer of a connection can be nobody's late copy.
+func TestAPartWithoutAnIdCountsFirstOnItsConnectionOnly(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\n" + seal + "Content-Length: 2\r\n\r\nab"
+	single, gathered := &route{Route: &comb.Route{Service: "s"}}, &route{Route: &comb.Route{GatheredServices: []string{"s"}}}
+	for _, k := range []struct {
+		to      *route
+		first   bool
+		belongs bool
+	}{{gathered, true, true}, {gathered, false, false}, {single, true, false}, {single, false, false}} {
+		resp := fasthttp.AcquireResponse()
+		outcome, keep, err := readAnswer(bufio.NewReader(strings.NewReader(text)), &search{method: "GET", attempt: "q", route: k.to}, k.first, resp)
+		if (err == nil) != k.belongs || (outcome == brain.Answered) != k.belongs || keep != 0 {
+			t.Errorf("gathered %v, first %v: outcome %d, kept for %v, error %v", k.to == gathered, k.first, outcome, keep, err)
+		}
+		fasthttp.ReleaseResponse(resp)
+	}
+}
