--- a/hive/rounds.go
+++ b/hive/rounds.go
@@ -35,14 +35,17 @@
 			return
 		}
 		answer(&dance.Promise{From: uint64(told.From), Ok: told.OK, Promised: dance.FromBallot(told.Promised),
-			Accepted: dance.FromBallot(told.Accepted), Value: dance.FromValue(told.Value, string(m.Have))})
+			Accepted: dance.FromBallot(told.Accepted), Value: dance.FromValue(told.Value, append(dance.ToDigests(m.HaveBodies), string(m.Have))...),
+			HaveBodies: dance.FromDigests(dance.Digests(told.Value))})
 	})
 }
 
 func (h *Hive) accept(m *dance.Accept, answer func(*dance.Accepted)) {
 	var told swarm.Accepted
-	value := dance.ToValue(m.Value, nil)
+	var value *swarm.Value
 	h.store.Update(func(s swarm.State) swarm.State {
+		// What was left out lies in the vote that the promise told of: no other was cast since, or this one is refused.
+		value = dance.ToValue(m.Value, s.Value)
 		next, a := s.Accept(swarm.Accept{To: swarm.AcceptorID(m.To), Ballot: dance.ToBallot(m.Ballot), Value: value})
 		told = a
 		return next
@@ -53,6 +56,7 @@
 			return
 		}
 		if told.OK {
+			h.vote.Store(value)
 			h.voteTurn.Store(uint64(value.Turn)) // before anybody is told
 			go h.do(func() { h.hasVoted(value.Turn, dance.ToBallot(m.Ballot)) })
 		}
@@ -63,6 +67,9 @@
 // hasVoted notes a vote: if its fate is not heard of soon, this hive finds it out.
 func (h *Hive) hasVoted(turn swarm.Turn, b swarm.Ballot) {
 	h.ballot = max(h.ballot, b.Number)
+	if b.Compare(h.copy.Ballot) > 0 {
+		h.copy = swarm.Copy{Turn: turn, Ballot: b}
+	}
 	if turn > h.voted {
 		h.voted, h.votedAt = turn, h.now()
 	}
@@ -74,7 +81,8 @@
 		return
 	}
 	old := h.known
-	h.known, h.confirmed = v, true
+	h.known, h.confirmed, h.decision = v, true, swarm.Decision{Value: v}
+	h.ledger.Learn(v)
 	for _, m := range v.Voters() {
 		h.meet(m.Address)
 	}
@@ -130,7 +138,7 @@
 		}
 		v, changed, err := h.round(ctx, swarm.NewRound(start.ballot, start.known, change))
 		if err == nil {
-			h.ask(func() { h.learn(v) })
+			h.ask(func() { h.learn(v); h.decidedAt(v.Turn, start.ballot) })
 			if v.Settled() && changed {
 				return v, nil
 			}
@@ -154,6 +162,7 @@
 	defer cancel()
 	answers := make(chan any, 32)
 	known := r.Known()
+	held := map[swarm.AcceptorID][]string{} // the bodies that each acceptor said that it has
 	ask := func(m swarm.Member, f *dance.Frame) {
 		if m.ID == h.self {
 			switch b := f.Body.(type) {
@@ -168,8 +177,13 @@
 		if p == nil {
 			return
 		}
+		limit, end := ctx, func() {}
+		if f.GetAccept() != nil { // it outlives the decision: the slower members' disks are to hold the value, too
+			limit, end = context.WithTimeout(context.Background(), callLimit)
+		}
 		go func() {
-			a, err := p.call.Call(ctx, f)
+			defer end()
+			a, err := p.call.Call(limit, f)
 			if err != nil {
 				return
 			}
@@ -184,7 +198,7 @@
 	prepare := func() {
 		for _, m := range r.Ask() {
 			ask(m, &dance.Frame{Body: &dance.Frame_Prepare{Prepare: &dance.Prepare{To: uint64(m.ID),
-				Ballot: dance.FromBallot(r.Ballot()), Have: []byte(known.Digest)}}})
+				Ballot: dance.FromBallot(r.Ballot()), Have: []byte(known.Digest), HaveBodies: dance.FromDigests(dance.Digests(known))}}})
 		}
 	}
 	prepare()
@@ -193,7 +207,11 @@
 		case a := <-answers:
 			switch a := a.(type) {
 			case *dance.Promise:
-				value := dance.ToValue(a.Value, known.Body)
+				value := dance.ToValue(a.Value, known)
+				if a.Value != nil && value == nil {
+					continue // a vote that can't be read is not the same as none
+				}
+				held[swarm.AcceptorID(a.From)] = dance.ToDigests(a.HaveBodies)
 				to := r.Promised(swarm.Promise{From: swarm.AcceptorID(a.From), OK: a.Ok, Promised: dance.ToBallot(a.Promised),
 					Accepted: dance.ToBallot(a.Accepted), Value: value})
 				if to == nil {
@@ -201,7 +219,7 @@
 				}
 				for _, m := range to {
 					ask(m, &dance.Frame{Body: &dance.Frame_Accept{Accept: &dance.Accept{To: uint64(m.ID),
-						Ballot: dance.FromBallot(r.Ballot()), Value: dance.FromValue(r.Proposal(), "")}}})
+						Ballot: dance.FromBallot(r.Ballot()), Value: dance.FromValue(r.Proposal(), held[m.ID]...)}}})
 				}
 			case *dance.Accepted:
 				if r.Accepted(swarm.Accepted{From: swarm.AcceptorID(a.From), OK: a.Ok, Promised: dance.ToBallot(a.Promised)}) {
@@ -220,15 +238,16 @@
 	}
 }
 
-// owe starts a round where this hive owes one: to find out the fate of a vote, or to get a seat.
+// owe starts a round where this hive owes one: to find out the fate of a vote, to get a seat, or to complete copies.
 func (h *Hive) owe(now time.Duration) {
-	if h.trying || now < h.tryAt || h.leaving {
+	incomplete := h.owesCopies(now)
+	if h.trying || now < h.tryAt {
 		return
 	}
-	unresolved := h.voted > h.known.Turn && now-h.votedAt > resolveWait || !h.confirmed && (h.voted > 0 || !h.set.FirstStart)
-	seatless := h.wantsSeat(now)
+	unresolved := !h.confirmed && (h.voted > 0 || !h.set.FirstStart) || h.confirmed && !h.decision.Resolves(h.copy) && now-h.votedAt > resolveWait
+	seatless := !h.leaving && h.wantsSeat(now)
 	unsettled := h.confirmed && !h.known.Settled() && now-h.votedAt > resolveWait
-	if !unresolved && !seatless && !unsettled {
+	if !unresolved && !seatless && !unsettled && !incomplete {
 		return
 	}
 	h.trying = true
@@ -242,6 +261,9 @@
 		_, err := h.propose(ctx, change)
 		h.do(func() {
 			h.trying = false
+			if incomplete {
+				h.repair.Tried(h.now(), rand.Float64())
+			}
 			h.tryAt = h.now() + time.Duration(rand.Int64N(int64(resolveWait)))
 			if err != nil {
 				h.tryAt += resolveWait
