--- a/forager/answer.go
+++ b/forager/answer.go
@@ -23,16 +23,12 @@
 }
 
 // readAnswer reads one whole answer to a request. With an error, the bytes were no whole answer to this request: the
-// connection is of no more use and the request may have run. Keep is how long the connection may rest, 0 = not at all.
-func readAnswer(r *bufio.Reader, s *search, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
-	if err := resp.Header.Read(r); err != nil {
+// connection is of no more use and the request may have run. First says that the connection brought no answer before. Keep is how
+// long the connection may rest, 0 = not at all.
+func readAnswer(r *bufio.Reader, s *search, first bool, resp *fasthttp.Response) (outcome brain.Outcome, keep time.Duration, err error) {
+	if err := readFinalHead(r, resp); err != nil {
 		return brain.Reset, 0, err
 	}
-	for resp.StatusCode() == fasthttp.StatusContinue {
-		if err := resp.Header.Read(r); err != nil {
-			return brain.Reset, 0, err
-		}
-	}
 	status := resp.StatusCode()
 	bodyless := s.method == "HEAD" || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 	if !bodyless {
@@ -48,11 +44,11 @@
 			}
 		}
 	}
-	if id := resp.Header.Peek("X-Attempt-Id"); len(id) > 0 && string(id) != s.attempt {
-		return brain.Reset, 0, eris.New("an answer to another request")
+	if !belongs(resp, s, first) {
+		return brain.Reset, 0, eris.New("an answer to another request, or to nobody knows which")
 	}
 	keep = idleLimit
-	if resp.Header.ConnectionClose() {
+	if resp.Header.ConnectionClose() || len(resp.Header.Peek("X-Attempt-Id")) == 0 || status == fasthttp.StatusMisdirectedRequest {
 		keep = 0
 	}
 	if text := resp.Header.Peek("Keep-Alive"); len(text) > 0 && keep > 0 {
@@ -61,6 +57,61 @@
 	return judge(status, resp, s), keep, nil
 }
 
+// Bounds on the head of an answer.
+const (
+	interimAnswers = 16                  // that may come before the final one
+	leastHead      = len("HTTP/1.1 200") // bytes that every answer begins with
+)
+
+// readFinalHead reads the head of the final answer, past interim ones, which have no body whatever their lines say.
+func readFinalHead(r *bufio.Reader, resp *fasthttp.Response) error {
+	for range interimAnswers {
+		if err := checkStart(r); err != nil {
+			return err
+		}
+		if err := resp.Header.Read(r); err != nil {
+			return err
+		}
+		switch status := resp.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols:
+			return eris.New("an answer in another protocol, which nobody asked for")
+		case status >= fasthttp.StatusOK:
+			return nil
+		}
+	}
+	return eris.New("too many interim answers")
+}
+
+// checkStart sees that what comes begins as an answer does, with a status from 100 to 599. The reader of heads skips empty lines
+// and takes the status 000 for 200.
+func checkStart(r *bufio.Reader) error {
+	b, err := r.Peek(leastHead)
+	if err != nil {
+		return err
+	}
+	status := b[len("HTTP/1.1 "):]
+	if !bytes.HasPrefix(b, []byte("HTTP/1.")) || status[0] < '1' || status[0] > '5' {
+		return eris.New("what came does not begin as an answer does")
+	}
+	return nil
+}
+
+// belongs tells whether an answer is this request's own: it bears the request's id and no other (two stand in a head that was torn
+// off, with another's behind it). A 421 may bear none, and so may a success as a part of a gathered answer where it is the first
+// that its connection brings; the connection ends with it, so that neither is the late copy of an earlier answer. One of another
+// kind without the id may be late, doubled or unasked for, and what it says of its request would be taken for what became of this
+// one.
+func belongs(resp *fasthttp.Response, s *search, first bool) bool {
+	switch ids := resp.Header.PeekAll("X-Attempt-Id"); len(ids) {
+	case 0:
+		firstPart := first && s.route.Gathered() && resp.StatusCode()/100 == 2
+		return s.attempt == "" || firstPart || resp.StatusCode() == fasthttp.StatusMisdirectedRequest
+	case 1:
+		return string(ids[0]) == s.attempt
+	}
+	return false
+}
+
 // trailerLines is how many lines may stand behind the last chunk of a body.
 const trailerLines = 32
 
@@ -72,7 +123,10 @@
 		if err != nil {
 			return err
 		}
-		line = bytes.TrimSuffix(line[:len(line)-1], []byte("\r"))
+		line, ended := bytes.CutSuffix(line, []byte("\r\n"))
+		if !ended {
+			return eris.New("a line behind the last chunk does not end as it must")
+		}
 		if len(line) == 0 {
 			return nil
 		}
@@ -91,14 +145,12 @@
 		return brain.TurnedAway
 	case marked && (promises(status) || status == fasthttp.StatusBadRequest):
 		return brain.TurnedAway
-	case status/100 != 2 && (s.route.Gathered() || status >= 500 || status == fasthttp.StatusTooManyRequests):
-		return brain.Errored
+	case status/100 != 2 && (s.route.Gathered() || status >= 500 || promises(status)):
+		return brain.Errored // a promise without the mark is the server's own word for something else, and must not go on as one
 	case status/100 == 2 && len(resp.Header.Peek("X-Server-Seal")) == 0:
 		return brain.Errored
 	case len(resp.Header.Peek("Content-Encoding")) > 0:
 		return brain.Errored
-	case len(resp.Header.Peek("X-Attempt-Id")) == 0 && s.attempt != "" && !s.route.Gathered():
-		return brain.Errored
 	}
 	return brain.Answered
 }
--- a/hive/peers.go
+++ b/hive/peers.go
@@ -18,21 +18,27 @@
 	kick    chan struct{}
 	quit    context.CancelFunc
 
-	id      swarm.AcceptorID
-	control string
-	zone    string
-	life    uint64                   // of its process
-	metAt   time.Duration            // when this hive first tried to reach it
-	heardAt time.Duration            // 0 = never
-	listed  bool                     // among those that foragers are told of
-	turn    swarm.Turn               // that it knows
-	has     waggle.Cursor            // up to which it has this hive's reports
-	crowd   uint64                   // up to which number it has the foragers that ask this hive,
-	told    uint64                   // and up to which the pulse on its way names them whole
-	crowdAt time.Duration            // when all of them were last named
-	differ  []int                    // ranges of reports in which it differs
-	digests time.Duration            // when digests were last sent
-	silent  map[string]time.Duration // how long it has not heard others, by address, as it last told
+	id        swarm.AcceptorID
+	control   string
+	zone      string
+	life      uint64                   // of its process
+	metAt     time.Duration            // when this hive first tried to reach it
+	heardAt   time.Duration            // 0 = never
+	listed    bool                     // among those that foragers are told of
+	turn      swarm.Turn               // that it knows
+	has       waggle.Cursor            // up to which it has this hive's reports
+	crowd     uint64                   // up to which number it has the foragers that ask this hive,
+	told      uint64                   // and up to which the pulse on its way names them whole
+	crowdAt   time.Duration            // when all of them were last named
+	differ    []int                    // ranges of reports in which it differs
+	digests   time.Duration            // when digests were last sent
+	putsIn    bool                     // the bodies that a told value leaves out
+	lacks     bool                     // a body of the value that it was told: it is told whole
+	asks      bool                     // this hive lacks one of the value that the peer told, and asks for all of it
+	copy      swarm.Copy               // what its disk holds,
+	tellsCopy bool                     // where it tells that
+	leaving   bool                     // it was told to end
+	silent    map[string]time.Duration // how long it has not heard others, by address, as it last told
 }
 
 // redialEvery is how often a hive that refuses connections is tried again.
@@ -53,7 +59,7 @@
 
 func (h *Hive) me() *dance.Hive {
 	return &dance.Hive{Id: uint64(h.self), Address: h.address, Control: h.set.Listen.Control, Zone: h.set.Zone,
-		Voter: swarm.Has(h.known.Members, h.self)}
+		Voter: swarm.Has(h.known.Members, h.self), PutsIn: true}
 }
 
 // meet makes a hive known.
@@ -79,14 +85,6 @@
 	}
 }
 
-// hurry has this hive told now.
-func (p *peer) hurry() {
-	select {
-	case p.kick <- struct{}{}:
-	default:
-	}
-}
-
 // talk sends pulses to one hive, each after the answer to the one before.
 func (h *Hive) talk(ctx context.Context, p *peer) {
 	timer := time.NewTimer(0)
@@ -130,11 +128,12 @@
 
 // pulse makes what one hive is to be told now.
 func (h *Hive) pulse(p *peer, now time.Duration) outgoingPulse {
-	m := &dance.Pulse{From: h.me(), Life: h.life, Turn: uint64(h.known.Turn)}
+	m := &dance.Pulse{From: h.meWithCopy(), Life: h.life, Turn: uint64(h.known.Turn), LacksBody: p.asks}
+	p.asks = false
 	if !h.confirmed {
 		m.Turn = 0
 	} else if p.turn < h.known.Turn && p.heardAt > 0 {
-		m.Value = dance.FromValue(h.known, "")
+		m.Value = h.tellValue(p)
 	}
 	upTo := h.table.Cursor()
 	sent := map[waggle.InstanceID]bool{}
@@ -184,7 +183,7 @@
 
 // pulsed takes what another hive tells and answers it.
 func (h *Hive) pulsed(m *dance.Pulse, now time.Duration) *dance.PulseBack {
-	back := &dance.PulseBack{From: h.me(), Life: h.life, Voted: h.voteTurn.Load()}
+	back := &dance.PulseBack{From: h.meWithCopy(), Life: h.life, Voted: h.voteTurn.Load()}
 	from := m.From
 	if from == nil || from.Address == h.address {
 		return back
@@ -203,9 +202,9 @@
 		}
 		p.silent[o.Address] = time.Duration(o.SilentMs) * time.Millisecond
 	}
-	if m.Value != nil {
-		h.learn(dance.ToValue(m.Value, nil))
-	}
+	p.lacks = p.lacks || m.LacksBody
+	back.LacksBody = h.takeValue(m.Value)
+	h.toldCopy(p, from, swarm.Turn(m.Turn))
 	urgent, changed := false, h.table.Cursor()
 	for _, r := range m.Reports {
 		in := toReport(r, now)
@@ -235,7 +234,7 @@
 	}
 	if h.confirmed {
 		if back.Turn = uint64(h.known.Turn); h.known.Turn > p.turn {
-			back.Value = dance.FromValue(h.known, "")
+			back.Value = h.tellValue(p)
 		}
 	}
 	return back
@@ -254,9 +253,8 @@
 	if m.Unknown {
 		p.crowd = 0
 	}
-	if m.Value != nil {
-		h.learn(dance.ToValue(m.Value, nil))
-	}
+	h.toldBack(p, m)
+	h.toldCopy(p, m.From, swarm.Turn(m.Turn))
 	h.contact.Answered(p.id, quorum.Answer{Life: m.Life, SentAt: sent.sentAt, Turn: swarm.Turn(max(m.Voted, m.Turn))}, h.known.Turn)
 	h.verified(now)
 	for _, no := range m.Differ {
@@ -296,6 +294,7 @@
 		p.has, p.turn, p.crowd = 0, 0, 0
 	}
 	h.contact.Began(swarm.AcceptorID(from.Id), life)
+	p.putsIn = from.PutsIn
 	p.life, p.id, p.control, p.zone = life, swarm.AcceptorID(from.Id), from.Control, from.Zone
 	p.heardAt, p.turn = max(now, 1), turn
 }
