--- a/waggle/table_bench_test.go
+++ b/waggle/table_bench_test.go
@@ -12,7 +12,7 @@
 
 const benchBeat = 1200 * time.Millisecond
 
-var benchSizes = []int{1000, 10_000, 96_000}
+var benchSizes = []int{1000, 10_000, 30_000, 96_000}
 
 // benchTable is a table of so many servers that were all heard a moment ago. It is filled without Take, whose cost grows with
 // the square of their number.
