--- a/hive/notes.go
+++ b/hive/notes.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"oxbowspan/comb"
 	"oxbowspan/dance"
@@ -24,58 +21,48 @@
 type noteCalls struct {
 	h     *Hive
 	name  string
-	check func(body []byte, c *comb.Configuration) []string // all that is wrong with it, a sentence each; c nil = there is none yet
-}
-
-func basedOnVersion(w http.ResponseWriter, r *http.Request) (uint64, bool) {
-	basedOn, err := strconv.ParseUint(strings.TrimSpace(r.Header.Get(basedOnField)), 10, 64)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, basedOnField+" is missing or not a version")
-	}
-	return basedOn, err == nil
+	check func(body []byte) []string                      // all that is wrong with it by itself, a sentence each
+	unfit func(body []byte, beside *swarm.Value) []string // all that is wrong with it beside a value's configuration
 }
 
 func (c *noteCalls) replace(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noteBytes))
-	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, "the document can't be read whole, or is longer than "+strconv.Itoa(noteBytes)+" bytes")
-		return
-	}
-	basedOn, ok := basedOnVersion(w, r)
+	body, basedOn, ok := readOrder(w, r, noteBytes)
 	if !ok {
 		return
 	}
-	var conf *comb.Configuration
-	c.h.ask(func() {
-		if c.h.confirmed && c.h.known.Digest != "" {
-			conf, _ = comb.Read(c.h.known.Body)
-		}
-	})
-	if faults := c.check(body, conf); len(faults) > 0 {
+	// What is wrong with it by itself was wrong whenever it was sent: it was never taken.
+	if faults := c.check(body); len(faults) > 0 {
 		refuse(w, http.StatusBadRequest, strings.Join(faults, "; "))
 		return
 	}
-	sum := sha256.Sum256(body)
-	call := swarm.NoteCall{Name: c.name, BasedOn: swarm.Version(basedOn), Digest: string(sum[:]), Body: body}
-	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit+time.Duration(len(body)/1000)*time.Millisecond)
+	var unfit []string
+	call := swarm.NoteCall{Name: c.name, BasedOn: basedOn, Digest: digestOf(body), Body: body, Fits: func(v *swarm.Value) bool {
+		unfit = c.unfit(body, v)
+		return len(unfit) == 0
+	}}
+	ctx, cancel := context.WithTimeout(r.Context(), orderLimit(body))
 	defer cancel()
 	var fate swarm.Fate
 	var at swarm.Version
-	_, err = c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
+	_, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value {
 		var next *swarm.Value
 		next, at, fate = call.Meet(v)
 		return next
 	})
-	text := strconv.FormatUint(uint64(at), 10)
-	switch {
-	case err != nil:
+	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
-	case fate != swarm.Taken:
-		refuse(w, http.StatusPreconditionFailed, "version "+text+" is in place")
+		return
+	}
+	switch c.h.recallFate(fate, func(l *swarm.Ledger) bool { return l.HoldsNote(call) }) {
+	case swarm.Taken:
+		c.h.log.Info().Str("name", c.name).Uint64("version", uint64(basedOn+1)).Msg("notes: acknowledged")
+		acknowledge(w, basedOn+1)
+	case swarm.Unfit:
+		refuse(w, http.StatusBadRequest, strings.Join(unfit, "; "))
+	case swarm.Outrun, swarm.NotAbove:
+		refuse(w, http.StatusPreconditionFailed, "version "+text(at)+" is in place")
 	default:
-		c.h.log.Info().Str("name", c.name).Uint64("version", uint64(at)).Msg("notes: acknowledged")
-		w.Header().Set("Content-Type", "application/json")
-		w.Write([]byte(`{"version":` + text + `}`))
+		refuseUnclear(w, basedOn, at)
 	}
 }
 
@@ -97,19 +84,31 @@
 	w.Write(n.Body)
 }
 
-func checkTenants(body []byte, c *comb.Configuration) []string {
+func checkTenants(body []byte) []string {
 	t, err := comb.ReadTenants(body)
 	if err != nil {
 		return []string{err.Error()}
 	}
-	faults := t.Check()
-	if len(faults) == 0 && c != nil {
-		faults = t.Against(c)
+	return t.Check()
+}
+
+// unfitTenants holds tenants against the configuration of the value that a round found, not one that this hive remembers.
+func unfitTenants(body []byte, beside *swarm.Value) []string {
+	if beside.Digest == "" {
+		return nil
 	}
-	return faults
+	t, err := comb.ReadTenants(body)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	c, err := comb.Read(beside.Body)
+	if err != nil {
+		return nil
+	}
+	return t.Against(c)
 }
 
-func checkPins(body []byte, _ *comb.Configuration) []string {
+func checkPins(body []byte) []string {
 	p, err := comb.ReadPins(body)
 	if err != nil {
 		return []string{err.Error()}
@@ -117,6 +116,9 @@
 	return p.Check()
 }
 
+// fitsAny is for documents that the configuration does not bear on.
+func fitsAny([]byte, *swarm.Value) []string { return nil }
+
 // figureCalls tell operators what gatherers say of themselves. Each hive tells of those that ask it; whoever wants all asks all.
 type figureCalls struct{ h *Hive }
 
@@ -154,13 +156,15 @@
 }
 
 func (c *figureCalls) tenants(w http.ResponseWriter, _ *http.Request) {
-	out := []NodeTenants{}
-	c.each(func(f *forager) {
-		if f.figures.TenantsVersion > 0 {
-			out = append(out, nodeTenants(f.address, f.zone, f.figures))
+	tellCurrent(c.h, w, func() []NodeTenants {
+		out := []NodeTenants{}
+		for _, f := range c.h.tellers() {
+			if f.figures.TenantsVersion > 0 {
+				out = append(out, nodeTenants(f.address, f.zone, f.figures))
+			}
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 // NodeJudgement is what one gatherer holds of servers that are not simply in.
@@ -191,30 +195,36 @@
 }
 
 func (c *figureCalls) judgement(w http.ResponseWriter, _ *http.Request) {
-	out := []NodeJudgement{}
-	c.each(func(f *forager) {
-		n := NodeJudgement{Node: f.address, Zone: f.zone, Servers: []Judgement{}}
-		for _, s := range f.figures.Stances {
-			j := Judgement{Instance: s.Instance, Service: s.Service, Stance: s.Stance, Why: s.Why, SinceS: float64(s.SinceMs) / 1000, Factor: float64(s.FactorMilli) / 1000, Pinned: s.Pinned}
-			for _, v := range s.Words {
-				j.Words = append(j.Words, Word{strconv.FormatUint(v.Observer, 16), v.Text, float64(v.RatioMilli) / 1000, float64(v.AgeMs) / 1000})
-			}
-			n.Servers = append(n.Servers, j)
+	tellCurrent(c.h, w, func() []NodeJudgement {
+		out := []NodeJudgement{}
+		for _, f := range c.h.tellers() {
+			out = append(out, nodeJudgement(f.address, f.zone, f.figures))
 		}
-		out = append(out, n)
+		return out
 	})
-	tellAll(w, out)
 }
 
-// each visits the gatherers that ask this hive and have told of themselves.
-func (c *figureCalls) each(visit func(f *forager)) {
-	c.h.ask(func() {
-		for _, f := range c.h.foragers {
-			if f.figures != nil && f.here(c.h.now()) {
-				visit(f)
-			}
+// tellers are the gatherers that ask this hive and have told of themselves.
+func (h *Hive) tellers() []*forager {
+	var out []*forager
+	for _, f := range h.foragers {
+		if f.figures != nil && f.here(h.now()) {
+			out = append(out, f)
 		}
-	})
+	}
+	return out
+}
+
+func nodeJudgement(address, zone string, m *dance.Figures) NodeJudgement {
+	n := NodeJudgement{Node: address, Zone: zone, Servers: []Judgement{}}
+	for _, s := range m.Stances {
+		j := Judgement{Instance: s.Instance, Service: s.Service, Stance: s.Stance, Why: s.Why, SinceS: float64(s.SinceMs) / 1000, Factor: float64(s.FactorMilli) / 1000, Pinned: s.Pinned}
+		for _, v := range s.Words {
+			j.Words = append(j.Words, Word{strconv.FormatUint(v.Observer, 16), v.Text, float64(v.RatioMilli) / 1000, float64(v.AgeMs) / 1000})
+		}
+		n.Servers = append(n.Servers, j)
+	}
+	return n
 }
 
 func nodeTenants(address, zone string, m *dance.Figures) NodeTenants {
--- a/hive/seats.go
+++ b/hive/seats.go
@@ -1,7 +1,6 @@
 package hive
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -83,39 +82,8 @@
 
 // wantsSeat tells whether this hive should ask for a seat now.
 func (h *Hive) wantsSeat(now time.Duration) bool {
-	if !h.confirmed || swarm.Has(h.known.Members, h.self) || !h.known.Settled() || !h.settled(now) {
+	if !h.confirmed || swarm.Has(h.known.Members, h.self) || !h.known.Settled() || !h.inContact(now) {
 		return false
 	}
 	return h.claim(now).change(h.known) != h.known
 }
-
-// giveSeat hands this hive's seat to one that lives and has none, before this hive ends: it may end for good.
-func (h *Hive) giveSeat() {
-	var to *swarm.Member
-	h.ask(func() {
-		h.leaving = true
-		now := h.now()
-		if !h.confirmed || !swarm.Has(h.known.Members, h.self) {
-			return
-		}
-		for _, p := range h.peers {
-			if p.heardAt > 0 && now-p.heardAt < settledFor && p.id != 0 && !swarm.Has(h.known.Members, p.id) && !h.seat(p.address) {
-				to = &swarm.Member{ID: p.id, Address: p.address}
-			}
-		}
-	})
-	if to == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	h.propose(ctx, func(v *swarm.Value) *swarm.Value {
-		i := slices.IndexFunc(v.Members, func(m swarm.Member) bool { return m.ID == h.self })
-		if i < 0 || swarm.Has(v.Members, to.ID) {
-			return v
-		}
-		members := slices.Clone(v.Members)
-		members[i] = *to
-		return v.WithMembers(members)
-	})
-}
--- a/hive/views.go
+++ b/hive/views.go
@@ -1,6 +1,7 @@
 package hive
 
 import (
+	"context"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
@@ -11,7 +12,9 @@
 	"oxbowspan/waggle"
 )
 
-// What operators may look at. Each hive tells what it knows; whoever wants all asks all hives.
+// What operators may look at. Each hive tells what it knows; whoever wants all asks all hives. Lists of gatherers and servers
+// and what gatherers say of themselves are told by a hive in contact with a majority only: they would be old. Members and
+// events are what a hive itself saw, with their ages, and are told always: they are what there is to see of a core cut in two.
 
 // keptEvents is how many events a hive remembers; the oldest go first.
 const keptEvents = 1024
@@ -71,16 +74,21 @@
 	Digest  string `json:"digest"`
 }
 
-func (c *viewCalls) history(w http.ResponseWriter, _ *http.Request) {
+// history makes sure of the newest value by a round, as a read of the configuration does.
+func (c *viewCalls) history(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), agreeLimit)
+	defer cancel()
+	v, err := c.h.propose(ctx, func(v *swarm.Value) *swarm.Value { return v })
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the core could not make sure of the newest version in time")
+		return
+	}
 	out := []History{}
-	c.h.ask(func() {
-		v := c.h.known
-		for _, p := range append(append([]swarm.Past{}, v.Past...), swarm.Past{Version: v.Version, BasedOn: v.BasedOn, Digest: v.Digest}) {
-			if p.Digest != "" {
-				out = append(out, History{uint64(p.Version), uint64(p.BasedOn), hex.EncodeToString([]byte(p.Digest))})
-			}
+	for _, p := range append(append([]swarm.Past{}, v.Past...), swarm.Past{Version: v.Version, BasedOn: v.BasedOn, Digest: v.Digest}) {
+		if p.Digest != "" {
+			out = append(out, History{uint64(p.Version), uint64(p.BasedOn), hex.EncodeToString([]byte(p.Digest))})
 		}
-	})
+	}
 	tellAll(w, out)
 }
 
@@ -91,7 +99,7 @@
 	Version uint64   `json:"version"`
 	Settled bool     `json:"settled"` // in contact with a majority
 	Whole   bool     `json:"whole"`   // no change of the acceptors is under way
-	Bears   int      `json:"bears"`   // disks that may be lost now, with a majority left that hears each other
+	Bears   int      `json:"bears"`   // disks that may be lost now, with a majority left that hears each other and holds what is agreed
 	Members []Member `json:"members"`
 }
 
@@ -100,15 +108,16 @@
 	Identity string  `json:"identity"`
 	Address  string  `json:"address"`
 	SilentS  float64 `json:"silent_s"`
+	Complete bool    `json:"complete"` // it said that its disk holds what is agreed
 }
 
 func (c *viewCalls) members(w http.ResponseWriter, _ *http.Request) {
-	var out Members
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() Members {
 		h := c.h
 		now := h.now()
-		out = Members{Hive: h.address, Turn: uint64(h.known.Turn), Version: uint64(h.known.Version), Settled: h.confirmed && h.settled(now), Whole: h.known.Settled()}
-		heard := 0
+		out := Members{Hive: h.address, Turn: uint64(h.known.Turn), Version: uint64(h.known.Version), Settled: h.confirmed && h.inContact(now), Whole: h.known.Settled()}
+		proven := 0
+		lacking := h.decision.Lacking(h.copies(now))
 		for _, m := range h.known.Members {
 			silent := time.Duration(0)
 			if m.ID != h.self {
@@ -117,14 +126,17 @@
 					silent = now - p.heardAt
 				}
 			}
-			if silent < settledFor {
-				heard++
+			complete := h.confirmed && !swarm.Has(lacking, m.ID)
+			if complete && silent < settledFor {
+				proven++
 			}
-			out.Members = append(out.Members, Member{strconv.FormatUint(uint64(m.ID), 16), m.Address, silent.Seconds()})
+			out.Members = append(out.Members, Member{strconv.FormatUint(uint64(m.ID), 16), m.Address, silent.Seconds(), complete})
+		}
+		if out.Whole {
+			out.Bears = max(proven-(len(h.known.Members)/2+1), 0)
 		}
-		out.Bears = max(heard-(len(h.known.Members)/2+1), 0)
+		return out
 	})
-	tellAll(w, out)
 }
 
 // Node is a gatherer, as one hive knows it.
@@ -139,14 +151,14 @@
 }
 
 func (c *viewCalls) nodes(w http.ResponseWriter, _ *http.Request) {
-	out := []Node{}
-	c.h.ask(func() {
+	tellCurrent(c.h, w, func() []Node {
+		out := []Node{}
 		now := c.h.now()
 		for _, f := range c.h.foragers {
 			out = append(out, Node{f.address, f.zone, strconv.FormatUint(f.life, 16), (now - f.heardAt).Seconds(), f.here(now), f.turn, f.here(now) && f.turn >= uint64(c.h.known.Turn)})
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 // Server is a server, as one hive knows it.
@@ -165,28 +177,62 @@
 }
 
 func (c *viewCalls) servers(w http.ResponseWriter, _ *http.Request) {
-	out := []Server{}
-	c.h.ask(func() {
+	tellCurrent(c.h, w, func() []Server {
+		out := []Server{}
 		now := c.h.now()
 		for _, r := range c.h.table.Changed(0) {
 			out = append(out, Server{string(r.Instance), string(r.Service), r.Address, r.Zone, r.Version, r.Slots, r.State.String(), r.Silent, r.Unheard,
 				(now - r.HeardAt).Seconds(), max(r.WarmAt-now, 0).Seconds()})
 		}
+		return out
 	})
-	tellAll(w, out)
 }
 
 func (c *viewCalls) events(w http.ResponseWriter, _ *http.Request) {
-	out := []Event{}
-	c.h.ask(func() {
+	tellAsked(c.h, w, func() []Event {
+		out := []Event{}
 		now := c.h.now()
 		for _, e := range c.h.events.Values() {
 			out = append(out, Event{c.h.address, e.no, (now - e.at).Seconds(), e.kind, e.text})
 		}
+		return out
 	})
+}
+
+// tellAsked answers a look with what the owner says.
+func tellAsked[T any](h *Hive, w http.ResponseWriter, look func() T) {
+	out, ok := inquire(h, look)
+	if !ok {
+		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+		return
+	}
 	tellAll(w, out)
 }
 
+// cutOffSentence says that what this machine knows may be old.
+const cutOffSentence = "this machine is cut off from the core: ask another"
+
+// tellCurrent answers a look with what the owner says, once a majority has answered what it was asked after the look came.
+func tellCurrent[T any](h *Hive, w http.ResponseWriter, look func() T) {
+	answers := make(chan func(), 1)
+	h.do(func() {
+		h.verifyContact(h.now(), func(verified bool) {
+			if !verified {
+				answers <- func() { refuse(w, http.StatusServiceUnavailable, cutOffSentence) }
+				return
+			}
+			out := look()
+			answers <- func() { tellAll(w, out) }
+		})
+	})
+	select {
+	case answer := <-answers:
+		answer()
+	case <-h.stopped:
+		refuse(w, http.StatusServiceUnavailable, "this machine is leaving")
+	}
+}
+
 func tellAll(w http.ResponseWriter, out any) {
 	text, err := json.Marshal(out)
 	if err != nil {
