The test of a letter run beside look-ups no longer hangs on two of them

Change: five seconds beside the run in place of three, two without shares; the bound of one and a half times a quiet morning's p99 and that on letters stay, these as rates.

--- a/internal/colony/tenants_test.go
+++ b/internal/colony/tenants_test.go
@@ -87,6 +87,10 @@
 // A letter run takes what is idle; the counter's look-ups are served as on a quiet morning, and the run reaches nearly what it
 // reaches alone.
 func TestALetterRunLeavesTheCounterItsConnections(t *testing.T) {
+	const (
+		openFor   = 2 * time.Second
+		sharedFor = 5 * time.Second // of the look-ups of three seconds the second worst alone decided
+	)
 	play(t, 17, 3, 3, func(c *Colony) {
 		for _, s := range c.Servers {
 			if slices.Contains(FirstCut, s.Service) {
@@ -104,12 +108,12 @@
 		if lost > 0 {
 			t.Fatalf("%d lost on a quiet morning", lost)
 		}
-		open, _, openLetters := letterRun(c, "o", true, 3*time.Second)
+		open, _, openLetters := letterRun(c, "o", true, openFor)
 		if got := c.ReplaceNote(c.Hives[1], "tenants", 0, []byte(letterTenants)); got != http.StatusOK {
 			t.Fatalf("the tenants: %d", got)
 		}
 		time.Sleep(6 * time.Second)
-		shared, lost, letters := letterRun(c, "s", true, 3*time.Second)
+		shared, lost, letters := letterRun(c, "s", true, sharedFor)
 		refused := 0
 		for _, s := range c.Servers {
 			s.mu.Lock()
@@ -125,7 +129,7 @@
 		if got, bound := quantile(shared, 0.99), quantile(quiet, 0.99)*3/2; got > bound {
 			t.Errorf("p99 of look-ups beside the run is %v, at most %v is wanted", got, bound)
 		}
-		if float64(letters) < 0.75*float64(openLetters) {
+		if float64(letters)/sharedFor.Seconds() < 0.75*float64(openLetters)/openFor.Seconds() {
 			t.Errorf("the run sends %d letters, %d without shares", letters, openLetters)
 		}
 		if refused > 20 {
