Versions go to a gatherer with a pause that grows with their length

Cause: each version went whole to each gatherer at once.

Change: a gatherer that was given a version rests for its length at 20 KiB a second, a sixth of config_apply_ms at most, before the next; of those agreed meanwhile it gets the newest alone. The first one after a rest goes out at once, as do reports and drainings. The colony's settings now state config_apply_ms, so that all its tests play so.

Ruled out: parts of versions that changed only (a second form to be held to the first); compression (the reading is what keeps gatherers busy).

--- a/hive/hive.go
+++ b/hive/hive.go
@@ -105,6 +105,8 @@
 	figures *dance.Figures
 	turn    uint64        // that it has in force, of one that asks here
 	askedAt time.Duration // when it last did
+	given   int           // bytes of the version that this hive last gave it,
+	givenAt time.Duration // and when
 }
 
 type noteAt struct {
@@ -429,14 +431,18 @@
 // tell answers the waiters for whom there is news.
 func (h *Hive) tell(now time.Duration) {
 	for w := range h.waiters {
-		if !w.verifying && h.hasNews(w.ask) {
+		switch {
+		case w.verifying:
+		case h.hasNews(w.ask, now):
 			h.answer(w, now)
+		default:
+			h.rouse(w.ask)
 		}
 	}
 }
 
-func (h *Hive) hasNews(a *dance.Ask) bool {
-	return h.confirmed && uint64(h.known.Turn) > a.Turn || a.HiveLife != h.life || a.Crowd != h.crowd ||
+func (h *Hive) hasNews(a *dance.Ask, now time.Duration) bool {
+	return h.hasVersion(a) && now >= h.versionAt(a) || a.HiveLife != h.life || a.Crowd != h.crowd ||
 		len(h.table.Changed(waggle.Cursor(a.Cursor))) > 0
 }
 
@@ -445,7 +451,8 @@
 	a := w.ask
 	n := &dance.News{HiveLife: h.life, Cursor: uint64(h.table.Cursor()), Settled: h.confirmed && !w.verifying && h.inContact(now), Turn: a.Turn,
 		Warm: now > 3*h.set.Beat(), Crowd: h.crowd}
-	if h.confirmed && uint64(h.known.Turn) > a.Turn {
+	if h.hasVersion(a) && now >= h.versionAt(a) {
+		h.gave(a, len(h.known.Body), now)
 		n.Turn, n.Version, n.HasConfig, n.Config = uint64(h.known.Turn), uint64(h.known.Version), h.known.Digest != "", h.known.Body
 		for _, note := range h.known.Notes {
 			m := dance.FromNote(note)
@@ -527,8 +534,10 @@
 				h.answer(w, h.now())
 			}
 		})
-	case h.hasNews(a) || a.HoldMs == 0:
+	case h.hasNews(a, now) || a.HoldMs == 0:
 		h.answer(w, now)
+	default:
+		h.rouse(a)
 	}
 }
 
@@ -567,7 +576,7 @@
 	h.note("node", "gatherer "+f.Address+" in "+f.Zone+" comes")
 	h.crowd++
 	h.names++
-	h.foragers[f.Life] = &forager{f.Life, f.Address, f.Zone, at, told, h.names, nil, 0, 0}
+	h.foragers[f.Life] = &forager{life: f.Life, address: f.Address, zone: f.Zone, heardAt: at, told: told, no: h.names}
 	h.news(false)
 }
 
--- a/internal/colony/colony.go
+++ b/internal/colony/colony.go
@@ -131,6 +131,7 @@
 	s.JudgeAlone = c.JudgeAlone
 	s.Tolerated.Machines, s.Limits.FileDescriptors = c.counted, c.descriptors
 	s.Bounds.GracePeriodS, s.Bounds.BudgetWindowS, s.Bounds.BudgetExtraTries, s.Bounds.RetryBudgetRatio = 6, 10, 54, 0.2
+	s.Bounds.ConfigApplyMS = 3000
 	s.Bounds.HasRetryBudget = true
 	return s
 }
