--- a/hive/calls.go
+++ b/hive/calls.go
@@ -248,10 +248,15 @@
 		return next
 	})
 	if err != nil {
+		c.h.log.Warn().Uint64("version", conf.Version).Dur("took", time.Since(began)).Msg("config: not agreed in time")
 		refuse(w, http.StatusServiceUnavailable, "the core could not agree in time: send it again")
 		return
 	}
-	switch c.h.recallFate(fate, func(l *swarm.Ledger) bool { return l.HoldsCall(call) }) {
+	fate = c.h.recallFate(fate, func(l *swarm.Ledger) bool { return l.HoldsCall(call) })
+	if fate != swarm.Taken {
+		c.h.log.Info().Uint64("version", conf.Version).Uint64("based_on", uint64(basedOn)).Uint64("in_place", uint64(inPlace)).Stringer("fate", fate).Msg("config: not taken")
+	}
+	switch fate {
 	case swarm.Taken:
 		c.h.log.Info().Uint64("version", conf.Version).Uint64("turn", uint64(v.Turn)).Dur("took", time.Since(began)).Msg("config: acknowledged")
 		acknowledge(w, call.Version)
--- a/swarm/call.go
+++ b/swarm/call.go
@@ -15,6 +15,23 @@
 	Unfit                // a note that does not fit the configuration beside which it would stand
 )
 
+// String is the fate in words.
+func (f Fate) String() string {
+	switch f {
+	case Taken:
+		return "taken"
+	case Outrun:
+		return "another version is in place"
+	case NotAbove:
+		return "not above its base"
+	case Unclear:
+		return "not known"
+	case Unfit:
+		return "does not fit the configuration"
+	}
+	return "unknown fate"
+}
+
 // Call is what an operator wants agreed: a configuration on top of the version that it builds on.
 type Call struct {
 	Version, BasedOn Version
