gatherer: one eviction for one client while descriptors are exhausted

Program: an evicted connection's descriptor may be taken for a moment by another goroutine (parking and resuming duplicate one); accept failed again and a second connection was evicted. Now accept is tried five times, 1 ms apart, before another is evicted. Now the limit is above all open descriptors and the free ones below it are taken, so that any close makes room.

--- a/gatherer/descriptors_test.go
+++ b/gatherer/descriptors_test.go
@@ -7,38 +7,116 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"oxbowspan/internal/idleconn"
 	"oxbowspan/internal/testing/standin"
 )
 
 // noDescriptors lets this process open no more descriptors until give is called.
+//
+// The limit is on the number of a new descriptor, not on their count. So it is set above all that are open, and those that are
+// free below it are taken: then whichever is closed makes room for another.
 func noDescriptors(t *testing.T) (give func()) {
 	t.Helper()
 	var was unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
 		t.Fatal(err)
 	}
-	// The limit is on the number of a new descriptor, not on their count, so the lowest free one is the limit.
-	free, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 3)
-	if err != nil {
+	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(highestDescriptor(t)) + 1, Max: was.Max}); err != nil {
 		t.Fatal(err)
 	}
-	unix.Close(free)
-	if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(free), Max: was.Max}); err != nil {
-		t.Fatal(err)
+	var fill []int
+	for {
+		fd, err := unix.FcntlInt(0, unix.F_DUPFD_CLOEXEC, 3)
+		if err != nil {
+			break
+		}
+		fill = append(fill, fd)
 	}
 	return func() {
+		for _, fd := range fill {
+			unix.Close(fd)
+		}
+		fill = nil
 		if err := unix.Setrlimit(unix.RLIMIT_NOFILE, &was); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
+// highestDescriptor returns the highest number of an open descriptor of this process.
+func highestDescriptor(t *testing.T) (highest int) {
+	t.Helper()
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range entries {
+		fd, err := strconv.Atoi(e.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		highest = max(highest, fd)
+	}
+	return highest
+}
+
+// exhaustedListener fails a number of accepts for want of a descriptor while a connection waits.
+type exhaustedListener struct {
+	*net.TCPListener
+	failures atomic.Int32 // still to come
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	for l.failures.Load() > 0 {
+		if !idleconn.HasPendingConn(l.TCPListener) {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		l.failures.Add(-1)
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.TCPListener.Accept()
+}
+
+// If another goroutine holds the descriptor of an evicted connection for a moment, accept fails once more. No second connection
+// is evicted for the same client.
+func TestAcceptEvictsOneConnectionForOneClient(t *testing.T) {
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	exhausted := &exhaustedListener{TCPListener: nl.(*net.TCPListener)}
+	r := startHarnessOn(t, exhausted, listenerConfig{descriptors: 200}, 0)
+	oldest, second, third := r.dial(), r.dial(), r.dial()
+	for _, c := range []*harnessClient{oldest, second, third} {
+		c.send(post("/", ""))
+		c.expect("/ ")
+	}
+	r.awaitParked(3)
+	exhausted.failures.Store(2)
+	for range 2 { // an accept of before the failures waits for the first of these; that of the second fails
+		c := r.dial()
+		c.send(post("/new", "x"))
+		c.expect("/new x")
+	}
+	if _, _, err := oldest.answer(); err == nil {
+		t.Error("the connection that is idle longest was not evicted")
+	}
+	for _, c := range []*harnessClient{second, third} {
+		c.send(post("/still", "x"))
+		c.expect("/still x")
+	}
+}
+
 // If descriptors run out when a parked connection has a request, the request is shed with a Retry-After.
 func TestWakeupWithoutDescriptorIsAnswered(t *testing.T) {
 	r := startHarness(t, 200, 0, 0)
--- a/gatherer/listener.go
+++ b/gatherer/listener.go
@@ -123,20 +123,49 @@
 		l.capacity.Wait()
 	}
 	l.mu.Unlock()
+	var room acceptRoom
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
-			if isDescriptorExhausted(err) && idleconn.HasPendingConn(l.Listener) && l.evictOne() {
+			if isDescriptorExhausted(err) && idleconn.HasPendingConn(l.Listener) && room.make(l.evictOne) {
 				continue
 			}
 			return nil, err
 		}
+		room = acceptRoom{}
 		if c := l.admit(raw); c != nil {
 			return c, nil
 		}
 	}
 }
 
+const (
+	// acceptRetries is how often a connection is accepted again after an eviction before another connection is evicted.
+	acceptRetries = 5
+
+	// acceptRetryDelay is waited before each of these. Parking and resuming hold a further descriptor for microseconds.
+	acceptRetryDelay = time.Millisecond
+)
+
+// acceptRoom makes room for one connection to be accepted while descriptors are exhausted. The descriptor that an eviction
+// frees may be taken at once by another goroutine that needs it for a moment only: it is waited for before a second
+// connection is evicted.
+type acceptRoom struct {
+	evicted bool
+	retries int // since the eviction
+}
+
+// make evicts a connection, or waits for the descriptor of the one that it evicted. It reports false if there is none to evict.
+func (r *acceptRoom) make(evict func() bool) bool {
+	if r.evicted && r.retries < acceptRetries {
+		r.retries++
+		time.Sleep(acceptRetryDelay)
+		return true
+	}
+	r.evicted, r.retries = evict(), 0
+	return r.evicted
+}
+
 // isDescriptorExhausted reports whether accepting failed because descriptors, or the kernel's memory for them, have run
 // out.
 func isDescriptorExhausted(err error) bool {
