consensus: known decisions on disk; an old decision is no base; halves in the model

Cause: after a loss of power by all, an unconfirmed change of members wanted the old majority, as its decision was known in memory only. Change: an acceptor notes beside an unconfirmed value that it is decided (one more write per change of members, none otherwise), and a controller begins with it. Proposals start from the disk's value where the known decision lies two slots or more behind it (ProposalBase). Tests: the membership model cuts the processes into halves, once more as the first cut ends, freezes one across it, restarts halves, overlaps losses beyond what is tolerated and reads throughout.

--- a/consensus/acceptor.go
+++ b/consensus/acceptor.go
@@ -9,6 +9,10 @@
 	Promised Ballot // nothing is accepted at a lower one
 	Accepted Ballot // at which Value was accepted
 	Value    *Value // accepted last; nil = none
+
+	// Decided is the ballot at which the acceptor had accepted a value when it learned that this value is decided. It says
+	// something about Value only where it is Accepted: a later value leaves it behind.
+	Decided Ballot
 }
 
 // Prepare is phase 1 of a proposal: it asks an acceptor to promise a ballot.
@@ -61,9 +65,28 @@
 	return s, AcceptReply{From: s.ID, OK: true, Promised: s.Promised}
 }
 
+// WithDecision returns the state to store once the acceptor knows that a value is decided.
+//
+// It differs only where the acceptor holds that very value and the value is not confirmed. After a restart such a value is then
+// known to be decided, and its members alone decide the next, even if those before them can't be asked any more. A confirmed
+// value needs no note: its members are those before it.
+func (s AcceptorState) WithDecision(d Decision) AcceptorState {
+	if s.Value == nil || s.Value.Slot != d.Value.Slot || s.Value.Confirmed() || !d.ReplicatedBy(s.Replica()) {
+		return s
+	}
+	s.Decided = s.Accepted
+	return s
+}
+
+// HoldsDecision reports whether Value is known to be decided.
+func (s AcceptorState) HoldsDecision() bool {
+	return s.Value != nil && s.Decided == s.Accepted && s.Accepted != (Ballot{})
+}
+
 // DiffersFrom reports whether the state must be stored before the reply that came with it is sent.
 func (s AcceptorState) DiffersFrom(previous AcceptorState) bool {
-	return s.Promised != previous.Promised || s.Accepted != previous.Accepted || s.Value != previous.Value
+	return s.Promised != previous.Promised || s.Accepted != previous.Accepted || s.Value != previous.Value ||
+		s.Decided != previous.Decided
 }
 
 // Replica returns what the acceptor's disk holds.
--- a/consensus/membership_events_test.go
+++ b/consensus/membership_events_test.go
@@ -38,7 +38,10 @@
 
 // restoreOne brings back a lost process, or a successor in its place, and lets it recover.
 func (m *membershipModel) restoreOne() {
-	for p := range m.lost {
+	for _, p := range m.processes { // in order, so that a seed repeats
+		if !m.lost[p] {
+			continue
+		}
 		switch {
 		case p.cut:
 			p.cut = false
@@ -60,8 +63,11 @@
 
 // replace starts a successor, lets it recover, and tells a member to leave, which must be able to within its grace period.
 func (m *membershipModel) replace() {
+	for len(m.lost) > 0 {
+		m.restoreOne()
+	}
 	p := m.randomProcess()
-	if !p.reachable() || !Contains(m.newest.Members, p.disk.ID) || len(m.lost) > 0 {
+	if !p.reachable() || !Contains(m.newest.Members, p.disk.ID) {
 		return
 	}
 	m.addProcess()
@@ -69,6 +75,10 @@
 	p.leaving = true
 	m.leaveAmidEvents(p)
 	m.leaveWithoutEvents(p)
+	if len(m.lost) > 0 { // another was lost meanwhile, and may be needed
+		p.leaving = false
+		return
+	}
 	if !m.mayLeave(p) {
 		m.violate("slot %d: %s can't leave within its grace period", m.newest.Slot, p.address)
 	}
@@ -81,11 +91,15 @@
 
 // leaveAmidEvents makes random steps, power cycles and changes until the process may leave, or for a while.
 func (m *membershipModel) leaveAmidEvents(p *process) {
+	splits := m.random.IntN(3) == 0
 	for range 400 {
 		m.randomSteps(1)
 		if m.random.IntN(150) == 0 {
 			m.powerCycle()
 		}
+		if splits && m.random.IntN(200) == 0 {
+			m.splitRepeatedly()
+		}
 		if m.random.IntN(30) == 0 {
 			m.changeConfiguration()
 		}
--- a/consensus/membership_model_test.go
+++ b/consensus/membership_model_test.go
@@ -26,6 +26,7 @@
 	inFlight     []packet
 	incarnations uint64
 	configs      int
+	secondHalf   map[*process]bool // while the network is split, the processes on one side of it
 
 	decided            map[Slot]*Value
 	newest             *Value   // decided
@@ -33,6 +34,8 @@
 	violation          string   // of an invariant, the first found; "" = none
 	simultaneousLosses int      // losses of as many as are tolerated, right after a recovery or a planned leave
 	leaves             int      // planned leaves that came to their end in time
+	splits             int
+	reads              int // that were answered
 }
 
 // process is an acceptor and a proposer.
@@ -41,8 +44,10 @@
 	disk         AcceptorState
 	up           bool
 	cut          bool // off the network
+	frozen       bool // takes nothing of what it receives
 	leaving      bool
-	gone         bool // for good
+	gone         bool          // for good
+	synced       AcceptorState // with copyCountsBeforeSync, what a loss of power leaves
 	known        *Value
 	decidedKnown bool                   // known is decided
 	decision     Decision               // known, with its ballots
@@ -59,12 +64,14 @@
 	change   ChangeFunc
 	digest   string // of the configuration that it carries; "" = none
 	decided  *Value // with the change included
+	known    int    // configurations that were acknowledged before the attempt began
 }
 
 // packet is a message in flight. It is lost when either side is, and when its receiver starts again.
 type packet struct {
 	from, to    *process
 	incarnation ProposerID // of the receiver when it was sent
+	arrived     bool       // the receiver is frozen and takes it later
 	deliver     func()
 }
 
@@ -101,6 +108,10 @@
 func (m *membershipModel) start(p *process) {
 	m.incarnations++
 	p.up = true
+	p.frozen = false
+	if m.injected == copyCountsBeforeSync && p.synced.ID == p.disk.ID {
+		p.disk = p.synced
+	}
 	p.known = m.genesis
 	p.decidedKnown = false
 	p.replicas = map[AcceptorID]Replica{}
@@ -111,6 +122,9 @@
 	p.incarnation = ProposerID(m.incarnations)
 	p.number = p.disk.Promised.Number
 	p.decision = Decision{Value: p.known}
+	if p.disk.HoldsDecision() {
+		p.learn(p.disk.Value, p.disk.Accepted)
+	}
 }
 
 // addProcess starts a process with an empty disk.
@@ -135,6 +149,14 @@
 	return nil
 }
 
+// decidedValue returns the newest value that the process knows to be decided; nil = none.
+func (p *process) decidedValue() *Value {
+	if !p.decidedKnown {
+		return nil
+	}
+	return p.known
+}
+
 func (p *process) reachable() bool { return p.up && !p.cut && !p.gone }
 
 func (p *process) member() Member { return Member{ID: p.disk.ID, Address: p.address} }
@@ -146,31 +168,50 @@
 }
 
 func (m *membershipModel) send(from, to *process, deliver func()) {
-	if to != nil && (from == to || from.reachable() && to.reachable()) {
+	if to != nil && (from == to || m.connected(from, to)) {
 		m.inFlight = append(m.inFlight, packet{from: from, to: to, incarnation: to.incarnation, deliver: deliver})
 	}
 }
 
 func (m *membershipModel) deliver(i int) {
 	p := m.inFlight[i]
+	if p.to.frozen {
+		m.inFlight[i].arrived = p.arrived || m.connected(p.from, p.to)
+		return
+	}
 	last := len(m.inFlight) - 1
 	m.inFlight[i] = m.inFlight[last]
 	m.inFlight = m.inFlight[:last]
-	arrives := p.from == p.to || p.to.reachable() && p.from.reachable()
+	arrives := p.from == p.to || p.arrived || m.connected(p.from, p.to)
 	if p.to.up && p.to.incarnation == p.incarnation && arrives {
 		p.deliver()
 	}
 }
 
+// deliverAll delivers what is in flight, and what that leads to. What is in flight to frozen processes stays.
 func (m *membershipModel) deliverAll() {
-	for len(m.inFlight) > 0 {
-		m.deliver(m.random.IntN(len(m.inFlight)))
+	for {
+		deliverable := m.deliverable()
+		if len(deliverable) == 0 {
+			return
+		}
+		m.deliver(deliverable[m.random.IntN(len(deliverable))])
 	}
 }
 
+// deliverable returns the indices of the packets whose receivers are not frozen.
+func (m *membershipModel) deliverable() (indices []int) {
+	for i, p := range m.inFlight {
+		if !p.to.frozen {
+			indices = append(indices, i)
+		}
+	}
+	return indices
+}
+
 // begin starts an attempt of a process, in place of the one before.
 func (m *membershipModel) begin(p *process, change ChangeFunc, digest string) *proposalAttempt {
-	a := &proposalAttempt{process: p, change: change, digest: digest}
+	a := &proposalAttempt{process: p, change: change, digest: digest, known: len(m.acknowledged)}
 	m.propose(a)
 	return a
 }
@@ -178,7 +219,14 @@
 func (m *membershipModel) propose(a *proposalAttempt) {
 	p := a.process
 	p.number++
-	a.proposal = NewProposal(Ballot{Number: p.number, By: p.incarnation}, p.known, a.change)
+	base := p.known
+	if p.disk.Value != nil && m.injected != decidedIsAlwaysBase {
+		base = ProposalBase(p.disk.Value, p.decidedValue())
+	}
+	if m.injected == majorityOfVisible {
+		base = m.visibleMembers(p, base)
+	}
+	a.proposal = NewProposal(Ballot{Number: p.number, By: p.incarnation}, base, a.change)
 	p.current = a
 	m.sendPrepares(a)
 }
@@ -218,7 +266,7 @@
 	to, proposal := m.processOf(accept.To), a.proposal
 	m.send(a.process, to, func() {
 		next, reply := to.disk.HandleAccept(accept)
-		to.disk = next
+		m.store(to, next)
 		m.send(to, a.process, func() { m.handleAcceptReply(a, proposal, reply) })
 	})
 }
@@ -240,6 +288,7 @@
 		return
 	}
 	a.decided = v
+	m.checkListed(v, a.known)
 	if a.digest != "" && v.Digest == a.digest {
 		m.acknowledged = append(m.acknowledged, a.digest)
 	}
@@ -266,6 +315,7 @@
 	for _, b := range ballots {
 		p.decision = p.decision.WithBallot(b)
 	}
+	p.disk = p.disk.WithDecision(p.decision)
 }
 
 // decide records a decided value and checks it against those of its slot and the slot before.
@@ -309,7 +359,7 @@
 // knownReplicas returns what a process knows of the replicas of the newest decision that it knows.
 func (m *membershipModel) knownReplicas(p *process) map[AcceptorID]Replica {
 	for id := range p.replicas { // reports expire with the contact
-		if o := m.processOf(id); o == nil || !o.reachable() || !p.reachable() {
+		if o := m.processOf(id); o == nil || !m.connected(p, o) {
 			delete(p.replicas, id)
 		}
 	}
@@ -344,7 +394,7 @@
 	}
 	return slices.DeleteFunc(missing, func(member Member) bool {
 		o := m.processOf(member.ID)
-		return o == nil || !o.reachable()
+		return o == nil || !m.connected(p, o)
 	})
 }
 
--- a/consensus/membership_test.go
+++ b/consensus/membership_test.go
@@ -22,6 +22,11 @@
 	catchUpAtPromisedBallot  // a catch-up Accept is accepted at the ballot that the acceptor promised last
 	replicasNeverRepaired    // replicas are completed by the next change alone
 	lostDiskKeepsIdentity    // a process whose disk was lost reports the identity of the old one
+	majorityOfVisible        // a proposer counts the majority over the members that it can reach
+	copyCountsBeforeSync     // an acceptor reports a value as accepted before it is on the disk
+	readWithoutQuorum        // a read is answered with what the process knows to be decided
+	decidedIsAlwaysBase      // a proposal starts from a decided value, however far it is behind the accepted one
+	acceptMarkedDecided      // an acceptor marks each value that it accepts as decided
 )
 
 // membershipFaultNames are the faults that the model must detect, by name.
@@ -36,6 +41,11 @@
 	"catch-up accept at promised ballot": catchUpAtPromisedBallot,
 	"replicas never repaired":            replicasNeverRepaired,
 	"lost disk keeps its identity":       lostDiskKeepsIdentity,
+	"majority of the visible members":    majorityOfVisible,
+	"copy counts before its sync":        copyCountsBeforeSync,
+	"read without a quorum":              readWithoutQuorum,
+	"accepted value marked as decided":   acceptMarkedDecided,
+	"decided value is always the base":   decidedIsAlwaysBase,
 }
 
 func unchanged(v *Value) *Value { return v }
@@ -106,7 +116,7 @@
 		if !slices.ContainsFunc(v.Members, replaceable) {
 			replaceable = func(member Member) bool {
 				o := m.processOf(member.ID)
-				return o == nil || !o.reachable()
+				return o == nil || !m.connected(p, o)
 			}
 		}
 		i := slices.IndexFunc(v.Members, replaceable)
@@ -120,7 +130,7 @@
 // successor returns a process in contact that is no member and stays; nil = there is none.
 func (m *membershipModel) successor(p *process) *process {
 	for _, o := range m.processes {
-		if o.reachable() && !o.leaving && !Contains(p.known.Members, o.disk.ID) {
+		if o != p && m.connected(p, o) && !o.leaving && !Contains(p.known.Members, o.disk.ID) {
 			return o
 		}
 	}
@@ -244,7 +254,11 @@
 
 // randomEvent makes one of the events of a membership happen.
 func (m *membershipModel) randomEvent() {
-	switch k := m.random.IntN(10); {
+	switch k := m.random.IntN(14); {
+	case k >= 12:
+		m.overlappingLosses()
+	case k >= 10:
+		m.splitRepeatedly()
 	case k < 3:
 		m.changeConfiguration()
 		m.randomSteps(m.random.IntN(80))
@@ -268,7 +282,7 @@
 	m := newMembershipModel(seed, injected)
 	m.changeConfiguration()
 	m.recover()
-	for range 12 {
+	for range 17 {
 		m.randomEvent()
 		if m.violation == "" && m.random.IntN(3) == 0 {
 			m.checkAcknowledged()
@@ -282,7 +296,7 @@
 
 func TestMembershipModelKeepsAcknowledgedChanges(t *testing.T) {
 	var slots Slot
-	acknowledged, losses, leaves := 0, 0, 0
+	acknowledged, losses, leaves, splits, reads := 0, 0, 0, 0, 0
 	for seed := range uint64(2500) {
 		m := runMembershipModel(seed, noMembershipFault)
 		if m.violation != "" {
@@ -292,10 +306,12 @@
 		acknowledged += len(m.acknowledged)
 		losses += m.simultaneousLosses
 		leaves += m.leaves
+		splits += m.splits
+		reads += m.reads
 	}
-	t.Logf("%d slots, %d changes acknowledged, %d simultaneous losses of as many as are tolerated, %d planned leaves",
-		slots, acknowledged, losses, leaves)
-	if acknowledged < 5000 || losses < 2500 || leaves < 1000 {
+	t.Logf("%d slots, %d changes acknowledged, %d simultaneous losses of as many as are tolerated, %d planned leaves, %d splits, %d reads",
+		slots, acknowledged, losses, leaves, splits, reads)
+	if acknowledged < 5000 || losses < 2500 || leaves < 1000 || splits < 5000 || reads < 2000 {
 		t.Fatal("too few to be conclusive")
 	}
 }
--- a/consensus/recovery_test.go
+++ b/consensus/recovery_test.go
@@ -74,3 +74,63 @@
 		t.Error("starting from the slot before the accepted value loses nothing here: the test shows nothing")
 	}
 }
+
+// A change of the members is decided and not confirmed when all lose power, and a majority of the members before it does not
+// return. The members that know of the decision from their disks go on alone; without that note they can't.
+func TestRecoveryOfUnconfirmedMembersNeedsNewSetAlone(t *testing.T) {
+	r := &partialRegister{t: t, states: map[AcceptorID]AcceptorState{}}
+	for _, id := range []AcceptorID{1, 2, 3, 4} {
+		r.states[id] = AcceptorState{ID: id}
+	}
+	all := []AcceptorID{1, 2, 3, 4}
+	known, _ := r.propose(Genesis(testMembers(1, 2, 3)), addVersion(1), all[:3], all[:3])
+	replaced, decided := r.propose(known, func(v *Value) *Value { return v.WithMembers(testMembers(1, 2, 4)) }, all, all)
+	if !decided || replaced.Confirmed() {
+		t.Fatal("the change of the members is not decided")
+	}
+	decision := Decision{Value: replaced}.WithBallot(r.states[1].Accepted)
+
+	// 2 and 3 are lost with their disks: a majority of the members before, and one of those after.
+	unmarked := r.states[1]
+	if unmarked.HoldsDecision() {
+		t.Fatal("a decision is known before it was recorded")
+	}
+	p := NewProposal(Ballot{Number: 50, By: 1}, ProposalBase(unmarked.Value, nil), unchanged)
+	for _, id := range []AcceptorID{1, 4} {
+		_, reply := r.states[id].HandlePrepare(Prepare{To: id, Ballot: p.Ballot()})
+		p.HandlePrepareReply(reply)
+	}
+	if p.Value() != nil {
+		t.Error("without the note a majority of the members before is not needed: the test shows nothing")
+	}
+
+	marked := unmarked.WithDecision(decision)
+	if !marked.HoldsDecision() || !marked.DiffersFrom(unmarked) {
+		t.Fatal("the decision is not recorded")
+	}
+	r.number = 100
+	confirmed, decided := r.propose(ProposalBase(marked.Value, marked.Value), unchanged, []AcceptorID{1, 4}, []AcceptorID{1, 4})
+	if !decided || !confirmed.Confirmed() || confirmed.Version != 1 {
+		t.Errorf("the new members decide %+v (%t)", confirmed, decided)
+	}
+	if r.states[1].WithDecision(decision).HoldsDecision() {
+		t.Error("a later value counts as decided by the note of the one before")
+	}
+}
+
+// A process that was away for long knows an old decision, whose members may be gone. It is no base for one whose disk holds a
+// value that followed later.
+func TestOldDecisionIsNoProposalBase(t *testing.T) {
+	old := &Value{Slot: 8, Members: testMembers(1, 2, 3), PriorMembers: testMembers(1, 2, 3)}
+	accepted := &Value{Slot: 10, Members: testMembers(4, 5, 6), PriorMembers: testMembers(3, 4, 5)}
+	previous := &Value{Slot: 9, Members: testMembers(3, 4, 5), PriorMembers: testMembers(3, 4, 5)}
+	if base := ProposalBase(accepted, old); !sameMembers(base.Members, accepted.PriorMembers) || base.Slot != 0 {
+		t.Errorf("the base is of slot %d, with the members %v", base.Slot, base.Members)
+	}
+	if base := ProposalBase(accepted, previous); base != previous {
+		t.Errorf("the base is of slot %d, though slot 9 is known to be decided", base.Slot)
+	}
+	if base := ProposalBase(nil, old); base != old {
+		t.Errorf("without an accepted value the base is of slot %d", base.Slot)
+	}
+}
--- a/consensus/value.go
+++ b/consensus/value.go
@@ -39,6 +39,18 @@
 	return &Value{Members: accepted.PriorMembers, PriorMembers: accepted.PriorMembers}
 }
 
+// ProposalBase returns the value that a proposer starts from, given the value that its disk accepted last and the newest value that
+// it knows to be decided; each may be nil, but not both.
+//
+// A decided value that is two slots or more behind the accepted one says less of the members: those after it may have left with
+// their disks since. A process learns such a value from one that was away for long.
+func ProposalBase(accepted, decided *Value) *Value {
+	if decided == nil || accepted != nil && decided.Slot+1 < accepted.Slot {
+		return RecoveryBase(accepted)
+	}
+	return decided
+}
+
 // Confirmed reports whether the value's members are those of the slot before. Only then may another value follow it.
 func (v *Value) Confirmed() bool { return sameMembers(v.Members, v.PriorMembers) }
 
--- a/controlplane/acceptor.go
+++ b/controlplane/acceptor.go
@@ -38,6 +38,7 @@
 	newestSlot consensus.Slot    // the highest that was accepted
 	newestAt   time.Duration     // when that was
 	replica    consensus.Replica // what the disk holds
+	decidedAt  consensus.Ballot  // of the value that the disk was last asked to mark as decided
 }
 
 // newAcceptorEndpoint returns the endpoint of a store's acceptor. The ballots that it accepts are passed to an observer on the
@@ -148,6 +149,20 @@
 	}
 }
 
+// recordDecision has the disk mark its value as decided, where a restart needs to know that.
+func (a *acceptorEndpoint) recordDecision(d consensus.Decision) {
+	if d.Value.Confirmed() || a.replica.Slot != d.Value.Slot || !d.ReplicatedBy(a.replica) || a.decidedAt == a.replica.Ballot {
+		return
+	}
+	a.decidedAt = a.replica.Ballot
+	a.store.Update(func(s consensus.AcceptorState) consensus.AcceptorState { return s.WithDecision(d) },
+		func(_ consensus.AcceptorState, err error) {
+			if err != nil {
+				a.log.Warn().Err(err).Msg("acceptor: decision not stored")
+			}
+		})
+}
+
 // storedState returns what the disk holds, after everything that is queued for it. It reports whether the disk answered in time.
 func (a *acceptorEndpoint) storedState() (consensus.AcceptorState, bool) {
 	states := make(chan consensus.AcceptorState, 1)
--- a/controlplane/controller_loop.go
+++ b/controlplane/controller_loop.go
@@ -37,6 +37,10 @@
 	for _, address := range c.settings.SeedControllers() {
 		c.peers.add(address)
 	}
+	if c.recovered.HoldsDecision() {
+		c.learner.learn(c.recovered.Value)
+		c.learner.observeBallot(c.recovered.Value.Slot, c.recovered.Accepted)
+	}
 	c.housekeepingAt = c.clock.now() + randomDuration(maxFirstHousekeeping)
 	c.log.Info().Uint64("identity", uint64(c.self.id)).Uint64("slot", uint64(c.acceptor.newestSlot)).Msg("controller: started")
 }
--- a/controlplane/learner.go
+++ b/controlplane/learner.go
@@ -10,9 +10,12 @@
 	"oxbowspan/rpc"
 )
 
-// learnListener is notified of each newly decided value, on the event loop.
+// learnListener is notified on the event loop.
 type learnListener interface {
+	// valueLearned is called with each newly decided value.
 	valueLearned(v *consensus.Value)
+	// decisionObserved is called with the newest decision when a ballot of it becomes known.
+	decisionObserved(d consensus.Decision)
 }
 
 // learner holds the newest value that this controller knows to be decided. It belongs to the event loop.
@@ -105,6 +108,7 @@
 func (l *learner) observeBallot(slot consensus.Slot, ballot consensus.Ballot) {
 	if l.confirmed && slot == l.value.Slot {
 		l.decision = l.decision.WithBallot(ballot)
+		l.listener.decisionObserved(l.decision)
 	}
 }
 
--- a/controlplane/proposer.go
+++ b/controlplane/proposer.go
@@ -49,7 +49,16 @@
 // next returns what the next proposal begins with: a ballot above all that were seen. On the event loop.
 func (p *proposer) next() proposalStart {
 	p.highestBallot++
-	return proposalStart{consensus.Ballot{Number: p.highestBallot, By: p.id}, p.learner.value}
+	return proposalStart{consensus.Ballot{Number: p.highestBallot, By: p.id}, p.base()}
+}
+
+// base returns the value that a proposal starts from. On the event loop.
+func (p *proposer) base() *consensus.Value {
+	accepted := p.acceptor.acceptedValue.Load()
+	if accepted == nil {
+		return p.learner.value
+	}
+	return consensus.ProposalBase(accepted, p.learner.decided())
 }
 
 // observeBallot notes the number of a ballot that another proposer uses. On the event loop.
