acceptorstore: a start on a full disk stays up and keeps its file; notes of decisions

Cause: a controller that started on a full disk without a file ended with code 1, again and again; and where a file was there, a write refused while it was opened (it was always written to) had the sound file set aside as damaged, so that its identity and accepted value were given up. Change: a sound file of the present format is opened without a write; a refused write (no space, quota, read-only) never sets a file aside. The controller logs why. The ballot of a known decision stands beside the value, under a key of its own; files of formats 1 and 2 are read as before, and earlier programs ignore the key.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -31,15 +31,16 @@
 
 // Controller is one machine's process of the control plane.
 type Controller struct {
-	settings *settings.Settings
-	network  network.Network
-	log      zerolog.Logger
-	store    *acceptorstore.Store
-	self     identity
-	clock    *steadyClock
-	loop     *eventLoop
-	killed   chan struct{}
-	routines sync.WaitGroup
+	settings  *settings.Settings
+	network   network.Network
+	log       zerolog.Logger
+	store     *acceptorstore.Store
+	recovered consensus.AcceptorState // as found on the disk at the start
+	self      identity
+	clock     *steadyClock
+	loop      *eventLoop
+	killed    chan struct{}
+	routines  sync.WaitGroup
 
 	table         *registry.Table
 	events        *eventLog
@@ -78,12 +79,15 @@
 	if setAside != "" {
 		log.Warn().Str("file", setAside).Msg("state: damaged file set aside, starting with a new identity")
 	}
+	if err := store.Refused(); err != nil {
+		log.Warn().Err(err).Msg("state: the disk does not take the state file, voting for nothing until it does")
+	}
 	state := store.State()
 	base := consensus.Genesis(members)
 	if state.Value != nil {
 		base = consensus.RecoveryBase(state.Value)
 	}
-	c := &Controller{settings: s, network: on, log: log, store: store, clock: newSteadyClock(), loop: newEventLoop(), killed: make(chan struct{})}
+	c := &Controller{settings: s, network: on, log: log, store: store, recovered: state, clock: newSteadyClock(), loop: newEventLoop(), killed: make(chan struct{})}
 	c.self = identity{
 		id:             state.ID,
 		incarnation:    uint64(acceptorstore.NewAcceptorID()),
@@ -187,6 +191,9 @@
 	c.peers.gossipNow()
 }
 
+// decisionObserved implements learnListener.
+func (c *Controller) decisionObserved(d consensus.Decision) { c.acceptor.recordDecision(d) }
+
 // observeBallot implements ballotObserver.
 func (c *Controller) observeBallot(number uint64) { c.proposer.observeBallot(number) }
 
--- a/internal/acceptorstore/directory.go
+++ b/internal/acceptorstore/directory.go
@@ -17,10 +17,11 @@
 	return d.Sync()
 }
 
-// syncName makes the name of an open store's file durable, or closes the store. An earlier run may have ended before it did.
+// syncName makes the name of a store's file durable, or closes the file. An earlier run may have ended before it did.
 func syncName(s *Store, dir string) error {
 	if err := syncDirectory(dir); err != nil {
-		s.Close()
+		s.db.Close()
+		s.db = nil
 		return eris.Wrap(err, "syncing the data directory")
 	}
 	return nil
--- a/internal/acceptorstore/format.go
+++ b/internal/acceptorstore/format.go
@@ -23,7 +23,10 @@
 	formatInlineBodies = 1
 )
 
-const fileName = "hive.db"
+const (
+	fileName    = "hive.db"
+	ballotBytes = 16 // of an encoded ballot
+)
 
 // The file's buckets and their keys.
 var (
@@ -32,6 +35,7 @@
 	identityKey = []byte("identity") // 8 bytes, big-endian
 	stateKey    = []byte("state")    // an rpc.PrepareReply with the ballots alone
 	valueKey    = []byte("value")    // an rpc.Value without bodies
+	decidedKey  = []byte("decided")  // the ballot at which the value was accepted when it was known to be decided; may be absent
 
 	bodiesBucket = []byte("bodies") // has a bucket for each body, named by its digest
 	bodyKey      = []byte("body")
@@ -90,6 +94,7 @@
 		}
 		state.Promised, state.Accepted = rpc.BallotFromProto(m.Promised), rpc.BallotFromProto(m.Accepted)
 	}
+	state.Decided = decodeBallot(b.Get(decidedKey))
 	if encoded := b.Get(valueKey); encoded != nil {
 		m := &rpc.Value{}
 		if err := proto.Unmarshal(encoded, m); err != nil {
@@ -124,7 +129,10 @@
 	if err != nil {
 		return err
 	}
-	if err := b.Put(stateKey, encoded); err != nil || !withValue {
+	if err := b.Put(stateKey, encoded); err != nil {
+		return err
+	}
+	if err := writeDecided(b, next.Decided); err != nil || !withValue {
 		return err
 	}
 	if err := writeFormat(b); err != nil {
@@ -142,6 +150,29 @@
 	return b.Put(valueKey, encoded)
 }
 
+// writeDecided stores the ballot of a known decision. Most files have none.
+//
+// A program of before this key ignores it, and may accept other values beside it. That is harmless: the ballot names the
+// acceptance that it is about.
+func writeDecided(b *bbolt.Bucket, decided consensus.Ballot) error {
+	if decided == (consensus.Ballot{}) || decodeBallot(b.Get(decidedKey)) == decided {
+		return nil
+	}
+	encoded := binary.BigEndian.AppendUint64(nil, decided.Number)
+	return b.Put(decidedKey, binary.BigEndian.AppendUint64(encoded, uint64(decided.By)))
+}
+
+// decodeBallot returns the ballot that writeDecided stored; the zero Ballot where there is none.
+func decodeBallot(encoded []byte) consensus.Ballot {
+	if len(encoded) != ballotBytes {
+		return consensus.Ballot{}
+	}
+	return consensus.Ballot{
+		Number: binary.BigEndian.Uint64(encoded),
+		By:     consensus.ProposerID(binary.BigEndian.Uint64(encoded[8:])),
+	}
+}
+
 // writeBodies makes the file hold the bodies of a value and no others. What it holds already is not written again. That is read
 // from the file, as after a failed write nothing else knows.
 func writeBodies(tx *bbolt.Tx, v *consensus.Value) error {
--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -3,6 +3,7 @@
 package acceptorstore
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -47,14 +48,17 @@
 
 // Store is one acceptor's file. Its methods may be called from any goroutine, except where they say otherwise.
 type Store struct {
-	db      *bbolt.DB
+	dir     string
 	queue   chan func()
 	closing chan struct{}
 	done    chan struct{} // closed when the store's goroutine has ended
 	hints   []byte        // as found by Open
+	refused error         // why Open could not create the file; nil = it is open
 
 	// The store's goroutine's.
-	state          consensus.AcceptorState // the last that is known to be on the disk
+	db             *bbolt.DB               // nil while the disk refuses to create the file
+	createdAt      time.Time               // when that was tried last
+	state          consensus.AcceptorState // the last that is known to be on the disk; without a file its identity alone
 	writeUncertain bool                    // a write failed: the file may hold what it wrote, or not
 
 	commit func(func(*bbolt.Tx) error) error // db.Update; tests replace it
@@ -63,58 +67,111 @@
 // Open opens or creates the file in a directory, which it creates if necessary. A file without an identity gets the genesis one,
 // or a random one if that is 0. A file that can't be read is renamed to setAsidePath, and a new one is created with a random
 // identity: the old identity's promises are lost, so it must not vote again.
+//
+// Where the disk is full and a new file can't be created, or its name not be made durable, the store is opened without it
+// (Refused): it refuses every update until the disk takes the file. A file that is there is never given up for a disk that
+// refuses writes.
 func Open(dir string, genesis consensus.AcceptorID) (s *Store, setAsidePath string, err error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+	if err := os.MkdirAll(dir, 0o755); err != nil && !isWriteRefused(err) {
 		return nil, "", eris.Wrap(err, "creating the data directory")
 	}
-	s, setAsidePath, err = openOrReplace(filepath.Join(dir, fileName), genesis)
+	s = newStore(dir)
+	setAsidePath, err = s.openOrReplace(filepath.Join(dir, fileName), genesis)
 	if err == nil {
 		err = syncName(s, dir)
+	} else if isWriteRefused(err) && !isUsed(filepath.Join(dir, fileName)) {
+		s.state = consensus.AcceptorState{ID: firstIdentity(genesis, setAsidePath)}
+	} else {
+		return nil, setAsidePath, err
 	}
-	if err != nil {
+	if err != nil && !isWriteRefused(err) {
 		return nil, setAsidePath, err
 	}
+	s.refused = err
+	s.createdAt = time.Now()
+	go s.run()
 	return s, setAsidePath, nil
 }
 
-func openOrReplace(path string, genesis consensus.AcceptorID) (s *Store, setAsidePath string, err error) {
+func newStore(dir string) *Store {
+	return &Store{dir: dir, queue: make(chan func(), queueLength), closing: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Refused returns why the disk did not take a new file at Open; nil = the file was opened. It is created with the first update that
+// the disk takes.
+func (s *Store) Refused() error { return s.refused }
+
+// openOrReplace opens the file. One whose contents can't be right is set aside.
+func (s *Store) openOrReplace(path string, genesis consensus.AcceptorID) (setAsidePath string, err error) {
 	if _, err := os.Stat(path); err == nil {
 		// The file is from an earlier run. If it has no identity, that run ended before it accepted anything.
-		if s, err = openFile(path, genesis); err == nil {
-			return s, "", nil
+		err = s.openFile(path, genesis)
+		if err == nil || isWriteRefused(err) {
+			return "", err
 		}
 		setAsidePath = path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
 		if renameErr := os.Rename(path, setAsidePath); renameErr != nil {
-			return nil, "", eris.Wrapf(err, "the state file can't be read, nor set aside (%v)", renameErr)
+			return "", eris.Wrapf(err, "the state file can't be read, nor set aside (%v)", renameErr)
 		}
-		genesis = 0
 	}
-	s, err = openFile(path, genesis)
-	return s, setAsidePath, err
+	err = s.openFile(path, firstIdentity(genesis, setAsidePath))
+	if err != nil {
+		removeUnfinished(path)
+	}
+	return setAsidePath, err
 }
 
-func openFile(path string, genesis consensus.AcceptorID) (s *Store, err error) {
+// firstIdentity returns the identity of a new file: the genesis one, unless a file that may have had it was set aside.
+func firstIdentity(genesis consensus.AcceptorID, setAsidePath string) consensus.AcceptorID {
+	if genesis == 0 || setAsidePath != "" {
+		return NewAcceptorID()
+	}
+	return genesis
+}
+
+func (s *Store) openFile(path string, genesis consensus.AcceptorID) (err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // reading a page beyond the file's end must not end the process
 	defer func() {
 		if r := recover(); r != nil { // bbolt panics on malformed pages
-			s, err = nil, fmt.Errorf("%w: %v", ErrCorrupt, r)
+			err = fmt.Errorf("%w: %v", ErrCorrupt, r)
 		}
 	}()
 	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: lockTimeout, InitialMmapSize: initialMmapSize})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if err = checkIntegrity(db, path); err != nil {
-		db.Close()
-		return nil, err
+	if err = checkIntegrity(db, path); err == nil {
+		err = s.load(db, genesis)
 	}
-	s = &Store{db: db, commit: db.Update, queue: make(chan func(), queueLength), closing: make(chan struct{}), done: make(chan struct{})}
-	if err = db.Update(func(tx *bbolt.Tx) error { return s.loadOrInitialize(tx, genesis) }); err != nil {
+	if err != nil {
 		db.Close()
-		return nil, err
+		return err
 	}
-	go s.run()
-	return s, nil
+	s.db, s.commit = db, db.Update
+	return nil
+}
+
+// load reads the file. It writes only to a file that is new or of an earlier format, so that a sound one is read on a full disk.
+func (s *Store) load(db *bbolt.DB, genesis consensus.AcceptorID) error {
+	current := false
+	err := db.View(func(tx *bbolt.Tx) error {
+		b := tx.Bucket(stateBucket)
+		if b == nil || readFormat(b) != FormatVersion || tx.Bucket(hintsBucket) == nil {
+			return nil
+		}
+		id, ok := readIdentity(b)
+		if !ok {
+			return nil
+		}
+		current = true
+		s.state = consensus.AcceptorState{ID: id}
+		s.hints = bytes.Clone(readHints(tx, b))
+		return readState(tx, b, &s.state)
+	})
+	if current || err != nil {
+		return err
+	}
+	return db.Update(func(tx *bbolt.Tx) error { return s.loadOrInitialize(tx, genesis) })
 }
 
 // loadOrInitialize reads the file, converts it to the current format, and gives it an identity if it has none.
@@ -194,6 +251,10 @@
 }
 
 func (s *Store) update(step StepFunc, after StoredFunc) {
+	if err := s.createMissing(); err != nil {
+		after(s.state, err)
+		return
+	}
 	next := step(s.state)
 	if !next.DiffersFrom(s.state) {
 		after(s.state, nil)
@@ -228,6 +289,10 @@
 		return false
 	}
 	return s.enqueue(func() {
+		if err := s.createMissing(); err != nil {
+			after(err)
+			return
+		}
 		after(s.commit(func(tx *bbolt.Tx) error { return tx.Bucket(hintsBucket).Put(hintsKey, hints) }))
 	})
 }
@@ -239,5 +304,8 @@
 func (s *Store) Close() error {
 	close(s.closing)
 	<-s.done
+	if s.db == nil {
+		return nil
+	}
 	return s.db.Close()
 }
