controlplane: outcomes over restarts, members over zones and regions, disk log lines

Causes: an order sent again after every controller was restarted got an unclear answer beyond the 33 versions that the value lists; tolerated_losses.zones and .regions were not read, so that three seeds in one zone stayed the members; a controller that is no member and whose seeds are gone found nobody after a restart; a busy disk, a failed catch-up and hints that are not saved left no log line; a gateway that can't listen left listeners open. Changes: committed revisions are stored with the hints, 4,096 to 4,351 of each document, 200 kB or so; beyond that the answer is 503 as before. They are positive evidence only, and saved at most every 2 s on an idle disk. Members: 2n+1 for the greatest of the three tolerances; a controller that is no member takes the place of one when that brings the worst loss of the tolerated zones or regions nearer to a minority (quorum.Tolerance.Shortfall, pure); one that would leave the members worse placed waits 4 s for others; a successor at a planned end is chosen by the same. 'members' shows how many zones and regions may be lost now. Hints hold the controllers that are alive. Acceptors log at most five lines a second. Tests: TestChangesResentManyVersionsLater asked that a restarted controller had forgotten most; it now must acknowledge all, also after a restart of all, and with all machines replaced acknowledge or leave unclear.

--- a/consensus/history.go
+++ b/consensus/history.go
@@ -25,26 +25,85 @@
 type History struct {
 	configurations revisionLog
 	documents      map[string]*revisionLog // by name; those of the newest value
+	unsaved        []HistoryRecord         // learned since TakeUnsaved, MaxUnsavedHistory at most
 }
 
+// HistoryRecord is a committed revision of the configuration or of a document, as it is stored.
+type HistoryRecord struct {
+	Document    string // its name; "" = the configuration
+	Version     Version
+	Fingerprint Fingerprint // of its base and digest
+}
+
+// MaxUnsavedHistory is how many revisions a History keeps for TakeUnsaved. Older ones are dropped: nothing depends on them.
+const MaxUnsavedHistory = 4096
+
 // Learn records a decided value. All revisions that it lists were committed before it.
 func (h *History) Learn(decided *Value) {
-	h.configurations.addAll(decided.Revisions())
-	if h.documents == nil {
-		h.documents = map[string]*revisionLog{}
-	}
+	h.addAll("", decided.Revisions())
 	for name := range h.documents {
 		if decided.Document(name).Version == 0 {
 			delete(h.documents, name)
 		}
 	}
 	for _, d := range decided.Documents {
-		log := h.documents[d.Name]
-		if log == nil {
-			log = &revisionLog{}
-			h.documents[d.Name] = log
+		h.addAll(d.Name, d.Revisions())
+	}
+}
+
+// addAll adds revisions of a document, "" = the configuration, oldest first.
+func (h *History) addAll(document string, revisions []Revision) {
+	log := h.log(document)
+	for _, r := range revisions {
+		if r.Digest == "" || r.Version <= log.newest {
+			continue
 		}
-		log.addAll(d.Revisions())
+		record := HistoryRecord{Document: document, Version: r.Version, Fingerprint: fingerprintOf(r)}
+		log.add(record)
+		h.unsaved = append(h.unsaved, record)
+	}
+	if surplus := len(h.unsaved) - MaxUnsavedHistory; surplus > 0 {
+		h.unsaved = slices.Delete(h.unsaved, 0, surplus)
+	}
+}
+
+// log returns the log of a document, which it makes if there is none.
+func (h *History) log(document string) *revisionLog {
+	if document == "" {
+		return &h.configurations
+	}
+	if h.documents == nil {
+		h.documents = map[string]*revisionLog{}
+	}
+	if h.documents[document] == nil {
+		h.documents[document] = &revisionLog{}
+	}
+	return h.documents[document]
+}
+
+// Restore adds records that an earlier run of the process stored, by rising versions of each document. It must be called before
+// Learn.
+func (h *History) Restore(records []HistoryRecord) {
+	for _, r := range records {
+		h.log(r.Document).add(r)
+	}
+}
+
+// TakeUnsaved returns the records that were learned since the last call, oldest first. The caller stores them, or calls ReturnUnsaved.
+func (h *History) TakeUnsaved() []HistoryRecord {
+	records := h.unsaved
+	h.unsaved = nil
+	return records
+}
+
+// HasUnsaved reports whether TakeUnsaved would return any.
+func (h *History) HasUnsaved() bool { return len(h.unsaved) > 0 }
+
+// ReturnUnsaved takes back records that could not be stored.
+func (h *History) ReturnUnsaved(records []HistoryRecord) {
+	h.unsaved = append(records, h.unsaved...)
+	if surplus := len(h.unsaved) - MaxUnsavedHistory; surplus > 0 {
+		h.unsaved = slices.Delete(h.unsaved, 0, surplus)
 	}
 }
 
@@ -69,27 +128,21 @@
 // historyEntry is a committed revision.
 type historyEntry struct {
 	version     Version
-	fingerprint fingerprint
+	fingerprint Fingerprint
 }
 
-// fingerprint stands for the base and the digest of a revision, in fewer bytes.
-type fingerprint [16]byte
+// Fingerprint stands for the base and the digest of a revision, in fewer bytes.
+type Fingerprint [16]byte
 
-func fingerprintOf(r Revision) fingerprint {
+func fingerprintOf(r Revision) Fingerprint {
 	sum := sha256.Sum256(append(binary.BigEndian.AppendUint64(nil, uint64(r.BasedOn)), r.Digest...))
-	return fingerprint(sum[:len(fingerprint{})])
-}
-
-func (l *revisionLog) addAll(revisions []Revision) {
-	for _, r := range revisions {
-		l.add(r)
-	}
+	return Fingerprint(sum[:len(Fingerprint{})])
 }
 
 // add appends a revision above all that the log holds, and skips others: those are in it already, or are older than what it
 // retains, or were missed. Skipping is safe, as the log is positive evidence alone.
-func (l *revisionLog) add(r Revision) {
-	if r.Digest == "" || r.Version <= l.newest {
+func (l *revisionLog) add(r HistoryRecord) {
+	if r.Version <= l.newest {
 		return
 	}
 	l.newest = r.Version
@@ -101,7 +154,7 @@
 		l.blocks = append(l.blocks, make([]historyEntry, 0, historyBlockSize))
 		last = len(l.blocks) - 1
 	}
-	l.blocks[last] = append(l.blocks[last], historyEntry{version: r.Version, fingerprint: fingerprintOf(r)})
+	l.blocks[last] = append(l.blocks[last], historyEntry{version: r.Version, fingerprint: r.Fingerprint})
 }
 
 func (l *revisionLog) contains(r Revision) bool {
--- a/controlapi/status.go
+++ b/controlapi/status.go
@@ -9,19 +9,22 @@
 
 // MembershipStatus is who votes, and which losses are tolerated now, as one controller sees it.
 type MembershipStatus struct {
-	Controller      string         `json:"hive"` // its address
-	Slot            uint64         `json:"turn"`
-	Version         uint64         `json:"version"`
-	HasQuorum       bool           `json:"settled"` // it is in contact with a majority
-	Stable          bool           `json:"whole"`   // no change of the members is in progress
-	TolerableLosses int            `json:"bears"`   // disks whose loss leaves a majority in contact that holds the newest value
-	Members         []MemberStatus `json:"members"`
+	Controller       string         `json:"hive"` // its address
+	Slot             uint64         `json:"turn"`
+	Version          uint64         `json:"version"`
+	HasQuorum        bool           `json:"settled"`       // it is in contact with a majority
+	Stable           bool           `json:"whole"`         // no change of the members is in progress
+	TolerableLosses  int            `json:"bears"`         // disks whose loss leaves a majority in contact that holds the newest value
+	TolerableZones   int            `json:"bears_zones"`   // zones whose loss, whichever they are, leaves a majority of the members
+	TolerableRegions int            `json:"bears_regions"` // as TolerableZones
+	Members          []MemberStatus `json:"members"`
 }
 
 // MemberStatus is an acceptor that votes.
 type MemberStatus struct {
 	Identity      string  `json:"identity"` // in hexadecimal
 	Address       string  `json:"address"`
+	Zone          string  `json:"zone"`     // "" = not known
 	SilentSeconds float64 `json:"silent_s"` // since the controller last saw it
 	Complete      bool    `json:"complete"` // its disk is known to hold the newest value
 }
--- a/controlplane/acceptor.go
+++ b/controlplane/acceptor.go
@@ -14,6 +14,9 @@
 // storedStateTimeout is how long storedState waits for the disk.
 const storedStateTimeout = time.Second
 
+// diskLogBurst is how many lines a second an acceptor logs of a disk in trouble, at most: each message of a proposer may be one.
+const diskLogBurst = 5
+
 // ballotObserver learns the numbers of ballots that other proposers use.
 type ballotObserver interface {
 	observeBallot(number uint64)
@@ -46,7 +49,8 @@
 func newAcceptorEndpoint(store *acceptorstore.Store, loop *eventLoop, clock *steadyClock, ballots ballotObserver,
 	log zerolog.Logger) *acceptorEndpoint {
 	state := store.State()
-	a := &acceptorEndpoint{id: state.ID, store: store, loop: loop, clock: clock, ballots: ballots, log: log, replica: state.Replica()}
+	sampled := log.Sample(&zerolog.BurstSampler{Burst: diskLogBurst, Period: time.Second})
+	a := &acceptorEndpoint{id: state.ID, store: store, loop: loop, clock: clock, ballots: ballots, log: sampled, replica: state.Replica()}
 	if v := state.Value; v != nil {
 		a.newestSlot = v.Slot
 		a.publish(v)
@@ -64,7 +68,7 @@
 func (a *acceptorEndpoint) handlePrepare(m *rpc.Prepare, respond func(*rpc.PrepareReply)) {
 	request := consensus.Prepare{To: consensus.AcceptorID(m.Acceptor), Ballot: rpc.BallotFromProto(m.Ballot)}
 	var reply consensus.PrepareReply
-	a.store.Update(func(s consensus.AcceptorState) (next consensus.AcceptorState) {
+	a.update("prepare", func(s consensus.AcceptorState) (next consensus.AcceptorState) {
 		next, reply = s.HandlePrepare(request)
 		return next
 	}, func(_ consensus.AcceptorState, err error) {
@@ -94,7 +98,7 @@
 	ballot := rpc.BallotFromProto(m.Ballot)
 	var reply consensus.AcceptReply
 	var value *consensus.Value
-	a.store.Update(func(s consensus.AcceptorState) (next consensus.AcceptorState) {
+	a.update("accept", func(s consensus.AcceptorState) (next consensus.AcceptorState) {
 		// The proposer leaves out only bodies of the value that the promise reported. That is still the accepted one: had
 		// another been accepted since, this Accept would be refused for its ballot.
 		value = rpc.ValueFromProto(m.Value, s.Value)
@@ -118,7 +122,7 @@
 // promised a higher ballot since refuses it.
 func (a *acceptorEndpoint) catchUp(accept consensus.Accept, decision consensus.Decision) {
 	accepted := false
-	a.store.Update(func(s consensus.AcceptorState) consensus.AcceptorState {
+	a.update("catch up", func(s consensus.AcceptorState) consensus.AcceptorState {
 		if decision.ReplicatedBy(s.Replica()) {
 			return s // it arrived meanwhile
 		}
@@ -126,7 +130,11 @@
 		accepted = reply.OK
 		return next
 	}, func(_ consensus.AcceptorState, err error) {
-		if accepted && err == nil {
+		if err != nil {
+			a.log.Warn().Err(err).Msg("acceptor: caught up value not stored")
+			return
+		}
+		if accepted {
 			a.publish(accept.Value)
 			a.postAccepted(accept.Value.Slot, accept.Ballot)
 		}
@@ -155,7 +163,7 @@
 		return
 	}
 	a.decidedAt = a.replica.Ballot
-	a.store.Update(func(s consensus.AcceptorState) consensus.AcceptorState { return s.WithDecision(d) },
+	a.update("decision", func(s consensus.AcceptorState) consensus.AcceptorState { return s.WithDecision(d) },
 		func(_ consensus.AcceptorState, err error) {
 			if err != nil {
 				a.log.Warn().Err(err).Msg("acceptor: decision not stored")
@@ -163,6 +171,13 @@
 		})
 }
 
+// update has the disk's goroutine update the state. One that the disk has no time for is logged and has no effect.
+func (a *acceptorEndpoint) update(what string, step acceptorstore.StepFunc, after acceptorstore.StoredFunc) {
+	if err := a.store.Update(step, after); err != nil {
+		a.log.Warn().Err(err).Str("update", what).Msg("acceptor: update refused")
+	}
+}
+
 // storedState returns what the disk holds, after everything that is queued for it. It reports whether the disk answered in time.
 func (a *acceptorEndpoint) storedState() (consensus.AcceptorState, bool) {
 	states := make(chan consensus.AcceptorState, 1)
--- a/controlplane/api.go
+++ b/controlplane/api.go
@@ -35,7 +35,7 @@
 	}
 	status := &statusAPI{
 		self: c.self, loop: c.loop, clock: c.clock, learner: c.learner, proposer: c.proposer, contact: c.contact, verifier: c.verifier,
-		completion: c.completion, peers: c.peers, gateways: c.gateways, table: c.table, events: c.events,
+		completion: c.completion, placement: c.membership, peers: c.peers, gateways: c.gateways, table: c.table, events: c.events,
 	}
 	mux.HandleFunc("GET /-/configuration/history", status.history)
 	mux.HandleFunc("GET /-/members/read", status.members)
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -98,7 +98,6 @@
 	c.wireRegister(base)
 	c.wireServices()
 	c.wireProposals(state.Promised.Number)
-	c.hints.restore()
 	return c, nil
 }
 
@@ -107,14 +106,14 @@
 	c.table = registry.NewTable(c.settings.HeartbeatInterval())
 	c.events = newEventLog(c.clock)
 	c.serverChanges = newServerChangeLog(c.table, c.events)
-	c.hints = newHintSaver(c.store, c.table, c.loop, c.clock)
 	c.updates = newUpdateSchedule(c.clock)
 	c.learner = newLearner(base, c.clock, c.events, c, c.log)
 	c.acceptor = newAcceptorEndpoint(c.store, c.loop, c.clock, c, c.log)
 	c.contact = newContactMonitor(c.self, c.acceptor, c.learner)
 	c.peers = newPeerSet(c.self, c.settings.SeedControllers(), c.network, c.clock, c.startGossip)
+	c.hints = newHintSaver(c.store, c.table, c.peers, c.learner, c.loop, c.clock, c.log)
 	c.verifier = newContactVerifier(c.contact, c.peers)
-	c.membership = newMembershipManager(c.self, c.settings.ToleratedLosses.Machines, c.learner, c.contact, c.peers)
+	c.membership = newMembershipManager(c.self, c.settings.ToleratedLosses, c.settings.Zones, c.learner, c.contact, c.peers)
 	c.completion = newReplicaCompletion(c.self, c.learner, c.acceptor, c.contact, c.peers)
 }
 
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"oxbowspan/consensus"
+	"oxbowspan/internal/settings"
+	"oxbowspan/quorum"
 )
 
 const (
@@ -13,32 +15,58 @@
 	// may replace it.
 	memberLossTimeout = 2200 * time.Millisecond
 
+	// placementPatience is how much longer a member must be lost before a controller replaces it that leaves the members worse
+	// placed over zones and regions than they were.
+	placementPatience = 4 * time.Second
+
 	// handOverTimeout is for one attempt to hand the membership over.
 	handOverTimeout = time.Second
 )
 
 // membershipRequest is what a controller that is no member knows when it asks to become one.
 type membershipRequest struct {
-	self       consensus.Member
-	targetSize int                                // members that there should be
-	silence    func(address string) time.Duration // the shortest time for which any controller that is alive has not seen a member
+	self      consensus.Member
+	tolerance quorum.Tolerance
+	silence   func(address string) time.Duration   // the shortest time for which any controller that is alive has not seen a member
+	location  func(address string) quorum.Location // of a controller
 }
 
 // apply makes the requester a member where it may be: in place of the member at its own address, whose disk it replaces, as a
-// further one, or in place of the member that was lost for longest. No other member is replaced, however slow or isolated it is:
-// that would lower the number of losses that are tolerated.
+// further one, in place of the member that was lost for longest, or of one whose place lets the loss of a zone or region end the
+// majority. No other member is replaced, however slow or isolated it is: that would lower the number of losses that are tolerated.
 func (r membershipRequest) apply(v *consensus.Value) *consensus.Value {
 	if consensus.Contains(v.Members, r.self.ID) || len(v.Members) == 0 {
 		return v
 	}
-	members := slices.Clone(v.Members)
-	if i := slices.IndexFunc(members, func(m consensus.Member) bool { return m.Address == r.self.Address }); i >= 0 {
-		members[i] = r.self
-		return v.WithMembers(members)
+	i := slices.IndexFunc(v.Members, func(m consensus.Member) bool { return m.Address == r.self.Address })
+	if i >= 0 {
+		return r.replace(v, i)
+	}
+	if len(v.Members) < r.tolerance.MemberCount() {
+		return v.WithMembers(append(slices.Clone(v.Members), r.self))
 	}
-	if len(members) < r.targetSize {
-		return v.WithMembers(append(members, r.self))
+	if i = r.longestLost(v.Members); i < 0 {
+		i = r.misplaced(v.Members)
+	}
+	if i < 0 {
+		return v
 	}
+	return r.replace(v, i)
+}
+
+func (r membershipRequest) replace(v *consensus.Value, i int) *consensus.Value {
+	return v.WithMembers(replaceMember(v.Members, i, r.self))
+}
+
+func replaceMember(members []consensus.Member, i int, by consensus.Member) []consensus.Member {
+	members = slices.Clone(members)
+	members[i] = by
+	return members
+}
+
+// longestLost returns the member that was not seen for longest and may be replaced; -1 = none. A requester that would leave the
+// members worse placed than they are gives others the time to come first.
+func (r membershipRequest) longestLost(members []consensus.Member) int {
 	lost, longest := -1, memberLossTimeout
 	for i, m := range members {
 		if silence := r.silence(m.Address); silence > longest {
@@ -46,26 +74,55 @@
 		}
 	}
 	if lost < 0 {
-		return v
+		return -1
+	}
+	worsens := r.shortfall(replaceMember(members, lost, r.self)) > r.shortfall(members)
+	if worsens && longest < memberLossTimeout+placementPatience {
+		return -1
+	}
+	return lost
+}
+
+// misplaced returns the member in whose place the requester lets more zones or regions be lost; -1 = none.
+func (r membershipRequest) misplaced(members []consensus.Member) int {
+	misplaced, least := -1, r.shortfall(members)
+	for i := range members {
+		if shortfall := r.shortfall(replaceMember(members, i, r.self)); shortfall < least {
+			misplaced, least = i, shortfall
+		}
 	}
-	members[lost] = r.self
-	return v.WithMembers(members)
+	return misplaced
+}
+
+func (r membershipRequest) shortfall(members []consensus.Member) int {
+	return r.tolerance.Shortfall(locationsOf(members, r.location))
+}
+
+func locationsOf(members []consensus.Member, location func(address string) quorum.Location) []quorum.Location {
+	locations := make([]quorum.Location, len(members))
+	for i, m := range members {
+		locations[i] = location(m.Address)
+	}
+	return locations
 }
 
 // membershipManager determines when this controller should become a member, and who could take its place. It belongs to the event
 // loop.
 type membershipManager struct {
-	self       identity
-	targetSize int
-	learner    *learner
-	contact    *contactMonitor
-	peers      *peerSet
-	draining   bool // this controller is shutting down and asks for no membership
+	self      identity
+	tolerance quorum.Tolerance
+	regions   map[string]string // by zone
+	learner   *learner
+	contact   *contactMonitor
+	peers     *peerSet
+	draining  bool // this controller is shutting down and asks for no membership
 }
 
-// newMembershipManager returns a manager for as many members as are needed to tolerate a number of lost machines.
-func newMembershipManager(self identity, toleratedLosses int, learner *learner, contact *contactMonitor, peers *peerSet) *membershipManager {
-	return &membershipManager{self: self, targetSize: 2*toleratedLosses + 1, learner: learner, contact: contact, peers: peers}
+// newMembershipManager returns a manager for members that survive the losses which are tolerated. Regions are those of the zones.
+func newMembershipManager(self identity, tolerated settings.ToleratedLosses, regions map[string]string, learner *learner,
+	contact *contactMonitor, peers *peerSet) *membershipManager {
+	tolerance := quorum.Tolerance{Machines: tolerated.Machines, Zones: tolerated.Zones, Regions: tolerated.Regions}
+	return &membershipManager{self: self, tolerance: tolerance, regions: regions, learner: learner, contact: contact, peers: peers}
 }
 
 func (m *membershipManager) member() consensus.Member {
@@ -80,7 +137,32 @@
 			silences[member.Address] = m.silence(member.Address, now)
 		}
 	}
-	return membershipRequest{m.member(), m.targetSize, func(address string) time.Duration { return silences[address] }}
+	locations := m.locations()
+	return membershipRequest{
+		self:      m.member(),
+		tolerance: m.tolerance,
+		silence:   func(address string) time.Duration { return silences[address] },
+		location:  func(address string) quorum.Location { return locations[address] },
+	}
+}
+
+// locations returns where the known controllers are, by address.
+func (m *membershipManager) locations() map[string]quorum.Location {
+	locations := map[string]quorum.Location{m.self.address: m.locationIn(m.self.zone)}
+	for address, p := range m.peers.byAddress {
+		locations[address] = m.locationIn(p.zone)
+	}
+	return locations
+}
+
+func (m *membershipManager) locationIn(zone string) quorum.Location {
+	return quorum.Location{Zone: zone, Region: m.regions[zone]}
+}
+
+// placed returns where the members of the newest value are, for operators.
+func (m *membershipManager) placed() []quorum.Location {
+	locations := m.locations()
+	return locationsOf(m.learner.value.Members, func(address string) quorum.Location { return locations[address] })
 }
 
 // silence returns the shortest time for which this controller, or any peer that is alive, has not seen a member. It is 0 when no
@@ -124,17 +206,28 @@
 }
 
 // successor returns a controller that could become a member in place of this one: it is alive, not shutting down and no member.
-// Nil = there is none, or this controller is no member.
+// Of several it is the one that leaves the members best placed. Nil = there is none, or this controller is no member.
 func (m *membershipManager) successor(now time.Duration) *consensus.Member {
-	if !m.learner.isMember(m.self.id) {
+	members := m.learner.value.Members
+	own := slices.IndexFunc(members, func(member consensus.Member) bool { return member.ID == m.self.id })
+	if own < 0 {
 		return nil
 	}
+	locations := m.locations()
+	location := func(address string) quorum.Location { return locations[address] }
+	var best *consensus.Member
+	least := 0
 	for _, p := range m.peers.byAddress {
-		if p.alive(now) && !p.draining && p.id != 0 && !m.learner.isMember(p.id) && !m.learner.isMemberAddress(p.address) {
-			return &consensus.Member{ID: p.id, Address: p.address}
+		if !p.alive(now) || p.draining || p.id == 0 || m.learner.isMember(p.id) || m.learner.isMemberAddress(p.address) {
+			continue
+		}
+		candidate := consensus.Member{ID: p.id, Address: p.address}
+		shortfall := m.tolerance.Shortfall(locationsOf(replaceMember(members, own, candidate), location))
+		if best == nil || shortfall < least {
+			best, least = &candidate, shortfall
 		}
 	}
-	return nil
+	return best
 }
 
 // handOver replaces one member by another, and has the change confirmed. Not on the event loop. Whether it succeeded shows in the
@@ -147,8 +240,6 @@
 		if i < 0 || consensus.Contains(v.Members, to.ID) {
 			return v
 		}
-		members := slices.Clone(v.Members)
-		members[i] = to
-		return v.WithMembers(members)
+		return v.WithMembers(replaceMember(v.Members, i, to))
 	})
 }
--- a/controlplane/membership_test.go
+++ b/controlplane/membership_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowspan/consensus"
+	"oxbowspan/quorum"
 )
 
 func TestMembershipRequest(t *testing.T) {
@@ -31,7 +32,12 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			v := &consensus.Value{Slot: 5, Members: test.members, PriorMembers: test.members}
-			request := membershipRequest{test.self, 3, func(address string) time.Duration { return test.silences[address] }}
+			request := membershipRequest{
+				self:      test.self,
+				tolerance: quorum.Tolerance{Machines: 1},
+				silence:   func(address string) time.Duration { return test.silences[address] },
+				location:  func(string) quorum.Location { return quorum.Location{} },
+			}
 			next := request.apply(v)
 			switch {
 			case test.want == nil && next != v:
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// aliveAddresses returns the addresses of the peers that are alive, ordered.
+func (s *peerSet) aliveAddresses(now time.Duration) []string {
+	var addresses []string
+	for address, p := range s.byAddress {
+		if p.alive(now) {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
 // updateListed returns the peers that came alive or timed out since the last call.
 func (s *peerSet) updateListed(now time.Duration) (changed []*peer) {
 	for _, p := range s.byAddress {
--- a/controlplane/status_api.go
+++ b/controlplane/status_api.go
@@ -10,6 +10,7 @@
 
 	"oxbowspan/consensus"
 	"oxbowspan/controlapi"
+	"oxbowspan/quorum"
 	"oxbowspan/registry"
 )
 
@@ -25,6 +26,7 @@
 	contact    *contactMonitor
 	verifier   *contactVerifier
 	completion *replicaCompletion
+	placement  *membershipManager
 	peers      *peerSet
 	gateways   *gatewayDirectory
 	table      *registry.Table
@@ -64,11 +66,13 @@
 		HasQuorum: a.contact.isCurrent(now), Stable: v.Confirmed()}
 	complete := 0
 	incomplete := a.completion.incomplete(now)
-	for _, m := range v.Members {
+	locations := a.placement.placed()
+	for i, m := range v.Members {
 		silence := a.silence(m, now)
 		status := controlapi.MemberStatus{
 			Identity:      strconv.FormatUint(uint64(m.ID), 16),
 			Address:       m.Address,
+			Zone:          locations[i].Zone,
 			SilentSeconds: silence.Seconds(),
 			Complete:      a.learner.confirmed && !consensus.Contains(incomplete, m.ID),
 		}
@@ -80,6 +84,7 @@
 	if out.Stable {
 		majority := len(v.Members)/2 + 1
 		out.TolerableLosses = max(complete-majority, 0)
+		out.TolerableZones, out.TolerableRegions = quorum.TolerableZones(locations), quorum.TolerableRegions(locations)
 	}
 	return out
 }
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -105,7 +105,22 @@
 	front, readiness, internal net.Listener
 }
 
+// close closes those that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.front, l.readiness, l.internal} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// listen opens all three, or none.
 func (g *Gateway) listen() (l listeners, err error) {
+	defer func() {
+		if err != nil {
+			l.close()
+		}
+	}()
 	addresses := g.process.settings.Listen
 	if l.front, err = g.process.network.Listen(addresses.Front); err != nil {
 		return l, eris.Wrap(err, "listen on the front address")
--- a/internal/acceptorstore/compat_test.go
+++ b/internal/acceptorstore/compat_test.go
@@ -246,7 +246,7 @@
 		t.Fatal(err)
 	}
 	saved := make(chan error, 1)
-	if !s.SaveHints(hints, func(err error) { saved <- err }) {
+	if !s.SaveHints(hints, nil, func(err error) { saved <- err }) {
 		t.Fatal("hints were not taken")
 	}
 	if err := <-saved; err != nil {
--- a/internal/acceptorstore/format.go
+++ b/internal/acceptorstore/format.go
@@ -40,6 +40,8 @@
 	bodiesBucket = []byte("bodies") // has a bucket for each body, named by its digest
 	bodyKey      = []byte("body")
 
+	historyBucket = []byte("history") // a key for each revision, of the document's name and the version; may be absent
+
 	hintsBucket = []byte("others")
 	hintsKey    = []byte("hints") // an rpc.Gossip with reports alone; in version 1 in stateBucket
 )
--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -51,14 +51,16 @@
 	dir     string
 	queue   chan func()
 	closing chan struct{}
-	done    chan struct{} // closed when the store's goroutine has ended
-	hints   []byte        // as found by Open
-	refused error         // why Open could not create the file; nil = it is open
+	done    chan struct{}             // closed when the store's goroutine has ended
+	hints   []byte                    // as found by Open
+	history []consensus.HistoryRecord // as found by Open
+	refused error                     // why Open could not create the file; nil = it is open
 
 	// The store's goroutine's.
 	db             *bbolt.DB               // nil while the disk refuses to create the file
 	createdAt      time.Time               // when that was tried last
 	state          consensus.AcceptorState // the last that is known to be on the disk; without a file its identity alone
+	historyCounts  map[string]int          // of stored revisions, by document
 	writeUncertain bool                    // a write failed: the file may hold what it wrote, or not
 
 	commit func(func(*bbolt.Tx) error) error // db.Update; tests replace it
@@ -94,7 +96,7 @@
 }
 
 func newStore(dir string) *Store {
-	return &Store{dir: dir, queue: make(chan func(), queueLength), closing: make(chan struct{}), done: make(chan struct{})}
+	return &Store{dir: dir, historyCounts: map[string]int{}, queue: make(chan func(), queueLength), closing: make(chan struct{}), done: make(chan struct{})}
 }
 
 // Refused returns why the disk did not take a new file at Open; nil = the file was opened. It is created with the first update that
@@ -147,6 +149,12 @@
 		db.Close()
 		return err
 	}
+	db.View(func(tx *bbolt.Tx) error {
+		s.history = readHistory(tx)
+		return nil
+	})
+	s.historyCounts = map[string]int{}
+	s.countHistory(s.history)
 	s.db, s.commit = db, db.Update
 	return nil
 }
@@ -283,8 +291,12 @@
 // Hints returns what SaveHints stored last before Open; nil = nothing. Nothing depends on hints.
 func (s *Store) Hints() []byte { return s.hints }
 
-// SaveHints stores hints if the disk is idle, and calls after on the store's goroutine. It reports whether it does.
-func (s *Store) SaveHints(hints []byte, after func(error)) bool {
+// History returns the revisions that SaveHints had stored before Open, by document and version.
+func (s *Store) History() []consensus.HistoryRecord { return s.history }
+
+// SaveHints stores hints, in place of those before, and further committed revisions if the disk is idle, and calls after on the
+// store's goroutine. It reports whether it does.
+func (s *Store) SaveHints(hints []byte, history []consensus.HistoryRecord, after func(error)) bool {
 	if len(s.queue) > 0 {
 		return false
 	}
@@ -293,7 +305,16 @@
 			after(err)
 			return
 		}
-		after(s.commit(func(tx *bbolt.Tx) error { return tx.Bucket(hintsBucket).Put(hintsKey, hints) }))
+		err := s.commit(func(tx *bbolt.Tx) error {
+			if err := tx.Bucket(hintsBucket).Put(hintsKey, hints); err != nil {
+				return err
+			}
+			return s.saveHistory(tx, history)
+		})
+		if err == nil {
+			s.countHistory(history)
+		}
+		after(err)
 	})
 }
 
--- a/internal/acceptorstore/store_test.go
+++ b/internal/acceptorstore/store_test.go
@@ -43,7 +43,7 @@
 		t.Fatal(err)
 	}
 	saved := make(chan error, 1)
-	if !s.SaveHints([]byte{}, func(err error) { saved <- err }) || <-saved != nil {
+	if !s.SaveHints([]byte{}, nil, func(err error) { saved <- err }) || <-saved != nil {
 		t.Fatal("an idle disk does not save hints")
 	}
 	s.Close()
@@ -114,7 +114,7 @@
 			refused = true
 		}
 	}
-	if !refused || s.SaveHints(nil, func(error) {}) {
+	if !refused || s.SaveHints(nil, nil, func(error) {}) {
 		t.Fatal("a busy disk accepts all updates")
 	}
 	close(release)
--- a/internal/controlcli/status.go
+++ b/internal/controlcli/status.go
@@ -118,8 +118,8 @@
 	if !status.Stable {
 		state += ", the membership is changing"
 	}
-	fmt.Fprintf(w, "%s: slot %d, version %d, %s; tolerable disk losses: %d\n",
-		status.Controller, status.Slot, status.Version, state, status.TolerableLosses)
+	fmt.Fprintf(w, "%s: slot %d, version %d, %s; tolerable disk losses: %d, zones: %d, regions: %d\n",
+		status.Controller, status.Slot, status.Version, state, status.TolerableLosses, status.TolerableZones, status.TolerableRegions)
 	for _, member := range status.Members {
 		replica := ""
 		if !member.Complete {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -57,6 +57,8 @@
 // ToleratedLosses are the failures that the control plane must survive at once.
 type ToleratedLosses struct {
 	Machines int `toml:"machines"` // n of these take 2n+1 acceptors
+	Zones    int `toml:"zones"`    // n of these take 2n+1 acceptors, spread so that no n zones hold half of them
+	Regions  int `toml:"regions"`  // as Zones
 }
 
 // Bounds are the service levels that the platform requires. 0 = not set.
--- a/internal/testing/simcluster/change_test.go
+++ b/internal/testing/simcluster/change_test.go
@@ -220,9 +220,12 @@
 	return status
 }
 
-// TestChangesResentManyVersionsLater commits hundreds of changes. Every controller that was there acknowledges each of them
-// again, and after a restart as far as the replicated state remembers; none is rejected, and another change under the same
-// number is never acknowledged. That holds for tenants, though they would not be valid with the current configuration, and
+// historySaveTime is how long it takes at most until a controller with an idle disk has stored which changes were committed.
+const historySaveTime = 3 * time.Second
+
+// TestChangesResentManyVersionsLater commits hundreds of changes. Every controller acknowledges each of them again, also after a
+// restart, of one or of all; once every machine was replaced as far as the replicated state remembers. None is ever rejected, and
+// another change under the same number is never acknowledged. That holds for tenants, though they would not be valid with the current configuration, and
 // for pins.
 func TestChangesResentManyVersionsLater(t *testing.T) {
 	const configurations, tenants, pins = 300, 40, 40
@@ -238,27 +241,49 @@
 		invalid := newChangeRequest(t, config.TenantsDocumentName, 0, tenants, 99)
 		expectStatus(t, invalid.send(cluster, cluster.Controllers[0]), http.StatusBadRequest, "tenants that do not fit the configuration")
 
+		time.Sleep(historySaveTime)
 		restarted := cluster.Controllers[2]
 		restarted.Kill(false)
 		requireNoError(t, restarted.Start())
 		time.Sleep(catchUpTime)
-		statuses := map[int]int{} // of the restarted controller for configurations
-		for n, request := range log.requests {
-			if n%4 > 0 {
-				continue // each request takes a consensus round
-			}
-			status := checkResent(t, cluster, request, restarted)
-			if request.document == configurationDocument {
-				statuses[status]++
-			}
-		}
-		t.Logf("statuses of the restarted controller for configurations: %v", statuses)
-		if statuses[http.StatusOK] < 6 || statuses[http.StatusServiceUnavailable] < 50 {
-			t.Errorf("the restarted controller answers configurations with %v", statuses)
+		resendEvery(t, cluster, log, 4, http.StatusOK)
+
+		powerCycle(t, cluster)
+		time.Sleep(catchUpTime)
+		resendEvery(t, cluster, log, 9, http.StatusOK)
+
+		replaceEachController(t, cluster)
+		unclear := resendEvery(t, cluster, log, 9, http.StatusServiceUnavailable)
+		if unclear < 20 {
+			t.Errorf("with all machines replaced only %d answers are unclear: the test shows nothing", unclear)
 		}
 	})
 }
 
+// resendEvery sends every n-th committed change again, each of which takes a consensus round, and another one under its number. All
+// must be acknowledged, or answered with a status that is allowed besides; it returns how many were answered so.
+func resendEvery(t *testing.T, cluster *Cluster, log *changeLog, n, allowed int) (others int) {
+	t.Helper()
+	for i, request := range log.requests {
+		if i%n == 0 {
+			others += checkResent(t, cluster, request, allowed)
+		}
+	}
+	return others
+}
+
+// replaceEachController replaces each controller by an empty one at another address, one after the other.
+func replaceEachController(t *testing.T, cluster *Cluster) {
+	t.Helper()
+	for _, lost := range cluster.runningControllers() {
+		lost.Kill(true)
+		lost.WipeDisk()
+		cluster.SetSeeds(cluster.runningControllers()...)
+		requireNoError(t, cluster.AddController().Start())
+		time.Sleep(2 * catchUpTime)
+	}
+}
+
 // commitNarrowConfiguration commits a configuration on a base, with connection limits below the floor of the tenants.
 func commitNarrowConfiguration(t *testing.T, cluster *Cluster, basedOn uint64) {
 	t.Helper()
@@ -271,26 +296,25 @@
 	requireStatus(t, replaceWithRetry(cluster, basedOn, narrow, 10), http.StatusOK, "last configuration")
 }
 
-// checkResent sends a committed change, and another one under its number, again. A controller that was restarted may have
-// forgotten the change; its status is returned.
-func checkResent(t *testing.T, cluster *Cluster, request *changeRequest, restarted *ControllerNode) (statusOfRestarted int) {
+// checkResent sends a committed change to all controllers again, and another one under its number. It returns how many answered with
+// the status that is allowed besides an acknowledgement.
+func checkResent(t *testing.T, cluster *Cluster, request *changeRequest, allowed int) (others int) {
 	t.Helper()
-	for i, controller := range cluster.Controllers {
-		status := request.send(cluster, controller)
-		if controller == restarted {
-			statusOfRestarted = status
-		}
-		forgotten := controller == restarted && status == http.StatusServiceUnavailable
-		if status != http.StatusOK && !forgotten {
-			t.Errorf("%s version %d, sent again to controller %d: status %d", request.document, request.version, i, status)
+	for _, controller := range cluster.runningControllers() {
+		switch status := request.send(cluster, controller); status {
+		case http.StatusOK:
+		case allowed:
+			others++
+		default:
+			t.Errorf("%s version %d, sent again to %s: status %d", request.document, request.version, controller.IP, status)
 		}
 	}
 	other := newChangeRequest(t, request.document, request.version, request.basedOn, 5000)
-	status := other.send(cluster, cluster.Controllers[0])
+	status := other.send(cluster, cluster.runningControllers()[0])
 	if status != http.StatusPreconditionFailed && status != http.StatusServiceUnavailable {
 		t.Errorf("another %s under number %d: status %d", request.document, request.version, status)
 	}
-	return statusOfRestarted
+	return others
 }
 
 // TestConcurrentChangesOnOneBase sends eight changes on one base to all controllers at once: one is committed. Each change,
--- a/internal/testing/simcluster/cluster.go
+++ b/internal/testing/simcluster/cluster.go
@@ -75,6 +75,8 @@
 	fileDescriptors   int // limit of each process; 0: unset
 	firstStart        bool
 	toleratedFailures int // controllers that may be lost at once
+	toleratedZones    int // zones that may be lost at once
+	toleratedRegions  int // regions that may be lost at once; then each zone is one
 	firstOctet        int // the first byte of all addresses
 	firstZone         int // the second byte of the addresses in the first zone
 
--- a/internal/testing/simcluster/settings.go
+++ b/internal/testing/simcluster/settings.go
@@ -71,9 +71,11 @@
 		LocalDetectionOnly:  c.LocalDetectionOnly,
 	}
 	for i := range zoneCount {
-		s.Zones[zoneName(strconv.Itoa(c.firstZone+i))] = region
+		s.Zones[zoneName(strconv.Itoa(c.firstZone+i))] = c.regionOf(i)
 	}
 	s.ToleratedLosses.Machines = c.toleratedFailures
+	s.ToleratedLosses.Zones = c.toleratedZones
+	s.ToleratedLosses.Regions = c.toleratedRegions
 	s.Limits.FileDescriptors = c.fileDescriptors
 	s.Bounds.GracePeriodS = gracePeriod.Seconds()
 	s.Bounds.ConfigApplyMS = milliseconds(configurationApplyMax)
@@ -84,4 +86,12 @@
 	return s
 }
 
+// regionOf returns the region of the i-th zone. Where regions may be lost each zone is a region of its own.
+func (c *Cluster) regionOf(zone int) string {
+	if c.toleratedRegions > 0 {
+		return fmt.Sprint(region, zone)
+	}
+	return region
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d / time.Millisecond) }
