--- a/controlplane/api.go
+++ b/controlplane/api.go
@@ -27,14 +27,15 @@
 	instances := &instanceAPI{loop: c.loop, table: c.table, heartbeats: c.heartbeats}
 	mux.HandleFunc("POST /-/instances/{id}/heartbeat", instances.heartbeat)
 	mux.HandleFunc("POST /-/instances/{id}/sign-off", instances.signOff)
+	values := &valueReader{loop: c.loop, clock: c.clock, learner: c.learner, verifier: c.verifier, proposer: c.proposer}
 	changes := newChangeService(c.loop, c.learner, c.proposer)
 	for _, r := range []resource{configurationResource(), tenantsResource(), pinsResource()} {
-		api := &resourceAPI{resource: r, proposer: c.proposer, changes: changes, log: c.log}
+		api := &resourceAPI{resource: r, values: values, changes: changes, log: c.log}
 		mux.HandleFunc("POST /-/"+r.name+"/replace", api.replace)
 		mux.HandleFunc("GET /-/"+r.name+"/read", api.read)
 	}
 	status := &statusAPI{
-		self: c.self, loop: c.loop, clock: c.clock, learner: c.learner, proposer: c.proposer, contact: c.contact, verifier: c.verifier,
+		self: c.self, loop: c.loop, clock: c.clock, learner: c.learner, values: values, contact: c.contact, verifier: c.verifier,
 		completion: c.completion, placement: c.membership, peers: c.peers, gateways: c.gateways, table: c.table, events: c.events,
 	}
 	mux.HandleFunc("GET /-/configuration/history", status.history)
--- a/controlplane/resource_api.go
+++ b/controlplane/resource_api.go
@@ -34,9 +34,9 @@
 // resourceAPI is the API of one resource.
 type resourceAPI struct {
 	resource
-	proposer *proposer
-	changes  *changeService
-	log      zerolog.Logger
+	values  *valueReader
+	changes *changeService
+	log     zerolog.Logger
 }
 
 // replace has a new version decided. A change that was committed before is acknowledged again.
@@ -94,7 +94,7 @@
 func (a *resourceAPI) read(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), consensusTimeout)
 	defer cancel()
-	v, err := a.proposer.read(ctx)
+	v, err := a.values.read(ctx)
 	if err != nil {
 		writeError(w, errNotVerified)
 		return
--- a/controlplane/status_api.go
+++ b/controlplane/status_api.go
@@ -22,7 +22,7 @@
 	loop       *eventLoop
 	clock      *steadyClock
 	learner    *learner
-	proposer   *proposer
+	values     *valueReader
 	contact    *contactMonitor
 	verifier   *contactVerifier
 	completion *replicaCompletion
@@ -37,7 +37,7 @@
 func (a *statusAPI) history(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), consensusTimeout)
 	defer cancel()
-	v, err := a.proposer.read(ctx)
+	v, err := a.values.read(ctx)
 	if err != nil {
 		writeError(w, errNotVerified)
 		return
--- a/internal/testing/simcluster/isolation_test.go
+++ b/internal/testing/simcluster/isolation_test.go
@@ -115,6 +115,44 @@
 	}
 }
 
+// TestReadsDoNotDelayChanges reads the configuration again and again from controllers that are close to each other, while a change
+// is sent to one whose links are slow. Reads take no ballot, so the first attempt is committed.
+func TestReadsDoNotDelayChanges(t *testing.T) {
+	const (
+		changes      = 6
+		readInterval = 10 * time.Millisecond
+	)
+	runControllers(t, 550, 3, func(t *testing.T, cluster *Cluster) {
+		requireStatus(t, replaceWithRetry(cluster, 0, ExampleConfiguration(1, FirstSharding), initialAttempts), http.StatusOK, "version 1")
+		time.Sleep(catchUpTime)
+		slow := cluster.Controllers[0]
+		delayLinks(cluster, slow, 100*time.Millisecond)
+		operators := newOperatorLog()
+		done := make(chan struct{})
+		var readers sync.WaitGroup
+		defer readers.Wait()
+		defer close(done)
+		for _, controller := range cluster.Controllers[1:] {
+			readers.Go(func() {
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(readInterval):
+						operators.readVersion(cluster, controller)
+					}
+				}
+			})
+		}
+		for version := uint64(2); version < 2+changes; version++ {
+			status := cluster.ReplaceConfiguration(slow, version-1, ExampleConfiguration(version, FirstSharding))
+			operators.recordOutcome(version, status)
+			requireStatus(t, status, http.StatusOK, "version %d beside reads", version)
+		}
+		operators.reportViolations(t)
+	})
+}
+
 // startReader reads the configuration from a controller again and again until a deadline. The returned function waits for
 // the end.
 func (o *operatorLog) startReader(cluster *Cluster, controller *ControllerNode, deadline time.Time) (wait func()) {
