dataplane: a client that leaves ends its request; answers that end with their connection

Changes: while a request waits its connection's own goroutine reads on, and the loop interrupts that read when it delivers the result: no goroutine more than before. Bytes of a next request stay in the buffer. A client that leaves (or closes its way of sending) ends its request: the balancer sends nothing more, attempts that may be repeated are cut, others run on and their answers are dropped. An answer without a length is complete where its connection was closed in order, and broken off where it was reset.

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	busy    atomic.Bool // a request is being read or answered
 	evicted bool        // guarded by the lock of clientConns
 	results chan result
+
+	delivering sync.Mutex // held from when a result is sent until the wait for it was interrupted
 }
 
 func newClientConn(conn net.Conn) *clientConn {
@@ -43,6 +46,58 @@
 // interruptRead makes the connection's goroutine end if it waits for a request.
 func (c *clientConn) interruptRead() { c.conn.SetReadDeadline(time.Unix(1, 0)) }
 
+// deliver passes a request's result to the connection's goroutine, which waits in awaitResult. The loop calls it, once a request.
+func (c *clientConn) deliver(outcome result) {
+	c.delivering.Lock()
+	defer c.delivering.Unlock()
+	c.results <- outcome
+	c.interruptRead()
+}
+
+// errClientLeft is returned by awaitResult when the client has closed the connection or its way of sending.
+var errClientLeft = errors.New("the client has left")
+
+// errStopped is returned by awaitResult when the gateway stops.
+var errStopped = errors.New("the gateway stops")
+
+// awaitResult waits for the result of the current request. It reads on meanwhile, so that a client that leaves is noticed at once;
+// bytes of a next request stay in the buffer. It takes no goroutine besides the connection's own: deliver interrupts the read.
+func (c *clientConn) awaitResult(stopped <-chan struct{}) (result, error) {
+	for {
+		// In this order: a result that is sent from here on interrupts the read.
+		c.conn.SetReadDeadline(time.Time{})
+		select {
+		case outcome := <-c.results:
+			c.delivering.Lock() // until deliver has interrupted the read, which would otherwise end the next one
+			c.delivering.Unlock()
+			return outcome, nil
+		case <-stopped:
+			return result{}, errStopped
+		default:
+		}
+		_, err := c.reader.Peek(c.reader.Buffered() + 1)
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, bufio.ErrBufferFull):
+			return c.awaitFull(stopped)
+		default:
+			return result{}, errClientLeft
+		}
+	}
+}
+
+// awaitFull waits for the result while no more of what the client sends can be kept.
+func (c *clientConn) awaitFull(stopped <-chan struct{}) (result, error) {
+	select {
+	case outcome := <-c.results:
+		c.delivering.Lock()
+		c.delivering.Unlock()
+		return outcome, nil
+	case <-stopped:
+		return result{}, errStopped
+	}
+}
+
 // wantsKeepAlive reports whether the client may send another request over the connection.
 func (c *clientConn) wantsKeepAlive() bool {
 	return !c.req.Header.ConnectionClose() && c.req.Header.IsHTTP11()
@@ -65,7 +120,7 @@
 		body:      bytes.Clone(c.req.Body()),
 		attemptID: string(header.Peek("X-Attempt-Id")),
 		deadline:  requestDeadline(header),
-		results:   c.results,
+		deliver:   c.deliver,
 	}
 }
 
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"oxbowspan/admission"
 	"oxbowspan/balancer"
+	"oxbowspan/config"
 	"oxbowspan/internal/settings"
 )
 
@@ -331,7 +332,33 @@
 		d.forgetIfDone(call)
 	}
 	r.releaseLastFailure()
-	r.results <- outcome
+	r.deliver(outcome)
+}
+
+// abandonedByClient implements requestSink. Any goroutine may call it.
+func (d *dispatcher) abandonedByClient(r *request) {
+	d.loop.post(func() { d.clientLeft(r) })
+}
+
+// clientLeft ends a request whose client has left: nothing of it is sent to any server from now on. Servers that work on a request
+// which may be repeated are stopped by the ends of their connections. Any other that was sent runs on, and its response is dropped:
+// whether it has run would else be open.
+func (d *dispatcher) clientLeft(r *request) {
+	if r.finished {
+		return
+	}
+	d.handleEvent(balancer.RequestCancelled{Request: r.id})
+	d.finish(r, result{kind: resultFailed})
+	if r.route.RouteKind != config.Retryable {
+		return
+	}
+	for _, call := range r.shardCalls {
+		for _, a := range call.attempts {
+			if a.mayHaveRun() {
+				d.attemptEnded(a, balancer.Cancelled, nil)
+			}
+		}
+	}
 }
 
 // forgetIfDone forgets a shard call once its request has finished and no attempt is in flight.
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -37,8 +37,10 @@
 
 // requestSink takes clients' requests.
 type requestSink interface {
-	// submit takes a request; its result will be sent to r.results. It reports false once the gateway has stopped.
+	// submit takes a request; its result will be passed to r.deliver. It reports false once the gateway has stopped.
 	submit(r *request) bool
+	// abandonedByClient takes that the client of a submitted request has left.
+	abandonedByClient(r *request)
 }
 
 // frontServer serves clients over HTTP/1.1, each connection on a goroutine of its own.
@@ -159,15 +161,15 @@
 		conn.writeError(fasthttp.StatusServiceUnavailable, textDraining, 0, false)
 		return false
 	}
-	select {
-	case outcome := <-conn.results:
-		keep = keep && !s.process.draining.Load()
-		written := conn.writeResult(r, outcome, keep, limits)
-		outcome.release()
-		return written && keep
-	case <-s.stopped:
+	outcome, err := conn.awaitResult(s.stopped)
+	if err != nil {
+		s.requests.abandonedByClient(r)
 		return false
 	}
+	keep = keep && !s.process.draining.Load()
+	written := conn.writeResult(r, outcome, keep, limits)
+	outcome.release()
+	return written && keep
 }
 
 // clientConns is the set of the clients' open connections.
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -22,7 +22,7 @@
 	body      []byte
 	attemptID string        // X-Attempt-Id; "" = the client sent none
 	deadline  balancer.Time // how long the client waits, from the arrival
-	results   chan result   // takes one without blocking
+	deliver   func(result)  // takes the result, once, without blocking
 
 	// Owned by the loop.
 	id          balancer.RequestID
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -23,7 +23,6 @@
 
 // Faults of responses. After each the connection is of no use, and the request may have run.
 var (
-	errNoLength         = errors.New("response without a length: whether it is complete can't be known")
 	errForeignResponse  = errors.New("response to another request, or to an unknown one")
 	errSwitchedProtocol = errors.New("response in another protocol, which was not asked for")
 	errInterimResponses = errors.New("too many interim responses")
@@ -49,7 +48,9 @@
 	if err := readFinalHeader(r, resp); err != nil {
 		return balancer.Reset, 0, err
 	}
+	endsWithConn := false
 	if !bodyless(req, resp.StatusCode()) {
+		endsWithConn = resp.Header.ContentLength() == lengthIdentity
 		if err := readResponseBody(r, resp); err != nil {
 			return balancer.Reset, 0, err
 		}
@@ -57,6 +58,9 @@
 	if !belongsToRequest(resp, req, first) {
 		return balancer.Reset, 0, errForeignResponse
 	}
+	if endsWithConn {
+		return responseOutcome(resp, req), 0, nil
+	}
 	return responseOutcome(resp, req), keepIdle(resp), nil
 }
 
@@ -71,10 +75,9 @@
 	lengthIdentity = -2 // the body ends with the connection
 )
 
+// readResponseBody reads a body to its end. One without a length is complete where its connection was closed in order; a reset
+// connection, or one that ends within a stated length, breaks it off.
 func readResponseBody(r *bufio.Reader, resp *fasthttp.Response) error {
-	if resp.Header.ContentLength() == lengthIdentity {
-		return errNoLength
-	}
 	if err := resp.ReadBody(r, maxResponseBytes); err != nil {
 		return err
 	}
