dataplane: retries of a window stay within the ratio of that window's requests

Retries are counted over 11 s, one more than the operators' window, but so were the requests that pay for them, so that the ratio held of 11 s of requests. Change: the ratio is lowered by the same tenth.

--- a/dataplane/client_left_test.go
+++ b/dataplane/client_left_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"oxbowspan/internal/settings"
 )
 
 // recordedAttempt is what a recording server saw of one request.
@@ -29,6 +31,8 @@
 type recordingServers struct {
 	serviceTime time.Duration
 	silent      int // so many first requests get no answer
+	broken      int // each so-many-th attempt is answered by garbage, from brokenFrom on; 0 = none
+	brokenFrom  time.Time
 
 	mu       sync.Mutex
 	attempts []*recordedAttempt
@@ -91,12 +95,23 @@
 		return false
 	}
 	conn.SetReadDeadline(time.Time{})
+	if s.isBroken(a) {
+		io.WriteString(conn, "no response at all\r\n\r\n")
+		return false
+	}
 	body := recordsOf(a.service, a.id)
 	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", a.id, a.service, a.id,
 		len(body), body)
 	return err == nil
 }
 
+// isBroken reports whether an attempt is to be answered by garbage.
+func (s *recordingServers) isBroken(a *recordedAttempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.broken > 0 && !a.arrived.Before(s.brokenFrom) && slices.Index(s.attempts, a)%s.broken == 0
+}
+
 // seen returns what was recorded of a request so far.
 func (s *recordingServers) seen(id string) (attempts []recordedAttempt) {
 	s.mu.Lock()
@@ -110,7 +125,8 @@
 }
 
 // runWithRecordingServers runs a test against a gateway with two recording servers for each service.
-func runWithRecordingServers(t *testing.T, servers *recordingServers, s scenario, test func(t *testing.T, b *testbed)) {
+func runWithRecordingServers(t *testing.T, servers *recordingServers, s scenario, bounds settings.Bounds,
+	test func(t *testing.T, b *testbed)) {
 	t.Helper()
 	s.Servers, s.Writes = 2, []writeStep{{}}
 	if len(s.Dials) == 0 {
@@ -118,6 +134,7 @@
 	}
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestbed(s)
+		b.bounds = bounds
 		listeners, reports := b.listenServers(t, servers.serve)
 		stop := b.startGateway(t, reports)
 		test(t, b)
@@ -164,7 +181,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			servers := &recordingServers{serviceTime: 700 * time.Millisecond}
-			runWithRecordingServers(t, servers, scenario{}, func(t *testing.T, b *testbed) {
+			runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
 				conn := b.dialGateway(t)
 				io.WriteString(conn, requestText(test.method, test.path, "first", 3*time.Second))
 				time.Sleep(leavesAfter)
@@ -195,7 +212,7 @@
 func TestClientThatLeavesBeforeDispatch(t *testing.T) {
 	servers := &recordingServers{serviceTime: time.Millisecond}
 	slowDials := scenario{Dials: []time.Duration{200 * time.Millisecond}}
-	runWithRecordingServers(t, servers, slowDials, func(t *testing.T, b *testbed) {
+	runWithRecordingServers(t, servers, slowDials, settings.Bounds{}, func(t *testing.T, b *testbed) {
 		for i, path := range []string{"/one/x", "/all/x", oncePath + "x"} {
 			conn := b.dialGateway(t)
 			id := fmt.Sprint("request-", i)
@@ -213,7 +230,7 @@
 // Requests that come while one waits are kept, and answered in their order; more than the buffer holds is read later.
 func TestRequestsBehindOneThatWaits(t *testing.T) {
 	servers := &recordingServers{serviceTime: 40 * time.Millisecond}
-	runWithRecordingServers(t, servers, scenario{}, func(t *testing.T, b *testbed) {
+	runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
 		const requests = 300
 		conn := b.dialGateway(t)
 		defer conn.Close()
@@ -243,7 +260,7 @@
 // never ends the next.
 func TestKeptConnectionOutlivesManyRequests(t *testing.T) {
 	servers := &recordingServers{serviceTime: time.Millisecond}
-	runWithRecordingServers(t, servers, scenario{}, func(t *testing.T, b *testbed) {
+	runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
 		var clients sync.WaitGroup
 		for client := range 8 {
 			clients.Go(func() {
@@ -286,7 +303,7 @@
 		name := fmt.Sprintf("%s %v, %d silent", strings.ReplaceAll(test.path, "/", " "), test.client, test.silent)
 		t.Run(name, func(t *testing.T) {
 			servers := &recordingServers{serviceTime: 5 * time.Millisecond, silent: test.silent}
-			runWithRecordingServers(t, servers, scenario{}, func(t *testing.T, b *testbed) {
+			runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
 				conn := b.dialGateway(t)
 				defer conn.Close()
 				sent := time.Now()
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -91,7 +91,7 @@
 // balancerConfig describes the deployment to the balancer.
 func balancerConfig(options *settings.Settings, seed uint64, limiter balancer.CapacityLimiter) balancer.Config {
 	bounds := options.Bounds
-	retryWindow := time.Duration((bounds.BudgetWindowS + retryBudgetWindowMargin) * float64(time.Second))
+	retryWindow := bounds.BudgetWindowS + retryBudgetWindowMargin
 	return balancer.Config{
 		Seed:                seed,
 		Instances:           1,
@@ -104,8 +104,8 @@
 		HasRetryBudget:      bounds.HasRetryBudget,
 		RetryBudgetPerShard: true,
 		RetryBudgetBase:     bounds.BudgetExtraTries,
-		RetryBudgetRatio:    bounds.RetryBudgetRatio,
-		RetryBudgetWindow:   ticks(retryWindow),
+		RetryBudgetRatio:    bounds.RetryBudgetRatio * bounds.BudgetWindowS / retryWindow, // of the requests of the shorter window
+		RetryBudgetWindow:   ticks(settings.Seconds(retryWindow)),
 		RetryBudgetDelayed:  !options.FirstStart,
 		InferClientTimeout:  true,
 		MeasuredAtClient:    true,
--- /dev/null
+++ b/dataplane/retry_budget_test.go
@@ -0,0 +1,72 @@
+package dataplane
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"oxbowspan/internal/settings"
+)
+
+// Beside failures that begin at once and last, the retries in each window of the budget stay within its ratio of the requests of that
+// window, or of one before, and the allowance.
+func TestRetriesOfEachWindowStayWithinBudget(t *testing.T) {
+	const (
+		window    = 10 * time.Second
+		ratio     = 0.2
+		allowance = 20
+		interval  = 10 * time.Millisecond // between requests
+		failFrom  = 14 * time.Second
+		duration  = 36 * time.Second
+	)
+	bounds := settings.Bounds{HasRetryBudget: true, RetryBudgetRatio: ratio, BudgetWindowS: window.Seconds(), BudgetExtraTries: allowance}
+	servers := &recordingServers{serviceTime: time.Millisecond}
+	runWithRecordingServers(t, servers, scenario{}, bounds, func(t *testing.T, b *testbed) {
+		start := time.Now()
+		servers.broken, servers.brokenFrom = 2, start.Add(failFrom)
+		for i := 0; time.Since(start) < duration; i++ {
+			conn := b.dialGateway(t)
+			io.WriteString(conn, requestText("GET", "/one/x", fmt.Sprint("request-", i), 300*time.Millisecond))
+			go func() {
+				time.Sleep(400 * time.Millisecond)
+				conn.Close()
+			}()
+			time.Sleep(interval)
+		}
+		time.Sleep(time.Second)
+		retries := servers.retryTimes()
+		requests := float64(window / interval)
+		most := 0
+		for i, from := range retries {
+			count := 0
+			for _, at := range retries[i:] {
+				if at.Sub(from) < window {
+					count++
+				}
+			}
+			most = max(most, count)
+		}
+		allowed := int(ratio*requests + allowance)
+		if most > allowed {
+			t.Errorf("%d retries in a window of %v with %.0f requests, %d are allowed", most, window, requests, allowed)
+		}
+		if most < allowed/2 {
+			t.Errorf("only %d retries in a window: the test shows nothing", most)
+		}
+	})
+}
+
+// retryTimes returns when attempts beyond the first of their request arrived, in order.
+func (s *recordingServers) retryTimes() (times []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := map[string]bool{}
+	for _, a := range s.attempts {
+		if seen[a.id] {
+			times = append(times, a.arrived)
+		}
+		seen[a.id] = true
+	}
+	return times
+}
--- a/dataplane/testbed_test.go
+++ b/dataplane/testbed_test.go
@@ -35,6 +35,7 @@
 type testbed struct {
 	scenario scenario
 	network  *simnet.Network
+	bounds   settings.Bounds // of the gateway
 
 	mu         sync.Mutex
 	steps      int // of servers so far
@@ -168,6 +169,7 @@
 	t.Helper()
 	options := &settings.Settings{IPAddress: gatewayHost, Zone: "z", InternalPorts: []int{7000, 7010}, FirstStart: true}
 	options.Listen.Front = frontAddress
+	options.Bounds = b.bounds
 	g := New(options, &faultyNetwork{b.network.Host(gatewayHost), b}, zerolog.Nop())
 	c := &config.Configuration{Version: 1, Routes: testRoutes()}
 	for _, service := range services {
