Gateway: what is open at the end of the grace period is answered; even splits

Causes: requests whose servers had not answered 0.7 s before the end of the grace period had their connections closed without an answer; parts of a route were drawn at random for each request, so that of 300 requests a part's share was off by 3 in 100 (one standard deviation). Changes: the gateway answers what is still open then, 504 where it may have run and 503 where it has not, and waits 0.3 s at most for the answers to be written.

--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -10,7 +10,7 @@
 	config.LatencyTarget -= min(b.networkDelay, config.LatencyTarget/2)
 	config.MaxAttempts = cmp.Or(config.MaxAttempts, b.maxAttempts)
 	b.baseEjection = min(b.baseEjection, max(config.LatencyTarget/backoffDivisor, Millisecond))
-	policy := &typePolicy{QueryTypeConfig: config, partialCoverage: config.MinCoverage, abandonedAt: -Never}
+	policy := &typePolicy{QueryTypeConfig: config, partialCoverage: config.MinCoverage, learned: unlearned}
 	policy.partialCounts = config.PartialValue*config.MinCoverage >= config.LateValue
 	if config.QuadraticPartialValue {
 		policy.partialCoverage, policy.partialCounts = max(config.MinCoverage, math.Sqrt(config.LateValue)), true
@@ -20,7 +20,7 @@
 		b.types = append(b.types, nil)
 	}
 	if old := b.types[at]; old != nil {
-		policy.longestTimeout, policy.abandonedAt, policy.size = old.longestTimeout, old.abandonedAt, old.size
+		policy.learned = old.learned
 	}
 	b.types[at] = policy
 }
@@ -36,7 +36,7 @@
 	b.setDeadlines(req, e)
 	b.requests[req.id], b.requestsByNumber[req.number] = req, req
 	if len(e.Candidates) > 0 && len(e.Calls) == 1 {
-		e.Calls[0].Shard = b.chooseShard(e.Candidates)
+		e.Calls[0].Shard = b.chooseShard(e.Candidates, policy.split.next(b.rand.intN))
 	}
 	if b.sharedBudgetBase == 0 {
 		b.budgetFor(0).admitted.add(b.now, 1)
@@ -101,15 +101,15 @@
 	}
 }
 
-// chooseShard draws a shard by weight among those with a ready server, or among all where none has one.
-func (b *Balancer) chooseShard(candidates []WeightedShard) (chosen ShardIndex) {
+// chooseShard returns the shard at a point of [0, 1), by weight, among those with a ready server if any.
+func (b *Balancer) chooseShard(candidates []WeightedShard, point float64) (chosen ShardIndex) {
 	total, available := 0.0, 0.0
 	for _, c := range candidates {
 		if total += c.Weight; len(b.replicas[c.Shard]) > 0 {
 			available += c.Weight
 		}
 	}
-	left := cmp.Or(available, total) * float64(b.rand.intN(1<<20)) / (1 << 20)
+	left := cmp.Or(available, total) * point
 	for _, c := range candidates {
 		if c.Weight > 0 && left >= 0 && (available == 0 || len(b.replicas[c.Shard]) > 0) {
 			chosen, left = c.Shard, left-c.Weight
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -14,11 +14,20 @@
 	QueryTypeConfig
 	partialCoverage float64 // that makes a partial answer at the target worthwhile
 	partialCounts   bool    // a partial answer in time is worth as much as a late one
-	size            float64 // learned size of a call in milliseconds; 0 = not learned
-	longestTimeout  Time    // longest client timeout lately seen
-	abandonedAt     Time    // when a request was last abandoned
+	learned
 }
 
+// learned is what was learned of a query type; a new configuration keeps it.
+type learned struct {
+	size           float64 // of a call in milliseconds; 0 = not learned
+	longestTimeout Time    // longest client timeout lately seen
+	abandonedAt    Time    // when a request was last abandoned
+	split          splitSequence
+}
+
+// unlearned is what is known of a new query type.
+var unlearned = learned{abandonedAt: -Never}
+
 // server is a listed server, or one that was listed and still matters.
 type server struct {
 	id          ServerID
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -322,6 +323,14 @@
 	d.finish(r, outcome)
 }
 
+// abandonAll ends all open requests, as the gateway is about to stop.
+func (d *dispatcher) abandonAll() {
+	for _, id := range slices.Collect(maps.Keys(d.requests)) {
+		d.handleEvent(balancer.RequestCancelled{Request: id})
+		d.abandon(id, 0)
+	}
+}
+
 // finish passes a request's result to its client.
 func (d *dispatcher) finish(r *request, outcome result) {
 	r.finished = true
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -38,6 +38,9 @@
 	minDrain        = 2500 * time.Millisecond // from SIGTERM until the listener is closed, at least
 	shutdownReserve = 700 * time.Millisecond  // of the grace period, kept for the end
 	drainCheck      = 50 * time.Millisecond
+
+	finalAnswerTime  = 300 * time.Millisecond // of the reserve, for the answers to what is open then
+	finalAnswerCheck = 5 * time.Millisecond
 )
 
 // Timeouts of the readiness endpoint.
@@ -201,6 +204,18 @@
 		}
 	}
 	g.front.conns.closeIdle()
+	if g.front.openRequests.Load() > 0 {
+		g.answerOpenRequests()
+	}
+}
+
+// answerOpenRequests answers what is still open when the grace period ends, rather than close its connections: that it has not run,
+// or that it may have. It waits until the answers are written, for a moment.
+func (g *Gateway) answerOpenRequests() {
+	g.loop.post(g.dispatcher.abandonAll)
+	for end := time.Now().Add(finalAnswerTime); time.Now().Before(end) && g.front.openRequests.Load() > 0; {
+		time.Sleep(finalAnswerCheck)
+	}
 }
 
 // handleReadiness reports whether this gateway takes new connections.
--- a/internal/testing/simcluster/shutdown_test.go
+++ b/internal/testing/simcluster/shutdown_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"oxbowspan/config"
 )
 
 // readinessStatus asks a gateway for its readiness as the platform does; 0 means that it does not respond.
@@ -88,6 +90,42 @@
 	})
 }
 
+// TestShutdownAnswersWhatIsStillOpen shuts a gateway down under requests whose servers do not answer within the grace period. Each
+// gets a complete answer before the process ends: that it may have run, or, where it was sent to nobody, that it has not.
+func TestShutdownAnswersWhatIsStillOpen(t *testing.T) {
+	const serviceTime = 30 * time.Second
+	runCluster(t, 93, 3, 1, func(t *testing.T, cluster *Cluster) {
+		patient := editConfiguration(t, ExampleConfiguration(1, FirstSharding), func(c *config.Configuration) {
+			for i := range c.Routes {
+				c.Routes[i].TimeoutMS = 20000
+			}
+		})
+		commitInitial(t, cluster, 1, patient)
+		time.Sleep(3 * time.Second)
+		gateway := cluster.Gateways[0]
+		for _, server := range cluster.Servers {
+			server.SetServiceTime(serviceTime)
+		}
+		var pending sync.WaitGroup
+		for i, path := range []string{"/once/x", "/one/x", "/all/x"} {
+			pending.Go(func() {
+				response := cluster.SendRequest(gateway, http.MethodPost, exampleHost, path, fmt.Sprint("o", i), 19*time.Second)
+				if response.Status != http.StatusGatewayTimeout || response.Elapsed > gracePeriod {
+					t.Errorf("%s is answered with %d after %v, want 504 within the grace period", path, response.Status, response.Elapsed)
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		started := time.Now()
+		gateway.Shutdown()
+		if took := time.Since(started); took > gracePeriod {
+			t.Errorf("the gateway ends after %v, its grace period is %v", took, gracePeriod)
+		}
+		pending.Wait()
+		time.Sleep(serviceTime) // until the servers are done
+	})
+}
+
 // expectKeptResponse sends a request on an open connection and checks that it is served, and whether the response announces
 // the end of the connection.
 func expectKeptResponse(t *testing.T, connection *rawConnection, requestID string, wantClose bool) {
