Tests: no valid request is denied, SIGHUP on built programs, no configuration yet

The new check on built programs found that a SIGHUP that comes while a program still reads its settings file ended it: it was ignored only after that. It is ignored first now.

--- a/internal/controlcli/commands_test.go
+++ b/internal/controlcli/commands_test.go
@@ -58,6 +58,7 @@
 	first := p.writeFile(t, "first.json", string(simcluster.ExampleConfiguration(1, simcluster.FirstSharding)))
 	second := p.writeFile(t, "second.json", string(simcluster.ExampleConfiguration(5, simcluster.SecondSharding)))
 	p.eventually(t, exitFailed, "none yet", "config", "get")
+	p.signalSettingsChange(t) // it ends no program: all that follows needs them
 	p.expectAlone(t, exitOK, "is valid", "check", "config", first)
 	p.eventually(t, exitOK, "version 1 is committed", "config", "put", first)
 	p.expect(t, exitOK, "1 changes", "config", "diff", second) // the route with other shards
--- a/internal/controlcli/program.go
+++ b/internal/controlcli/program.go
@@ -155,6 +155,9 @@
 }
 
 func (p program) serve(path, level string) error {
+	// The settings file is read at the start only. A signal that it changed must not end the process, not even one that comes while
+	// the file is being read.
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	set, problems, err := p.readSettings(path)
 	if err != nil {
 		return err
@@ -175,7 +178,5 @@
 	debug.SetGCPercent(p.gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings file is read at the start only. A signal that it changed must not end the process.
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	return p.run(ctx, set, log)
 }
--- a/internal/controlcli/programs_test.go
+++ b/internal/controlcli/programs_test.go
@@ -32,6 +32,7 @@
 	cluster      *simcluster.Cluster
 	settings     []string // files of the controllers
 	controllers  []*exec.Cmd
+	gateways     []*exec.Cmd
 	settingsFlag string // of commands; its seeds are called
 }
 
@@ -58,7 +59,7 @@
 		p.startController(file)
 	}
 	for _, file := range gateways {
-		p.start(gatewayName, file)
+		p.gateways = append(p.gateways, p.start(gatewayName, file))
 	}
 	for _, service := range simcluster.ExampleServices {
 		for range 2 {
@@ -87,6 +88,16 @@
 	p.controllers = append(p.controllers, p.start(controllerName, settingsFile))
 }
 
+// signalSettingsChange sends all programs the signal that their settings have changed.
+func (p *programs) signalSettingsChange(t *testing.T) {
+	t.Helper()
+	for _, program := range slices.Concat(p.controllers, p.gateways) {
+		if err := program.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func kill(command *exec.Cmd) {
 	command.Process.Signal(syscall.SIGKILL)
 	command.Wait()
--- a/internal/testing/simcluster/example.go
+++ b/internal/testing/simcluster/example.go
@@ -82,7 +82,7 @@
 	c.RequestLog.RecordRequest(slices.Concat(FirstSharding, SecondSharding)...) // whichever sharding is applied
 	response := c.SendRequest(gateway, http.MethodGet, exampleHost, "/all/x", requestID, exampleRequestTimeout)
 	if response.Status != http.StatusOK {
-		return false, ""
+		return false, checkNotDenied(requestID, response.Status)
 	}
 	return true, exampleGathering(FirstSharding, SecondSharding).Check(response, requestID)
 }
@@ -91,7 +91,7 @@
 	c.RequestLog.RecordRequest(singleService)
 	response := c.SendRequest(gateway, http.MethodGet, exampleHost, "/one/x", requestID, exampleRequestTimeout)
 	if response.Status != http.StatusOK {
-		return false, ""
+		return false, checkNotDenied(requestID, response.Status)
 	}
 	if !bytes.Equal(response.Body, ExpectedRecords(singleService, requestID, ExampleRecordCount)) {
 		return false, mixedResponse("request %s got another body than its server sent", requestID)
@@ -106,7 +106,19 @@
 	if violation := checkNonRetryable(requestID, executions, response.Status); violation != "" {
 		return false, violation
 	}
-	return response.Status == http.StatusOK, ""
+	return response.Status == http.StatusOK, checkNotDenied(requestID, response.Status)
+}
+
+// checkNotDenied checks that a valid request on a route that every version has is not answered with a redirect or an error of the
+// client.
+func checkNotDenied(requestID string, status int) Violation {
+	switch {
+	case status < http.StatusMultipleChoices || status >= http.StatusInternalServerError:
+	case status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest || status == http.StatusTooManyRequests:
+	default:
+		return deniedRequest("request %s is valid and was answered %d", requestID, status)
+	}
+	return ""
 }
 
 // checkNonRetryable checks that a non-retryable request was executed once at most, and not at all if it was rejected.
--- a/internal/testing/simcluster/gathered.go
+++ b/internal/testing/simcluster/gathered.go
@@ -14,6 +14,10 @@
 	return Violation("mixed response: " + fmt.Sprintf(format, args...))
 }
 
+func deniedRequest(format string, args ...any) Violation {
+	return Violation("denied request: " + fmt.Sprintf(format, args...))
+}
+
 // GatheredExpectation describes the successful responses to a gathered request.
 type GatheredExpectation struct {
 	ServiceSets  [][]string // the gathered services of each configuration that may be applied
--- a/internal/testing/simcluster/shutdown_test.go
+++ b/internal/testing/simcluster/shutdown_test.go
@@ -35,6 +35,7 @@
 		gateway := cluster.Gateways[0]
 		time.Sleep(2 * time.Second)
 		expectStatus(t, readinessStatus(cluster, gateway), http.StatusServiceUnavailable, "readiness without a configuration")
+		expectStatus(t, sendSingle(cluster, gateway, "r0").Status, http.StatusServiceUnavailable, "request without a configuration")
 		commitFirstVersion(t, cluster)
 		time.Sleep(1500 * time.Millisecond) // until all servers have sent heartbeats
 		expectStatus(t, readinessStatus(cluster, gateway), http.StatusOK, "readiness with a configuration and servers")
