--- /dev/null
+++ b/dataplane/recordingserver_test.go
@@ -0,0 +1,174 @@
+package dataplane
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"oxbowspan/internal/settings"
+)
+
+// recordedAttempt is what a recording server saw of one request.
+type recordedAttempt struct {
+	service   string
+	id        string
+	arrived   time.Time
+	remaining time.Duration // X-Deadline-Remaining
+	ended     time.Time     // when its connection ended or it was answered; zero = neither yet
+	answered  bool
+}
+
+// recordingServers record what reaches them and answer each request after a time, unless its connection ends before.
+type recordingServers struct {
+	serviceTime time.Duration
+	silent      int // so many first requests get no answer
+	broken      int // each so-many-th attempt is answered by garbage, from brokenFrom on; 0 = none
+	brokenFrom  time.Time
+	failures    []int // statuses of the first answers, each with a seal of its own; the others succeed
+
+	mu       sync.Mutex
+	attempts []*recordedAttempt
+}
+
+func (s *recordingServers) serve(l net.Listener, service string) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(conn, service)
+	}
+}
+
+func (s *recordingServers) serveConn(conn net.Conn, service string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		if !waitForHeader(reader) {
+			return
+		}
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		if !s.work(conn, reader, s.record(service, req)) {
+			return
+		}
+	}
+}
+
+func (s *recordingServers) record(service string, req *http.Request) *recordedAttempt {
+	ms, _ := strconv.Atoi(req.Header.Get("X-Deadline-Remaining"))
+	a := &recordedAttempt{service: service, id: req.Header.Get("X-Attempt-Id"), arrived: time.Now(), remaining: time.Duration(ms) * time.Millisecond}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts = append(s.attempts, a)
+	return a
+}
+
+// work works on a request until it is done or the connection ends, and reports whether the connection goes on.
+func (s *recordingServers) work(conn net.Conn, reader *bufio.Reader, a *recordedAttempt) bool {
+	s.mu.Lock()
+	serviceTime := s.serviceTime
+	if s.silent > 0 {
+		s.silent--
+		serviceTime = time.Hour
+	}
+	s.mu.Unlock()
+	conn.SetReadDeadline(time.Now().Add(serviceTime))
+	_, err := reader.Peek(1)
+	timeout, ok := err.(net.Error)
+	answered := ok && timeout.Timeout()
+	s.mu.Lock()
+	a.ended, a.answered = time.Now(), answered
+	s.mu.Unlock()
+	if !answered {
+		return false
+	}
+	conn.SetReadDeadline(time.Time{})
+	if s.isBroken(a) {
+		io.WriteString(conn, "no response at all\r\n\r\n")
+		return false
+	}
+	if status := s.nextFailure(); status != 0 {
+		fmt.Fprintf(conn, "HTTP/1.1 %d No\r\nX-Attempt-Id: %s\r\nX-Server-Seal: seal-of-%d\r\nContent-Length: 0\r\n\r\n", status, a.id, status)
+		return true
+	}
+	body := recordsOf(a.service, a.id)
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s.%s\r\nContent-Length: %d\r\n\r\n%s", a.id, a.service, a.id,
+		len(body), body)
+	return err == nil
+}
+
+// nextFailure returns the status of the next failure; 0 = none is left.
+func (s *recordingServers) nextFailure() (status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.failures) > 0 {
+		status, s.failures = s.failures[0], s.failures[1:]
+	}
+	return status
+}
+
+// isBroken reports whether an attempt is to be answered by garbage.
+func (s *recordingServers) isBroken(a *recordedAttempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.broken > 0 && !a.arrived.Before(s.brokenFrom) && slices.Index(s.attempts, a)%s.broken == 0
+}
+
+// seen returns what was recorded of a request so far.
+func (s *recordingServers) seen(id string) (attempts []recordedAttempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.attempts {
+		if a.id == id {
+			attempts = append(attempts, *a)
+		}
+	}
+	return attempts
+}
+
+// runWithRecordingServers runs a test against a gateway with two recording servers for each service.
+func runWithRecordingServers(t *testing.T, servers *recordingServers, s scenario, bounds settings.Bounds,
+	test func(t *testing.T, b *testbed)) {
+	t.Helper()
+	s.Servers, s.Writes = 2, []writeStep{{}}
+	if len(s.Dials) == 0 {
+		s.Dials = []time.Duration{0}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(s)
+		b.bounds = bounds
+		listeners, reports := b.listenServers(t, servers.serve)
+		stop := b.startGateway(t, reports)
+		test(t, b)
+		stop()
+		b.stopServers(listeners)
+	})
+}
+
+// dialGateway connects as a client.
+func (b *testbed) dialGateway(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := b.network.Host(clientHost).Dial(frontAddress, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func requestText(method, path, id string, deadline time.Duration) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: 0\r\n\r\n", method, path, id,
+		deadline.Milliseconds())
+}
+
--- a/internal/testing/simcluster/cluster_test.go
+++ b/internal/testing/simcluster/cluster_test.go
@@ -119,3 +119,29 @@
 		}
 	})
 }
+
+// TestRoutesAddedLaterAreServed adds forty routes to a running system. Requests on them are served as those on the first routes are,
+// by each gateway, from when it applies the version on.
+func TestRoutesAddedLaterAreServed(t *testing.T) {
+	const added = 40
+	runCluster(t, 97, 3, 3, func(t *testing.T, cluster *Cluster) {
+		commitFirstVersion(t, cluster)
+		time.Sleep(3 * time.Second)
+		more := editConfiguration(t, ExampleConfiguration(2, FirstSharding), func(c *config.Configuration) {
+			for i := range added {
+				route := c.Routes[i%2] // a gathered one and a single one in turn
+				route.Name, route.PathPrefix = fmt.Sprint("added-", i), fmt.Sprintf("/added-%d/", i)
+				c.Routes = append(c.Routes, route)
+			}
+		})
+		requireStatus(t, replaceWithRetry(cluster, 1, more, 5), http.StatusOK, "version with further routes")
+		awaitVersion(t, cluster, 2, configurationApplyMax)
+		for _, gateway := range cluster.Gateways {
+			for i := range added {
+				path := fmt.Sprintf("/added-%d/x", i)
+				response := cluster.SendRequest(gateway, http.MethodGet, exampleHost, path, fmt.Sprint(gateway.IP, "-", i), exampleRequestTimeout)
+				expectStatus(t, response.Status, http.StatusOK, "%s on a route added later", path)
+			}
+		}
+	})
+}
