--- a/dataplane/recordingserver_test.go
+++ b/dataplane/recordingserver_test.go
@@ -171,4 +171,3 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: 0\r\n\r\n", method, path, id,
 		deadline.Milliseconds())
 }
-
