balancer: shards added while cells hold none yet; no panic at their servers' end

Change: the number of cells never falls, and a shard that is added begins with the ready servers of its cell. Test: TestResizeWithMoreCellsThanShards, up to six cells; panics without the change. The system grows cells and shards together and is not affected.

--- a/balancer/gateway_test.go
+++ b/balancer/gateway_test.go
@@ -227,3 +227,33 @@
 	s, healthy := b.bestReplica(&shardCall{req: req, size: 1})
 	failIf(t, !healthy || !s.local, "the best replica is remote although local ones are as good")
 }
+
+// Shards are added while servers are ready in cells that hold none yet. Each server then serves the shard of its cell, and may leave
+// its list again.
+func TestResizeWithMoreCellsThanShards(t *testing.T) {
+	for cells := 1; cells <= 6; cells++ {
+		for shards := 0; shards <= cells; shards++ {
+			b := New(Config{Instances: 1, Cells: cells, Shards: shards, ReplicationFactor: 1, MaxAttempts: 2, Seed: 3})
+			var servers []Server
+			for cell := range cells {
+				servers = append(servers, Server{ID: ServerID(cell + 1), Cell: CellIndex(cell), State: Ready})
+			}
+			b.Handle(10, ServerList{ListComplete, servers})
+			b.Handle(20, ClusterResized{Shards: cells, Instances: 1})
+			for shard, replicas := range b.replicas {
+				if len(replicas) != 1 || int(replicas[0].cell) != shard {
+					t.Errorf("%d cells, %d shards at first: shard %d has %d replicas", cells, shards, shard, len(replicas))
+				}
+			}
+			for i := range servers {
+				servers[i].State = Removed
+			}
+			b.Handle(30, ServerList{ListComplete, servers})
+			for shard, replicas := range b.replicas {
+				if len(replicas) != 0 {
+					t.Errorf("%d cells, %d shards at first: shard %d keeps %d replicas", cells, shards, shard, len(replicas))
+				}
+			}
+		}
+	}
+}
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -106,8 +106,8 @@
 		b.shrinkAt = b.now + 2*b.budgetWindow
 	}
 	for b.replicationFactor == 1 && len(b.replicas) < e.Shards {
-		b.replicas = append(b.replicas, nil)
-		b.cells = len(b.replicas)
+		b.replicas = append(b.replicas, b.readyInCell(len(b.replicas)))
+		b.cells = max(b.cells, len(b.replicas))
 		if b.sharedBudgetBase > 0 {
 			b.budgets = append(b.budgets, b.newRetryBudget())
 		}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -167,6 +167,16 @@
 	return b.budgets[shard]
 }
 
+// readyInCell returns the ready servers of a cell that no shard was in before.
+func (b *Balancer) readyInCell(cell int) (servers []*server) {
+	for _, s := range b.ready {
+		if cell < b.cells && (int(s.cell)%b.cells+b.cells)%b.cells == cell {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
 // setState changes the state of a server and its membership among the ready servers and the replicas.
 func (b *Balancer) setState(s *server, state ServerState) {
 	if (s.state == Ready) != (state == Ready) {
