--- a/internal/testing/experiment/cli.go
+++ b/internal/testing/experiment/cli.go
@@ -56,7 +56,8 @@
 	}, stdout, stderr)
 	root.PersistentFlags().StringVar(&t.archivePath, "archive", defaultArchive, "file that keeps the results")
 	root.AddCommand(t.newRunCommand(), t.newBenchCommand(), t.newExperimentsCommand(), t.newListCommand(), t.newShowCommand(),
-		t.newTableCommand(), t.newChartCommand(), newClusterCommand(stdout, stderr), newConnectionHolderCommand(stdout))
+		t.newTableCommand(), t.newChartCommand(), newClusterCommand(stdout, stderr), newLossesCommand(stdout),
+		newConnectionHolderCommand(stdout))
 	root.AddCommand(formerName(newClusterCommand(stdout, stderr), "colony"))
 	return root
 }
