--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -1,16 +1,13 @@
 package dataplane
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"oxbowspan/admission"
 	"oxbowspan/balancer"
-	"oxbowspan/config"
 	"oxbowspan/internal/settings"
 )
 
@@ -303,34 +300,6 @@
 	d.finish(r, outcome)
 }
 
-// abandon ends a request without a success. Its client is advised to retry only where no attempt has run nor can yet.
-func (d *dispatcher) abandon(id balancer.RequestID, retryAfter balancer.Time) {
-	r := d.requests[id]
-	if r == nil {
-		return
-	}
-	for _, call := range r.shardCalls {
-		r.mayHaveRun = r.mayHaveRun || slices.ContainsFunc(call.attempts, (*attempt).mayHaveRun)
-	}
-	outcome := result{kind: resultRejected, retryAfter: duration(retryAfter)}
-	switch {
-	case r.mayHaveRun && r.lastFailure != nil && !r.route.Gathered():
-		outcome = result{kind: resultForward, responses: []*fasthttp.Response{r.lastFailure}}
-		r.lastFailure = nil
-	case r.mayHaveRun:
-		outcome.kind = resultFailed
-	}
-	d.finish(r, outcome)
-}
-
-// abandonAll ends all open requests, as the gateway is about to stop.
-func (d *dispatcher) abandonAll() {
-	for _, id := range slices.Collect(maps.Keys(d.requests)) {
-		d.handleEvent(balancer.RequestCancelled{Request: id})
-		d.abandon(id, 0)
-	}
-}
-
 // finish passes a request's result to its client.
 func (d *dispatcher) finish(r *request, outcome result) {
 	r.finished = true
@@ -344,32 +313,6 @@
 	r.deliver(outcome)
 }
 
-// abandonedByClient implements requestSink. Any goroutine may call it.
-func (d *dispatcher) abandonedByClient(r *request) {
-	d.loop.post(func() { d.clientLeft(r) })
-}
-
-// clientLeft ends a request whose client has left: nothing of it is sent to any server from now on. Servers that work on a request
-// which may be repeated are stopped by the ends of their connections. Any other that was sent runs on, and its response is dropped:
-// whether it has run would else be open.
-func (d *dispatcher) clientLeft(r *request) {
-	if r.finished {
-		return
-	}
-	d.handleEvent(balancer.RequestCancelled{Request: r.id})
-	d.finish(r, result{kind: resultFailed})
-	if r.route.RouteKind != config.Retryable {
-		return
-	}
-	for _, call := range r.shardCalls {
-		for _, a := range call.attempts {
-			if a.mayHaveRun() {
-				d.attemptEnded(a, balancer.Cancelled, nil)
-			}
-		}
-	}
-}
-
 // forgetIfDone forgets a shard call once its request has finished and no attempt is in flight.
 func (d *dispatcher) forgetIfDone(call *shardCall) {
 	if call.request.finished && call.inFlight == 0 {
--- a/internal/acceptorstore/full_disk_test.go
+++ b/internal/acceptorstore/full_disk_test.go
@@ -54,17 +54,24 @@
 	}
 }
 
-// A sound file is opened without a write, so that a full disk is no reason to set it aside.
-func TestSoundFileIsOpenedWithoutWrites(t *testing.T) {
-	dir := t.TempDir()
+// closedStore returns the directory of a closed store of identity 77 that accepted a value of a slot.
+func closedStore(t *testing.T, slot uint64) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
 	s, _, err := Open(dir, 77)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := update(t, s, acceptStep(5)); err != nil {
+	if err := update(t, s, acceptStep(slot)); err != nil {
 		t.Fatal(err)
 	}
 	s.Close()
+	return dir
+}
+
+// A sound file is opened without a write, so that a full disk is no reason to set it aside.
+func TestSoundFileIsOpenedWithoutWrites(t *testing.T) {
+	dir := closedStore(t, 5)
 	before := readFile(t, dir)
 	s, setAsidePath, err := Open(dir, 0)
 	if err != nil || setAsidePath != "" || s.State().Value.Slot != 5 {
@@ -88,15 +95,7 @@
 // A directory that can't be synced for want of space: what the file holds is known, but nothing is voted for until its name is
 // durable.
 func TestDirectorySyncOnFullDisk(t *testing.T) {
-	dir := t.TempDir()
-	s, _, err := Open(dir, 77)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := update(t, s, acceptStep(5)); err != nil {
-		t.Fatal(err)
-	}
-	s.Close()
+	dir := closedStore(t, 5)
 	original := syncDirectory
 	defer func() { syncDirectory = original }()
 	syncDirectory = func(string) error { return syscall.ENOSPC }
