controlplane: no live member is exchanged while it is not known where all are

Cause: read while reviewing: a controller that had not heard from a member yet counts it as in the fullest zone, and could have taken the place of a live one for that. Change: the place of a live member is taken only where all members' places are known. Test: TestMembershipRequestSpreadsOverZones.

--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -83,8 +83,12 @@
 	return lost
 }
 
-// misplaced returns the member in whose place the requester lets more zones or regions be lost; -1 = none.
+// misplaced returns the member in whose place the requester lets more zones or regions be lost; -1 = none, or the requester does not
+// know yet where all members are.
 func (r membershipRequest) misplaced(members []consensus.Member) int {
+	if slices.Contains(locationsOf(members, r.location), quorum.Location{}) {
+		return -1
+	}
 	misplaced, least := -1, r.shortfall(members)
 	for i := range members {
 		if shortfall := r.shortfall(replaceMember(members, i, r.self)); shortfall < least {
--- a/controlplane/membership_test.go
+++ b/controlplane/membership_test.go
@@ -49,6 +49,58 @@
 	}
 }
 
+// A controller takes the place of a live member only where that spreads the members over zones as the settings ask; it waits before it
+// replaces a lost one and leaves them worse placed; and it replaces no live one while it does not know where all are.
+func TestMembershipRequestSpreadsOverZones(t *testing.T) {
+	self := consensus.Member{ID: 9, Address: "z"}
+	for _, test := range []struct {
+		name      string
+		selfZone  string
+		zones     []string // of the members; "" = not known
+		tolerance quorum.Tolerance
+		lost      time.Duration // how long the last member was not seen
+		replaced  int           // -1 = none
+	}{
+		{"two in one zone", "c", []string{"a", "a", "b"}, quorum.Tolerance{Zones: 1}, 0, 0},
+		{"all in one zone", "b", []string{"a", "a", "a"}, quorum.Tolerance{Zones: 1}, 0, 0},
+		{"no better from here", "b", []string{"a", "a", "b"}, quorum.Tolerance{Zones: 1}, 0, -1},
+		{"spread already", "d", []string{"a", "b", "c"}, quorum.Tolerance{Zones: 1}, 0, -1},
+		{"no zone need be lost", "c", []string{"a", "a", "b"}, quorum.Tolerance{Machines: 1}, 0, -1},
+		{"one is not known", "c", []string{"a", "", "b"}, quorum.Tolerance{Zones: 1}, 0, -1},
+		{"regions", "c", []string{"a", "a", "b"}, quorum.Tolerance{Regions: 1}, 0, 0},
+		{"lost, replaced in its zone", "c", []string{"a", "b", "c"}, quorum.Tolerance{Zones: 1}, 3 * time.Second, 2},
+		{"lost, worse from here", "a", []string{"a", "b", "c"}, quorum.Tolerance{Zones: 1}, 3 * time.Second, -1},
+		{"lost for long, worse from here", "a", []string{"a", "b", "c"}, quorum.Tolerance{Zones: 1}, 7 * time.Second, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var members []consensus.Member
+			locations := map[string]quorum.Location{self.Address: {Zone: test.selfZone, Region: test.selfZone}}
+			for i, zone := range test.zones {
+				m := consensus.Member{ID: consensus.AcceptorID(i + 1), Address: string(rune('m' + i))}
+				members = append(members, m)
+				locations[m.Address] = quorum.Location{Zone: zone, Region: zone}
+			}
+			last := members[len(members)-1].Address
+			request := membershipRequest{
+				self:      self,
+				tolerance: test.tolerance,
+				silence: func(address string) time.Duration {
+					if address == last {
+						return test.lost
+					}
+					return 0
+				},
+				location: func(address string) quorum.Location { return locations[address] },
+			}
+			next := request.apply(&consensus.Value{Slot: 5, Members: members, PriorMembers: members})
+			replaced := slices.IndexFunc(next.Members, func(m consensus.Member) bool { return m == self })
+			if replaced != test.replaced {
+				t.Errorf("it takes place %d, want %d", replaced, test.replaced)
+			}
+		})
+	}
+}
+
 // A member counts as silent for the shortest time that any controller which is alive reports.
 func TestMemberSilence(t *testing.T) {
 	const now = 10 * time.Second
