Tests: attempts counted across resets and new configurations

Cause: the demand rested on an argument alone. A request whose every attempt is broken off reaches each service as often as its own version allows, though versions that allow more become active meanwhile.

--- a/dataplane/client_left_test.go
+++ b/dataplane/client_left_test.go
@@ -222,3 +222,48 @@
 		}
 	}
 }
+
+// Attempts are counted across resets and new configurations: a request whose every attempt is broken off reaches each service as often
+// as the version allows under which it came, though versions that allow more become active meanwhile.
+func TestAttemptsAcrossResetsAndConfigurations(t *testing.T) {
+	for _, allowed := range []int{1, 3} {
+		for _, path := range []string{"/one/x", "/all/x", oncePath + "x"} {
+			t.Run(fmt.Sprintf("%s %d", strings.ReplaceAll(path, "/", " "), allowed), func(t *testing.T) {
+				servers := &recordingServers{serviceTime: 15 * time.Millisecond, broken: 1}
+				runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
+					b.activateAttempts(2, allowed)
+					time.Sleep(time.Millisecond)
+					conn := b.dialGateway(t)
+					defer conn.Close()
+					io.WriteString(conn, requestText("POST", path, "q", 850*time.Millisecond))
+					for version := uint64(3); version < 12; version++ {
+						time.Sleep(10 * time.Millisecond)
+						b.activateAttempts(version, allowed+5)
+					}
+					time.Sleep(time.Second)
+					reached := map[string]int{}
+					for _, a := range servers.seen("q") {
+						reached[a.service]++
+					}
+					for service, count := range reached {
+						if count > allowed || service == "once" && count > 1 {
+							t.Errorf("%s is reached by %d attempts, %d are allowed", service, count, allowed)
+						}
+					}
+					if len(reached) == 0 || allowed > 1 && path == "/one/x" && reached["one"] < 2 {
+						t.Errorf("reached %v: the test shows nothing", reached)
+					}
+				})
+			})
+		}
+	}
+}
+
+// activateAttempts makes a version active whose routes all allow so many attempts.
+func (b *testbed) activateAttempts(version uint64, attempts int) {
+	c := testConfiguration(version)
+	for i := range c.Routes {
+		c.Routes[i].Attempts = attempts
+	}
+	b.gateway.loop.post(func() { b.gateway.activateConfig(c, nil, version) })
+}
--- a/dataplane/testbed_test.go
+++ b/dataplane/testbed_test.go
@@ -36,6 +36,7 @@
 	scenario scenario
 	network  *simnet.Network
 	bounds   settings.Bounds // of the gateway
+	gateway  *Gateway        // started last
 
 	mu         sync.Mutex
 	steps      int // of servers so far
@@ -164,6 +165,14 @@
 	}
 }
 
+func testConfiguration(version uint64) *config.Configuration {
+	c := &config.Configuration{Version: version, Routes: testRoutes()}
+	for _, service := range services {
+		c.Services = append(c.Services, config.Service{Name: service, ConnectionLimit: 40})
+	}
+	return c
+}
+
 // startGateway starts a gateway, and returns what ends it as a kill does.
 func (b *testbed) startGateway(t *testing.T, reports []*rpc.ServerReport) (stop func()) {
 	t.Helper()
@@ -171,10 +180,8 @@
 	options.Listen.Front = frontAddress
 	options.Bounds = b.bounds
 	g := New(options, &faultyNetwork{b.network.Host(gatewayHost), b}, zerolog.Nop())
-	c := &config.Configuration{Version: 1, Routes: testRoutes()}
-	for _, service := range services {
-		c.Services = append(c.Services, config.Service{Name: service, ConnectionLimit: 40})
-	}
+	b.gateway = g
+	c := testConfiguration(1)
 	g.process.goroutines.Go(func() { g.loop.run(g) })
 	g.loop.post(func() {
 		g.activateConfig(c, nil, 1)
