controlplane: what is stored is taken before the event loop runs

Stored revisions and hints were taken by the first command on the event loop. A message of a peer that came before it had a newer value learned first, whose revisions displace the older ones: an order sent again then got an unclear answer. On a full disk the store's goroutine could read the file again meanwhile.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -98,6 +98,7 @@
 	c.wireRegister(base)
 	c.wireServices()
 	c.wireProposals(state.Promised.Number)
+	c.hints.restore()
 	return c, nil
 }
 
--- a/controlplane/controller_loop.go
+++ b/controlplane/controller_loop.go
@@ -37,7 +37,7 @@
 	for _, address := range c.settings.SeedControllers() {
 		c.peers.add(address)
 	}
-	c.hints.restore()
+	c.hints.restorePeers()
 	if c.recovered.HoldsDecision() {
 		c.learner.learn(c.recovered.Value)
 		c.learner.observeBallot(c.recovered.Value.Slot, c.recovered.Accepted)
--- a/controlplane/hints.go
+++ b/controlplane/hints.go
@@ -32,6 +32,7 @@
 	savedAt time.Duration
 	cursor  registry.Cursor // up to which the reports are on the disk
 	alive   []string        // addresses of the controllers that are on the disk, ordered
+	earlier []string        // addresses of those that an earlier run had stored, until restorePeers
 	saving  bool
 	log     zerolog.Logger
 }
@@ -41,7 +42,8 @@
 }
 
 // restore takes what an earlier run stored: the hints into the table, and the revisions that were committed. Hints that can't be
-// read are ignored.
+// read are ignored. It must be called before the event loop runs: a value that is learned first would displace older revisions, and
+// the store's goroutine may read the file again.
 func (h *hintSaver) restore() {
 	h.learner.history.Restore(h.store.History())
 	hints, m := h.store.Hints(), &rpc.Gossip{}
@@ -53,10 +55,18 @@
 		h.table.Merge(decodeReport(r, h.clock.now()), hintSource)
 	}
 	for _, controller := range m.Controllers {
-		h.peers.add(controller.Address)
+		h.earlier = append(h.earlier, controller.Address)
 	}
 }
 
+// restorePeers begins to gossip with the controllers that an earlier run had stored.
+func (h *hintSaver) restorePeers() {
+	for _, address := range h.earlier {
+		h.peers.add(address)
+	}
+	h.earlier = nil
+}
+
 // save stores the known servers and the controllers that are alive, if any has changed and the disk is idle.
 func (h *hintSaver) save(now time.Duration) {
 	cursor := h.table.Cursor()
