Sight: attempts carry their reason, and gateways serve metrics

Change: balancer.Send has a Reason; counters of attempts, attempts beyond the limit, results and clients that left, as Prometheus text on port 9464 (metrics_port). No decision changes.

--- a/balancer/actions.go
+++ b/balancer/actions.go
@@ -3,6 +3,33 @@
 // Action is an output of Balancer.Handle, to be performed at once and in order.
 type Action interface{ action() }
 
+// AttemptReason says why an attempt is sent.
+type AttemptReason uint8
+
+// Reasons of attempts.
+const (
+	FirstAttempt     AttemptReason = iota
+	RetryAttempt                   // none is in flight any more
+	HedgeAttempt                   // beside one that is overdue
+	ProbationAttempt               // beside the first one, to learn whether its server responds again
+	AttemptReasons                 // how many there are
+)
+
+// String returns the reason in one word, as metrics name it.
+func (r AttemptReason) String() string {
+	switch r {
+	case FirstAttempt:
+		return "first"
+	case RetryAttempt:
+		return "retry"
+	case HedgeAttempt:
+		return "hedge"
+	case ProbationAttempt:
+		return "probation"
+	}
+	return "unknown"
+}
+
 // The actions. Answer, Shed and Fail end a request, except that the Answer of a first phase does not.
 type (
 	// Send sends an attempt of a call to a server.
@@ -10,6 +37,7 @@
 		Call    ShardCallID
 		Server  ServerID
 		Timeout Time // from now
+		Reason  AttemptReason
 	}
 	// Cancel cancels an attempt. Its AttemptEnded still follows.
 	Cancel struct {
--- a/balancer/completion.go
+++ b/balancer/completion.go
@@ -57,13 +57,13 @@
 	switch {
 	case s == nil || !b.canRetry(call) || p.inFlight == 0 && !healthy && b.now < p.retryFrom:
 	case p.inFlight == 0 && (len(call.attempts) == 0 || b.withinBudget(call, 1)):
-		b.dispatch(call, s)
+		b.dispatch(call, s, call.firstOr(RetryAttempt))
 	case p.inFlight == 1 && p.probation >= 0: // no more than two may be in flight
 		b.emit(Cancel{call.id, AttemptNumber(p.probation)})
 	case p.inFlight == 0 || !healthy || b.now+b.predict(s, call) >= call.req.targetAt ||
 		!b.withinBudget(call, max(minHedgeShare, b.retrySuccess)):
 	case p.inFlight == 1 && b.allowHedging:
-		b.dispatch(call, s)
+		b.dispatch(call, s, HedgeAttempt)
 	case b.allowCancel && (!b.allowHedging || p.lastDue <= b.now && b.silenceRatio(call.attempts[p.oldest]) > 1):
 		// A retry follows once this one has ended. Two overdue ones may both be lost in a partitioned zone.
 		b.emit(Cancel{call.id, AttemptNumber(p.oldest)})
@@ -75,7 +75,7 @@
 func attemptProgress(call *shardCall) progress {
 	p := progress{firstDue: Never, oldest: -1, probation: -1}
 	for number, a := range call.attempts {
-		if a.probation && !a.ended {
+		if a.reason == ProbationAttempt && !a.ended {
 			p.probation = number
 		} else if !a.ended {
 			due := a.sentAt + a.overdueAfter
@@ -123,7 +123,7 @@
 func (b *Balancer) cancel(calls ...*shardCall) {
 	for _, call := range calls {
 		for number, a := range call.attempts {
-			if b.allowCancel && !a.ended && !a.probation {
+			if b.allowCancel && !a.ended && a.reason != ProbationAttempt {
 				b.emit(Cancel{call.id, AttemptNumber(number)})
 			}
 		}
--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -107,15 +107,14 @@
 	for _, placed := range plan {
 		placed.call.skipped = covered && hopeless(placed.call)
 		if placed.server != nil && !placed.call.skipped && b.canDispatch(placed.server, placed.call) {
-			b.dispatch(placed.call, placed.server)
+			b.dispatch(placed.call, placed.server, FirstAttempt)
 		}
 	}
 	for _, placed := range plan {
 		call, s, sent := placed.call, placed.probation, len(placed.call.attempts)
 		if s != nil && (s != placed.server || sent == 0) && b.canDispatch(s, call) &&
 			(sent == 0 && call.skipped || sent == 1 && b.withinBudget(call, probationShare)) {
-			b.dispatch(call, s)
-			call.attempts[sent].probation = sent > 0
+			b.dispatch(call, s, call.firstOr(ProbationAttempt))
 		}
 	}
 }
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -3,9 +3,9 @@
 import "cmp"
 
 // dispatch sends an attempt of a call to a server.
-func (b *Balancer) dispatch(call *shardCall, s *server) {
+func (b *Balancer) dispatch(call *shardCall, s *server, reason AttemptReason) {
 	sent := &attempt{call: call, server: s, sentAt: b.now, queuedWork: s.backlog + b.queueLength(s)*b.meanSize,
-		predicted: max(b.predict(s, call), 1), retry: len(call.attempts) > 0}
+		predicted: max(b.predict(s, call), 1), reason: reason}
 	// Overdue at half the time left to the target, past that to the deadline: a hedge gets as long as it had.
 	remaining := cmp.Or(max(call.req.targetAt-b.now, 0), call.req.deadline-b.now)
 	sent.overdueAfter = max(remaining/2, sent.predicted)
@@ -15,7 +15,7 @@
 		b.emit(CloseIdle{s.id})
 	}
 	b.trackAttempt(sent)
-	b.emit(Send{call.id, s.id, call.req.deadline - b.now})
+	b.emit(Send{call.id, s.id, call.req.deadline - b.now, reason})
 }
 
 // attemptEnded processes the outcome of an attempt, also of one whose call or request is already over.
@@ -32,7 +32,7 @@
 	}
 	open := b.requests[call.req.id] == call.req
 	wins := open && e.Outcome == Answered && !call.answered
-	if ended.retry && !ended.probation && e.Outcome != NotDispatched {
+	if (ended.reason == RetryAttempt || ended.reason == HedgeAttempt) && e.Outcome != NotDispatched {
 		b.retrySuccess -= b.retrySuccess * slowWeight
 		if wins {
 			b.retrySuccess += slowWeight
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -89,6 +89,14 @@
 	skipped      bool // given up from the start: its shard is down or overloaded, and the others suffice
 }
 
+// firstOr returns the reason of the next attempt: the first one of a call is FirstAttempt, whatever else it is sent for.
+func (c *shardCall) firstOr(reason AttemptReason) AttemptReason {
+	if len(c.attempts) == 0 {
+		return FirstAttempt
+	}
+	return reason
+}
+
 // attempt is one sending of a call to a server.
 type attempt struct {
 	call         *shardCall
@@ -97,11 +105,10 @@
 	predicted    Time    // latency
 	overdueAfter Time    // latency above which a retry or hedge is due
 	queuedWork   float64 // known at the server when it was sent
-	retry        bool    // not the first one of its call
 	ended        bool
 	neverRan     bool
 	onIdleConn   bool // sent when the connection to the server was idle
-	probation    bool // hedged, to learn whether its server answers
+	reason       AttemptReason
 }
 
 // placement is the place of one call in a plan.
@@ -210,7 +217,7 @@
 	s.inFlight = append(s.inFlight, sent)
 	s.backlog += call.size
 	s.sentWork.add(b.now, call.size)
-	if sent.retry {
+	if sent.reason != FirstAttempt {
 		b.budgetFor(call.shard).retries.add(b.now, 1)
 	}
 }
--- a/dataplane/abandon.go
+++ b/dataplane/abandon.go
@@ -53,6 +53,7 @@
 		return
 	}
 	d.handleEvent(balancer.RequestCancelled{Request: r.id})
+	d.process.counters.clientsLeft.Add(1)
 	d.finish(r, result{kind: resultFailed})
 	if r.route.RouteKind != config.Retryable {
 		return
--- a/dataplane/active_config.go
+++ b/dataplane/active_config.go
@@ -54,6 +54,9 @@
 	return balancer.NonIdempotent
 }
 
+// maxAttempts returns how many servers of one shard a request may be sent to.
+func (r *route) maxAttempts() int { return max(r.Attempts, defaultAttempts) }
+
 func (r *route) queryTypeConfig() balancer.QueryTypeConfig {
 	return balancer.QueryTypeConfig{
 		Idempotency:           r.idempotency(),
@@ -62,7 +65,7 @@
 		LateValue:             lateResponseValue,
 		MinCoverage:           r.minCoverage(),
 		CompleteCoverage:      1,
-		MaxAttempts:           max(r.Attempts, defaultAttempts),
+		MaxAttempts:           r.maxAttempts(),
 		QuadraticPartialValue: r.Gathered(),
 	}
 }
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -222,6 +222,7 @@
 	call.attempts = append(call.attempts, a)
 	call.inFlight++
 	e.load.add(now, 1)
+	d.process.counters.countAttempt(a, action.Reason)
 	d.tenants.acquire(a, now)
 	d.loop.schedule(a.deadline, timerEvent{attempt: a})
 	d.sender.send(a)
@@ -310,6 +311,7 @@
 		d.forgetIfDone(call)
 	}
 	r.releaseLastFailure()
+	d.process.counters.results[outcome.kind].Add(1)
 	r.deliver(outcome)
 }
 
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 
 	"oxbowspan/balancer"
+	"oxbowspan/internal/metrics"
 	"oxbowspan/internal/network"
 	"oxbowspan/internal/settings"
 	"oxbowspan/rpc"
@@ -143,6 +144,7 @@
 	if err != nil {
 		return err
 	}
+	stopMetrics := g.serveMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/readiness", g.handleReadiness)
 	web := &http.Server{Handler: mux, ReadHeaderTimeout: readinessHeaderTimeout, IdleTimeout: readinessIdleTimeout}
@@ -168,6 +170,7 @@
 	stopFollower()
 	g.front.conns.closeAll()
 	web.Close()
+	stopMetrics()
 	l.internal.Close()
 	g.loop.stop()
 	goroutines.Wait()
@@ -175,6 +178,22 @@
 	return nil
 }
 
+// serveMetrics serves the metrics, if their address can be had: without them the gateway serves all the same.
+func (g *Gateway) serveMetrics() (stop func()) {
+	address := g.process.settings.MetricsAddress()
+	if address == "" {
+		return func() {}
+	}
+	listener, err := g.process.network.Listen(address)
+	if err != nil {
+		g.process.log.Warn().Err(err).Str("address", address).Msg("metrics: not served")
+		return func() {}
+	}
+	server := metrics.NewServer(g.collectMetrics)
+	g.process.goroutines.Go(func() { server.Serve(listener) })
+	return func() { server.Close() }
+}
+
 // Kill makes Run return at once without a graceful shutdown, as killing the process would. It must not be called twice.
 func (g *Gateway) Kill() { close(g.killed) }
 
--- a/dataplane/process.go
+++ b/dataplane/process.go
@@ -24,6 +24,7 @@
 	ready      atomic.Bool    // a configuration and servers are known
 	draining   atomic.Bool    // it is shutting down gracefully
 	goroutines sync.WaitGroup // Run returns when all have ended
+	counters   counters
 }
 
 func newProcess(options *settings.Settings, transport network.Network, log zerolog.Logger) *process {
--- a/dataplane/result.go
+++ b/dataplane/result.go
@@ -46,8 +46,24 @@
 	resultMerge                      // the greatest records of all responses
 	resultRejected                   // the request has not run: a retry is harmless
 	resultFailed                     // the request may have run
+	resultKinds                      // how many there are
 )
 
+// String returns the kind in one word, as metrics name it.
+func (k resultKind) String() string {
+	switch k {
+	case resultForward:
+		return "forwarded"
+	case resultMerge:
+		return "merged"
+	case resultRejected:
+		return "rejected"
+	case resultFailed:
+		return "failed"
+	}
+	return "unknown"
+}
+
 // release releases the responses.
 func (r result) release() {
 	for _, resp := range r.responses {
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,6 +45,9 @@
 			c.add("data_directory is missing: a controller stores its state there")
 		}
 	}
+	if s.MetricsPort > maxPort {
+		c.add("metrics_port %d is not a port", s.MetricsPort)
+	}
 	if s.HeartbeatIntervalMS <= 0 {
 		c.add("beat_interval_ms %v is not above 0", s.HeartbeatIntervalMS)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -32,6 +33,7 @@
 	DataDirectory       string            `toml:"data_directory"`   // of a controller, for its state file
 	HeartbeatIntervalMS float64           `toml:"beat_interval_ms"` // between two heartbeats of a server, above 0
 	Zones               map[string]string `toml:"zones"`            // regions by zone
+	MetricsPort         int               `toml:"metrics_port"`     // of a gateway; 0 = DefaultMetricsPort, below 0 = none
 	Listen              Listen            `toml:"listen_addresses"`
 	Limits              Limits            `toml:"limits"`
 	ToleratedLosses     ToleratedLosses   `toml:"tolerated_losses"`
@@ -135,6 +137,18 @@
 	return netip.AddrPortFrom(address, uint16(s.InternalPorts[0]+offset)).String()
 }
 
+// DefaultMetricsPort is the port on which a gateway serves its metrics; deploy/system.toml names it.
+const DefaultMetricsPort = 9464
+
+// MetricsAddress returns the address at which metrics are served, "" = none. The settings must have been checked.
+func (s *Settings) MetricsAddress() string {
+	if s.MetricsPort < 0 {
+		return ""
+	}
+	address, _ := netip.ParseAddr(s.IPAddress)
+	return netip.AddrPortFrom(address, uint16(cmp.Or(s.MetricsPort, DefaultMetricsPort))).String()
+}
+
 // SeedControllers returns the internal addresses of the seeds' controllers.
 func (s *Settings) SeedControllers() (addresses []string) {
 	for _, seed := range s.SeedAddresses {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -112,6 +112,7 @@
 		{"internal_ports", func(s *Settings) { s.InternalPorts = []int{7120, 7120} }},
 		{"internal_ports", func(s *Settings) { s.InternalPorts = []int{7120, 65536} }},
 		{"internal_ports", func(s *Settings) { s.InternalPorts = nil }},
+		{"metrics_port", func(s *Settings) { s.MetricsPort = 65536 }},
 		{"seed_addresses", func(s *Settings) { s.SeedAddresses = nil }},
 		{"seed address", func(s *Settings) { s.SeedAddresses = []string{"10.1.0.2"} }},
 		{"front_address", func(s *Settings) { s.Listen.Front = "" }},
