--- a/balancer/gateway_test.go
+++ b/balancer/gateway_test.go
@@ -257,3 +257,25 @@
 		}
 	}
 }
+
+// A probation attempt counts as an attempt: a call that may be sent to one server only has none beside its first one.
+func TestProbationKeepsAttemptLimit(t *testing.T) {
+	for _, limit := range []int{1, 2} {
+		queryType := gatewayQueryType
+		queryType.MaxAttempts = limit
+		b := gatewayHarness(1, queryType)
+		b.at += 20000 * Millisecond
+		most := 0
+		for range 200 {
+			b.at += 100 * Millisecond
+			s := b.servers[1]
+			s.probation, s.ejectedUntil = true, b.at-1
+			sends, _ := b.request(1)
+			most = max(most, len(sends))
+			for number, a := range sends {
+				b.do(AttemptEnded{Call: a.Call, Attempt: AttemptNumber(number), Server: a.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+			}
+		}
+		failIf(t, most != limit, "%d servers at once for a call that may be sent to %d", most, limit)
+	}
+}
--- a/dataplane/metrics_test.go
+++ b/dataplane/metrics_test.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -11,7 +12,9 @@
 )
 
 // metricsText returns a gateway's metrics as they are served.
-func (b *testbed) metricsText() string { return string(metrics.Append(nil, b.gateway.collectMetrics()...)) }
+func (b *testbed) metricsText() string {
+	return string(metrics.Append(nil, b.gateway.collectMetrics()...))
+}
 
 // Attempts are counted by their reasons, results by their kinds, and clients that leave.
 func TestMetricsOfRequests(t *testing.T) {
@@ -43,3 +46,55 @@
 		}
 	})
 }
+
+// Servers that fell silent are tried again beside others, but never beyond the attempts of the request's route: here each request is
+// sent to one server of each service.
+func TestRecoveringServersKeepAttemptLimit(t *testing.T) {
+	for _, path := range []string{"/one/x", "/all/x"} {
+		t.Run(strings.ReplaceAll(path, "/", " "), func(t *testing.T) {
+			servers := &recordingServers{serviceTime: 15 * time.Millisecond, silent: 6}
+			runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
+				b.activateAttempts(2, 1)
+				time.Sleep(12 * time.Second) // the retry budget is for probation attempts too
+				for i := range 400 {
+					conn := b.dialGateway(t)
+					io.WriteString(conn, requestText("GET", path, fmt.Sprint("request-", i), 850*time.Millisecond))
+					go func() {
+						time.Sleep(time.Second)
+						conn.Close()
+					}()
+					time.Sleep(20 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				servers.requireAttempts(t, 1)
+				if got := b.metricsText(); !strings.Contains(got, "attempts_over_limit_total{reason=\"probation\"} 0\n") {
+					t.Errorf("attempts over the limit are counted:\n%s", got)
+				}
+			})
+		})
+	}
+}
+
+// requireAttempts requires that no request reached more servers of one service than it may.
+func (s *recordingServers) requireAttempts(t *testing.T, limit int) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reached := map[string]int{}
+	over, silent := 0, 0
+	for _, a := range s.attempts {
+		key := a.service + " " + a.id
+		if reached[key]++; reached[key] == limit+1 {
+			over++
+		}
+		if !a.answered {
+			silent++
+		}
+	}
+	if over > 0 {
+		t.Errorf("%d of %d calls ran on more than %d servers", over, len(reached), limit)
+	}
+	if silent == 0 || len(reached) == 0 {
+		t.Errorf("%d calls, %d unanswered: the test shows nothing", len(reached), silent)
+	}
+}
