balancer: every attempt is held to its route's limit where a server is chosen

Change: canDispatch, which each choice of a server asks, holds the limit and idempotency (canAttempt); the callers no longer do.

--- a/balancer/completion.go
+++ b/balancer/completion.go
@@ -21,7 +21,7 @@
 		if call.answered {
 			got += call.weight
 		}
-		if call.answered || (call.inFlight > 0 || b.canRetry(call)) && !(covered && skippable(call)) {
+		if call.answered || (call.inFlight > 0 || b.canAttempt(call)) && !(covered && skippable(call)) {
 			reachable += call.weight
 		}
 	}
@@ -55,7 +55,7 @@
 	}
 	s, healthy := b.bestReplica(call)
 	switch {
-	case s == nil || !b.canRetry(call) || p.inFlight == 0 && !healthy && b.now < p.retryFrom:
+	case s == nil || p.inFlight == 0 && !healthy && b.now < p.retryFrom:
 	case p.inFlight == 0 && (len(call.attempts) == 0 || b.withinBudget(call, 1)):
 		b.dispatch(call, s, call.firstOr(RetryAttempt))
 	case p.inFlight == 1 && p.probation >= 0: // no more than two may be in flight
--- a/balancer/invariants_test.go
+++ b/balancer/invariants_test.go
@@ -27,9 +27,11 @@
 	timers         []SetTimer
 	healthChecks   []ServerID // in flight
 	nextID         uint64
+	maxCalls       int // of a request
 }
 
-func newSimulation(t *rapid.T) *simulation {
+// newSimulation draws a configuration; as a gateway, one of those that the data plane uses, with several servers for each shard.
+func newSimulation(t *rapid.T, asGateway bool) *simulation {
 	config := Config{
 		Seed: rapid.Uint64().Draw(t, "seed"), Instances: rapid.IntRange(1, 4).Draw(t, "instances"), ClockResolution: 50,
 		Shards: rapid.IntRange(1, 12).Draw(t, "shards"), Cells: rapid.IntRange(1, 6).Draw(t, "cells"),
@@ -43,16 +45,31 @@
 		RetryBudgetWindow: 50000, OverQuotaValue: 0.1, Customers: []CustomerConfig{{20}, {0}},
 	}
 	config.ReplicationFactor = rapid.IntRange(1, config.Cells).Draw(t, "replication factor")
+	if asGateway { // the shards come later, each with a budget and servers of its own
+		config.HasRetryBudget, config.RetryBudgetPerShard, config.AllowHedging = true, true, true
+		config.RetryBudgetBase = rapid.SampledFrom([]float64{1, 8, 50}).Draw(t, "base")
+		config.Shards = rapid.IntRange(1, 2).Draw(t, "shards of a gateway") // several servers each
+		config.ReplicationFactor, config.Cells = 1, config.Shards
+	}
 	for _, idempotency := range []Idempotency{Idempotent, Deduplicated, NonIdempotent} {
 		queryType := QueryTypeConfig{Idempotency: idempotency, LatencyTarget: 10000, ClientTimeout: 25000, DedupWindow: 8000,
 			LateValue: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late value"), PartialValue: 0.9,
-			MinCoverage: rapid.SampledFrom([]float64{0.5, 0.8, 1}).Draw(t, "min coverage"), CompleteCoverage: 1}
+			MinCoverage: rapid.SampledFrom([]float64{0.5, 0.8, 1}).Draw(t, "min coverage"), CompleteCoverage: 1,
+			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "max attempts of the type")}
 		queryType.CompleteCoverage = max(queryType.MinCoverage, rapid.SampledFrom([]float64{0.75, 1}).Draw(t, "complete coverage"))
 		queryType.SecondPhaseCalls = rapid.SampledFrom([]int{0, 2}).Draw(t, "second phase calls")
 		config.QueryTypes = append(config.QueryTypes, queryType)
 	}
 	m := &referenceModel{t: t, config: config, now: 1000000, servers: map[ServerID]*modelServer{}}
-	w := &simulation{referenceModel: m, balancer: New(config), twin: New(config)}
+	initial := config
+	if asGateway {
+		initial.Shards, initial.Cells = 0, 1
+	}
+	w := &simulation{referenceModel: m, balancer: New(initial), twin: New(initial), maxCalls: 5}
+	if asGateway {
+		w.maxCalls = 2 // so that most attempts end, and servers are idle when their ejection is over
+		w.event(ClusterResized{Shards: config.Shards, Instances: config.Instances})
+	}
 	var list []Server
 	for i := range rapid.IntRange(1, 10).Draw(t, "servers") {
 		list = append(list, w.server(ServerID(i+1)))
@@ -115,7 +132,7 @@
 		timeout: Time(rapid.IntRange(0, 25000).Draw(w.t, "timeout")), phase: 1}
 	w.requests = append(w.requests, req)
 	w.admitted = append(w.admitted, w.now)
-	calls := w.addCalls(req, rapid.IntRange(1, 5).Draw(w.t, "calls"))
+	calls := w.addCalls(req, rapid.IntRange(1, w.maxCalls).Draw(w.t, "calls"))
 	w.event(RequestArrived{Request: req.id, Number: req.number, Type: QueryType(kind), Timeout: req.timeout,
 		Customer: CustomerIndex(rapid.IntRange(0, 1).Draw(w.t, "customer")), Calls: calls})
 }
@@ -165,10 +182,15 @@
 	}
 }
 
-func TestInvariants(t *testing.T) {
+func TestInvariants(t *testing.T) { checkInvariants(t, false, 60) }
+
+// A gateway's balancer hedges attempts at servers on probation, which takes more steps to come about.
+func TestGatewayInvariants(t *testing.T) { checkInvariants(t, true, 240) }
+
+func checkInvariants(t *testing.T, asGateway bool, maxSteps int) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSimulation(t)
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+		w := newSimulation(t, asGateway)
+		for range rapid.IntRange(1, maxSteps).Draw(t, "steps") {
 			switch step := rapid.IntRange(0, 10).Draw(t, "step"); step {
 			case 0, 1, 2:
 				w.arrive()
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"slices"
 
 	"pgregory.net/rapid"
@@ -163,7 +164,8 @@
 	req, call := m.call(a.Call)
 	m.failIf(req.ended || call.phase != req.phase || call.answered,
 		"one outcome in time: call %d sent after it had ended", call.ID)
-	m.failIf(len(call.attempts) >= m.config.MaxAttempts, "call %d sent %d times", call.ID, len(call.attempts)+1)
+	limit := cmp.Or(req.queryType.MaxAttempts, m.config.MaxAttempts)
+	m.failIf(len(call.attempts) >= limit, "call %d sent %d times, %d are allowed", call.ID, len(call.attempts)+1, limit)
 	s := m.servers[a.Server]
 	cells := m.config.Cells
 	m.failIf(s == nil || (int(s.Cell)-int(call.Shard)%cells+cells)%cells >= m.config.ReplicationFactor,
@@ -187,14 +189,18 @@
 	call.attempts = append(call.attempts, send)
 	s.attempts = append(s.attempts, send)
 	if m.config.HasRetryBudget && len(call.attempts) > 1 {
-		m.checkBudget()
+		m.checkBudget(call.Shard)
 	}
 	m.checkSlowStart(s)
 }
 
-func (m *referenceModel) checkBudget() {
+// checkBudget checks the retry budget that pays for the calls of a shard.
+func (m *referenceModel) checkBudget(shard ShardIndex) {
 	retries, admitted := 0.0, 0.0
 	for _, s := range m.attempts {
+		if _, call := m.call(s.call); m.config.RetryBudgetPerShard && call.Shard != shard {
+			continue
+		}
 		if s.number > 0 && s.at > m.now-m.config.RetryBudgetWindow && !(s.ended && s.outcome == NotDispatched) {
 			retries++
 		}
--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -163,10 +163,11 @@
 	return best, healthy
 }
 
-// canDispatch reports whether a call may be sent to a ready server at all, healthy or not.
+// canDispatch reports whether a call may be sent to a ready server at all, healthy or not. No attempt, whatever
+// it is sent for, goes to a server that has not passed here.
 func (b *Balancer) canDispatch(s *server, call *shardCall) bool {
 	out := slices.ContainsFunc(call.attempts, func(a *attempt) bool { return a.server == s && !a.ended })
-	return !out && b.hasCapacity(s, call) && b.slowStartAllows(s, call.size)
+	return !out && b.canAttempt(call) && b.hasCapacity(s, call) && b.slowStartAllows(s, call.size)
 }
 
 // isHealthyFor reports whether a server may be sent a call, looks healthy and has not had the call. On
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// canRetry reports whether idempotency and the limit of attempts allow one more attempt of a call.
-func (b *Balancer) canRetry(call *shardCall) bool {
+// canAttempt reports whether idempotency and the limit of attempts allow one more attempt of a call.
+func (b *Balancer) canAttempt(call *shardCall) bool {
 	policy := call.req.policy
 	for _, a := range call.attempts {
 		inWindow := policy.Idempotency == Deduplicated && b.now+b.margin <= a.sentAt+policy.DedupWindow
