dataplane: a route's number is not given to another while its requests may be under way

A request read under a configuration whose route goes in the next one, and whose number goes to a route added in the one after, was judged by the added route: one that must not be repeated reached two servers (TestRequestKeepsItsRouteAcrossConfigurations, which forces the order). Change: a number rests for a minute.

--- a/dataplane/active_config.go
+++ b/dataplane/active_config.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -105,13 +106,13 @@
 	s.endpoints.setServices(c.Services)
 	s.endpoints.resizeCluster()
 	next := &activeConfig{slot: slot, version: c.Version, table: config.NewRouteTable(c), routes: map[*config.Route]*route{}}
-	previous := s.queryTypes.reset()
+	previous, now := s.queryTypes.reset(), time.Now()
 	for i := range c.Routes {
-		r := s.newRoute(&c.Routes[i], previous)
+		r := s.newRoute(&c.Routes[i], previous, now)
 		next.routes[r.Route] = r
 		s.balancer.handleEvent(balancer.QueryTypeChanged{Type: r.queryType, Config: r.queryTypeConfig()})
 	}
-	s.queryTypes.release(previous)
+	s.queryTypes.release(previous, now)
 	s.active.Store(next)
 	s.tenants.rebuildTenants()
 	s.endpoints.sync()
@@ -119,9 +120,9 @@
 }
 
 // newRoute numbers a configured route and its services. Previous are the query types of the configuration before.
-func (s *configStore) newRoute(configured *config.Route, previous map[string]balancer.QueryType) *route {
+func (s *configStore) newRoute(configured *config.Route, previous map[string]balancer.QueryType, now time.Time) *route {
 	key := strings.ToLower(configured.Hostname) + configured.PathPrefix
-	r := &route{Route: configured, queryType: s.queryTypes.assign(key, previous)}
+	r := &route{Route: configured, queryType: s.queryTypes.assign(key, previous, now)}
 	for _, service := range configured.Services() {
 		shard := s.endpoints.shardIndex(service)
 		if configured.Gathered() {
@@ -174,11 +175,21 @@
 	return defaultHealthPath
 }
 
+// queryTypeReuse is how long after its route went a number is given to another route. A request that was read before is in the loop
+// long by then: else it would be sent again by the rules of the other route.
+const queryTypeReuse = time.Minute
+
 // queryTypeTable numbers routes. A route keeps its number from one configuration to the next; the number of one that went is given
-// to another.
+// to another later.
 type queryTypeTable struct {
 	assigned map[string]balancer.QueryType // by host and path prefix
-	free     []balancer.QueryType
+	free     []freeQueryType               // in the order in which their routes went
+}
+
+// freeQueryType is a number without a route.
+type freeQueryType struct {
+	queryType balancer.QueryType
+	since     time.Time
 }
 
 // reset begins a new configuration, and returns the numbers of the one before.
@@ -189,13 +200,13 @@
 }
 
 // assign numbers a route, and takes its number out of previous if it had one.
-func (t *queryTypeTable) assign(key string, previous map[string]balancer.QueryType) balancer.QueryType {
+func (t *queryTypeTable) assign(key string, previous map[string]balancer.QueryType, now time.Time) balancer.QueryType {
 	queryType, known := previous[key]
 	delete(previous, key)
 	if !known {
 		queryType = balancer.QueryType(len(t.assigned) + len(previous) + len(t.free))
-		if n := len(t.free); n > 0 {
-			queryType, t.free = t.free[n-1], t.free[:n-1]
+		if len(t.free) > 0 && now.Sub(t.free[0].since) >= queryTypeReuse {
+			queryType, t.free = t.free[0].queryType, t.free[1:]
 		}
 	}
 	t.assigned[key] = queryType
@@ -203,8 +214,8 @@
 }
 
 // release frees the numbers of routes that went.
-func (t *queryTypeTable) release(previous map[string]balancer.QueryType) {
+func (t *queryTypeTable) release(previous map[string]balancer.QueryType, now time.Time) {
 	for _, queryType := range previous {
-		t.free = append(t.free, queryType)
+		t.free = append(t.free, freeQueryType{queryType: queryType, since: now})
 	}
 }
--- a/dataplane/metrics_test.go
+++ b/dataplane/metrics_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"oxbowspan/config"
 	"oxbowspan/internal/metrics"
 	"oxbowspan/internal/settings"
 )
@@ -98,3 +99,39 @@
 		t.Errorf("%d calls, %d unanswered: the test shows nothing", len(reached), silent)
 	}
 }
+
+// A request that is on its way into the loop while its route goes, and while another route is added, keeps the limits of its own route.
+func TestRequestKeepsItsRouteAcrossConfigurations(t *testing.T) {
+	servers := &recordingServers{serviceTime: 15 * time.Millisecond, broken: 1}
+	runWithRecordingServers(t, servers, scenario{}, settings.Bounds{}, func(t *testing.T, b *testbed) {
+		g := b.gateway
+		before := g.configs.load()
+		once := before.table.Find("h", oncePath+"x")
+		if once == nil {
+			t.Fatal("no route")
+		}
+		results := make(chan result, 1)
+		r := &request{
+			route: before.routes[once], method: "POST", uri: oncePath + "x", attemptID: "q", header: []byte("Host: h\r\nX-Attempt-Id: q\r\n"),
+			deadline: ticks(800 * time.Millisecond), deliver: func(outcome result) { results <- outcome },
+		}
+		g.loop.post(func() {
+			without := testConfiguration(2)
+			without.Routes[0].PathPrefix = "/elsewhere/" // its service stays in use
+			without.Routes = append(without.Routes[1:], without.Routes[0])
+			g.activateConfig(without, nil, 2)
+			with := testConfiguration(3)
+			with.Routes[0].PathPrefix = "/elsewhere/"
+			with.Routes = append(with.Routes, config.Route{
+				Hostname: "h", PathPrefix: "/new/", RouteKind: config.Retryable, TimeoutMS: 900, TargetMS: 90, Service: "one", Attempts: 3,
+			})
+			g.activateConfig(with, nil, 3)
+		})
+		g.dispatcher.submit(r)
+		outcome := <-results
+		outcome.release()
+		if seen := servers.seen("q"); len(seen) != 1 {
+			t.Errorf("a request that must not be repeated reached %d servers", len(seen))
+		}
+	})
+}
