Rollouts: agreed by the controllers, shifted by the gateways in steps, decided by what requests met

Change: package rollout (steps, exposure, sequential comparison of the versions' answers, barrier before the old servers may stop); its document is agreed on as tenants are; each transition builds on the document version that it was decided from. Gateways keep the servers of each version in a shard of their own and report by polls; controllers gossip these reports.

--- a/controlplane/api.go
+++ b/controlplane/api.go
@@ -43,6 +43,10 @@
 	mux.HandleFunc("GET /-/nodes/read", status.listGateways)
 	mux.HandleFunc("GET /-/servers/read", status.servers)
 	mux.HandleFunc("GET /-/events/read", status.listEvents)
+	rollouts := &rolloutAPI{loop: c.loop, rollouts: c.rollouts, values: values, proposer: c.proposer, log: c.log}
+	mux.HandleFunc("POST /-/rollouts/begin", rollouts.begin)
+	mux.HandleFunc("GET /-/rollouts/read", rollouts.list)
+	mux.HandleFunc("GET /-/rollouts/{service}/read", rollouts.read)
 	stats := &gatewayStatsAPI{loop: c.loop, clock: c.clock, verifier: c.verifier, gateways: c.gateways}
 	mux.HandleFunc("GET /-/tenants/explain", stats.tenants)
 	mux.HandleFunc("GET /-/judgement/explain", stats.outliers)
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -59,6 +59,7 @@
 	membership    *membershipManager
 	completion    *replicaCompletion
 	proposer      *proposer
+	rollouts      *rolloutManager
 	scheduler     *proposalScheduler
 	drainer       *drainer
 
@@ -96,8 +97,8 @@
 		zone:           s.Zone,
 	}
 	c.wireRegister(base)
-	c.wireServices()
-	c.wireProposals(state.Promised.Number)
+	c.wireServices(state.Promised.Number)
+	c.wireProposals()
 	c.hints.restore()
 	return c, nil
 }
@@ -119,7 +120,7 @@
 }
 
 // wireServices makes the components that talk with servers, gateways and peers.
-func (c *Controller) wireServices() {
+func (c *Controller) wireServices(highestBallot uint64) {
 	c.gateways = newGatewayDirectory(c.clock, c.events, c.updates)
 	c.heartbeats = newHeartbeatService(c.clock, c.table, c.learner, c.contact, c.peers, c.updates)
 	c.polls = newPollService(pollDependencies{
@@ -135,6 +136,21 @@
 		table:             c.table,
 		updates:           c.updates,
 	})
+	id := consensus.ProposerID(acceptorstore.NewAcceptorID())
+	c.proposer = newProposer(id, highestBallot, c.loop, c.learner, c.acceptor, c.peers)
+	c.rollouts = newRolloutManager(rolloutDependencies{
+		self:     c.self,
+		loop:     c.loop,
+		clock:    c.clock,
+		learner:  c.learner,
+		contact:  c.contact,
+		peers:    c.peers,
+		gateways: c.gateways,
+		table:    c.table,
+		events:   c.events,
+		proposer: c.proposer,
+		log:      c.log,
+	})
 	c.gossip = newGossiper(gossipDependencies{
 		self:       c.self,
 		loop:       c.loop,
@@ -149,13 +165,12 @@
 		membership: c.membership,
 		heartbeats: c.heartbeats,
 		updates:    c.updates,
+		rollouts:   c.rollouts,
 	})
 }
 
 // wireProposals makes the components that have values decided.
-func (c *Controller) wireProposals(highestBallot uint64) {
-	id := consensus.ProposerID(acceptorstore.NewAcceptorID())
-	c.proposer = newProposer(id, highestBallot, c.loop, c.learner, c.acceptor, c.peers)
+func (c *Controller) wireProposals() {
 	c.scheduler = newProposalScheduler(schedulerDependencies{
 		firstStart: c.settings.FirstStart,
 		loop:       c.loop,
--- a/controlplane/controller_loop.go
+++ b/controlplane/controller_loop.go
@@ -62,6 +62,7 @@
 	} else if at != 0 {
 		next = min(next, at)
 	}
+	next = c.rollouts.advance(now, next)
 	return c.polls.expire(now, next)
 }
 
--- a/controlplane/event_log.go
+++ b/controlplane/event_log.go
@@ -24,6 +24,7 @@
 	eventController    eventKind = "hive"
 	eventGateway       eventKind = "node"
 	eventServer        eventKind = "server"
+	eventRollout       eventKind = "rollout"
 )
 
 type eventRecord struct {
--- a/controlplane/gateways.go
+++ b/controlplane/gateways.go
@@ -24,6 +24,9 @@
 	polledAt  time.Duration // 0 = never
 	sentBytes int           // of the version that it was last sent
 	sentAt    time.Duration // 0 = never
+
+	rollouts   *rpc.GatewayRollouts // its newest report, to any controller
+	rolloutsAt time.Duration        // 0 = never
 }
 
 // pollsHere reports whether the gateway polled this controller within gatewayTimeout.
--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -42,6 +42,7 @@
 	membership *membershipManager
 	heartbeats *heartbeatService
 	updates    *updateSchedule
+	rollouts   *rolloutManager
 }
 
 func newGossiper(d gossipDependencies) *gossiper { return &gossiper{gossipDependencies: d} }
@@ -75,7 +76,11 @@
 		if !ok {
 			return
 		}
-		timer.Reset(g.send(ctx, p, sent))
+		pause := g.send(ctx, p, sent)
+		if len(sent.message.Rollouts) > 0 {
+			pause = min(pause, rolloutInterval)
+		}
+		timer.Reset(pause)
 	}
 }
 
@@ -122,6 +127,7 @@
 			m.Value = g.valueFor(p)
 		}
 	}
+	m.Rollouts = g.rollouts.gossiped(now)
 	cursor := g.table.Cursor()
 	g.addReports(m, p, now)
 	g.addGateways(m, p, now)
@@ -200,6 +206,9 @@
 	g.observeReplica(p, m.From, consensus.Slot(m.Slot))
 	g.receiveReports(p, m.Reports, now)
 	reply.UnknownGateway = g.receiveGateways(m.Gateways, now)
+	for _, report := range m.Rollouts {
+		g.gateways.receiveRollouts(report, now)
+	}
 	reply.DifferingRanges = g.compareDigests(p, m.RangeDigests)
 	if g.learner.confirmed {
 		reply.Slot = uint64(g.learner.value.Slot)
--- a/controlplane/poll_service.go
+++ b/controlplane/poll_service.go
@@ -75,6 +75,7 @@
 	s.gateways.observe(from, now, true)
 	if g := s.gateways.byIncarnation[from.Incarnation]; g != nil {
 		g.stats, g.slot, g.polledAt = poll.Stats, poll.Slot, now
+		s.gateways.receiveRollouts(poll.Rollouts, now)
 	}
 }
 
--- a/dataplane/config_follower.go
+++ b/dataplane/config_follower.go
@@ -12,6 +12,7 @@
 // Timing of the polls of controllers.
 const (
 	pollHold          = time.Second            // for which a controller may hold a poll until there is something new
+	rolloutPollHold   = 200 * time.Millisecond // while a rollout runs: each poll reports how it fares
 	pollTimeoutMargin = 700 * time.Millisecond // beyond that, after which it counts as unreachable
 	retryPause        = 120 * time.Millisecond // between controllers that don't answer or have no quorum,
 	startupRetryPause = 40 * time.Millisecond  // and while no configuration is known: until then every client is refused
@@ -36,7 +37,8 @@
 // pollStatus is the status of this gateway that a poll reports to the controllers.
 type pollStatus struct {
 	healthChecks []*rpc.ServerReport
-	stats        *rpc.GatewayStats // nil = nothing to report
+	stats        *rpc.GatewayStats    // nil = nothing to report
+	rollouts     *rpc.GatewayRollouts // nil = none is running
 }
 
 // configFollower polls the controllers for updates, one at a time, each poll with what is known already. While no controller with a
@@ -146,7 +148,10 @@
 	}
 	select {
 	case status := <-statuses:
-		poll.HealthChecks, poll.Stats = status.healthChecks, status.stats
+		poll.HealthChecks, poll.Stats, poll.Rollouts = status.healthChecks, status.stats, status.rollouts
+		if poll.Rollouts != nil {
+			poll.WaitMs = uint32(rolloutPollHold / time.Millisecond)
+		}
 	case <-f.stopped:
 	}
 }
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -54,6 +54,7 @@
 	sender    attemptSender
 	tenants   tenantAccounting
 	outcomes  outcomeRecorder
+	rollouts  *rolloutTable
 
 	requests      map[balancer.RequestID]*request     // until their result
 	shardCalls    map[balancer.ShardCallID]*shardCall // until their request has finished and no attempt is in flight
@@ -69,6 +70,7 @@
 	sender    attemptSender
 	tenants   tenantAccounting
 	outcomes  outcomeRecorder
+	rollouts  *rolloutTable
 }
 
 func newDispatcher(p *process, loop timerLoop, options dispatcherOptions) *dispatcher {
@@ -81,6 +83,7 @@
 		sender:     options.sender,
 		tenants:    options.tenants,
 		outcomes:   options.outcomes,
+		rollouts:   options.rollouts,
 		requests:   map[balancer.RequestID]*request{},
 		shardCalls: map[balancer.ShardCallID]*shardCall{},
 	}
@@ -128,7 +131,7 @@
 		Number:     d.nextNumber(),
 		Type:       r.route.queryType,
 		Timeout:    r.deadline,
-		Candidates: r.route.alternatives,
+		Candidates: d.rollouts.chooseAmong(r.route.alternatives),
 	}
 	shards := r.route.shards
 	if len(shards) == 0 {
@@ -136,6 +139,8 @@
 	}
 	for _, shard := range shards {
 		call := &shardCall{request: r, id: balancer.ShardCallID(d.ids.next()), shard: shard}
+		d.openCall(call, event.Candidates)
+		shard = call.shard
 		r.shardCalls = append(r.shardCalls, call)
 		d.shardCalls[call.id] = call
 		event.Calls = append(event.Calls, balancer.ShardCall{ID: call.id, Shard: shard, Weight: 1 / float64(len(shards))})
@@ -145,6 +150,20 @@
 	d.watchDispatch(r, d.loop.now())
 }
 
+// openCall chooses the version of a gathered call's servers, and counts the call at each shard to which it may be sent.
+func (d *dispatcher) openCall(call *shardCall, candidates []balancer.WeightedShard) {
+	if len(candidates) == 0 {
+		call.shard = d.rollouts.choose(call.shard)
+		call.mayUse = []balancer.ShardIndex{call.shard}
+	}
+	for _, candidate := range candidates {
+		call.mayUse = append(call.mayUse, candidate.Shard)
+	}
+	for _, shard := range call.mayUse {
+		d.rollouts.opened(shard)
+	}
+}
+
 // nextNumber numbers requests from 1, and starts again before the type overflows.
 func (d *dispatcher) nextNumber() balancer.RequestNumber {
 	d.lastNumber++
@@ -239,6 +258,7 @@
 func (d *dispatcher) attemptEnded(a *attempt, outcome balancer.Outcome, resp *fasthttp.Response) {
 	call, e := a.shardCall, a.endpoint
 	a.ended = true
+	d.rollouts.observe(a, outcome, d.loop.now()-a.sentAt)
 	call.attempts[a.number] = nil
 	call.inFlight--
 	e.load.add(d.loop.now(), -1)
@@ -317,8 +337,11 @@
 
 // forgetIfDone forgets a shard call once its request has finished and no attempt is in flight.
 func (d *dispatcher) forgetIfDone(call *shardCall) {
-	if call.request.finished && call.inFlight == 0 {
+	if call.request.finished && call.inFlight == 0 && d.shardCalls[call.id] != nil {
 		delete(d.shardCalls, call.id)
+		for _, shard := range call.mayUse {
+			d.rollouts.closed(shard)
+		}
 	}
 }
 
--- a/dataplane/endpoints.go
+++ b/dataplane/endpoints.go
@@ -16,6 +16,7 @@
 	address  string
 	service  string
 	zone     string
+	version  string // of its program
 
 	// As reported by the controllers.
 	state           registry.State
@@ -29,6 +30,7 @@
 	loggedState string // outlier state, as last logged
 	health      healthCheckState
 	load        endpointLoad
+	respondedAt balancer.Time // when it last responded to a request during a rollout of its service
 
 	idle        []*serverConn // the last used last
 	connections int           // open ones and those being made
@@ -113,6 +115,17 @@
 	removeServer(e *endpoint)
 }
 
+// versionShards tells apart the servers of a service whose versions have a rollout.
+type versionShards interface {
+	// shardName returns the name of the shard that a service's server of a version belongs to.
+	shardName(service, version string) string
+}
+
+// oneShardEach has all servers of a service in one shard.
+type oneShardEach struct{}
+
+func (oneShardEach) shardName(service, _ string) string { return service }
+
 // endpointTable holds the known servers, numbers their services and zones, and keeps the balancer's server list up to date.
 // It is owned by the loop.
 type endpointTable struct {
@@ -122,6 +135,7 @@
 	balancer eventSink
 	quota    connectionQuota
 	outliers outlierTargets
+	rollouts versionShards
 
 	byInstance       map[string]*endpoint // until they are gone
 	byID             map[balancer.ServerID]*endpoint
@@ -129,6 +143,7 @@
 	zones            map[string]balancer.ZoneIndex  // by name; entries are never removed
 	connectionLimits map[string]int                 // by configured service: what one server takes from all gateways; nil = no configuration yet
 	slots            map[string]*slotAssignment     // by service, for those with fewer connection slots than gateways
+	usableServersOf  map[balancer.ShardIndex]int    // that the balancer may send to
 }
 
 func newEndpointTable(p *process, members *membership, ids *idSequence) *endpointTable {
@@ -141,6 +156,9 @@
 		shards:     map[string]balancer.ShardIndex{},
 		zones:      map[string]balancer.ZoneIndex{p.settings.Zone: localZone},
 		slots:      map[string]*slotAssignment{},
+
+		usableServersOf: map[balancer.ShardIndex]int{},
+		rollouts:        oneShardEach{},
 	}
 }
 
@@ -164,6 +182,14 @@
 	return index
 }
 
+// shardOf returns the number of the shard that a server belongs to.
+func (t *endpointTable) shardOf(e *endpoint) balancer.ShardIndex {
+	return t.shardIndex(t.rollouts.shardName(e.service, e.version))
+}
+
+// usable reports whether requests can be sent to servers of a shard.
+func (t *endpointTable) usable(shard balancer.ShardIndex) bool { return t.usableServersOf[shard] > 0 }
+
 func (t *endpointTable) zoneIndex(name string) balancer.ZoneIndex {
 	index, known := t.zones[name]
 	if !known {
@@ -215,7 +241,7 @@
 	}
 	if report.Sequence >= e.sequence {
 		if report.Service != "" {
-			e.address, e.service, e.zone = report.Address, report.Service, report.Zone
+			e.address, e.service, e.zone, e.version = report.Address, report.Service, report.Zone, report.Version
 		}
 		e.sequence, e.unresponsive, e.heartbeatMissed = report.Sequence, report.Unresponsive, report.HeartbeatMissed
 	}
@@ -234,6 +260,7 @@
 			Service:      e.service,
 			Address:      e.address,
 			Zone:         e.zone,
+			Version:      e.version,
 			State:        uint32(e.state),
 			Sequence:     e.sequence,
 			Unresponsive: e.unresponsive,
@@ -245,8 +272,9 @@
 // sync updates the balancer's server list, the connection limits and the outlier detection from the table.
 func (t *endpointTable) sync() {
 	for _, e := range t.byInstance {
-		t.shardIndex(e.service)
+		t.shardOf(e)
 	}
+	clear(t.usableServersOf)
 	t.resizeCluster()
 	assigned := t.assignedServers()
 	list := balancer.ServerList{Kind: balancer.ListDelta}
@@ -264,13 +292,16 @@
 	entry := balancer.Server{
 		ID:          e.id,
 		Zone:        t.zoneIndex(e.zone),
-		Cell:        balancer.CellIndex(t.shardIndex(e.service)),
+		Cell:        balancer.CellIndex(t.shardOf(e)),
 		MaxInFlight: t.quota.maxConnections(e.service),
 	}
 	if own, limited := assigned[e.service]; !limited || own[e.instance] {
 		entry.State = e.balancerState()
 	}
 	e.listed = entry.State == balancer.Ready
+	if e.listed {
+		t.usableServersOf[t.shardOf(e)]++
+	}
 	if !e.listed {
 		e.closeIdle()
 	}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -11,6 +11,7 @@
 //   - quotaClient and quotaAllocator share connections among tenants
 //   - outlierClient detects outliers together with the other gateways
 //   - loadExchange exchanges loads with other gateways
+//   - rolloutTable shifts traffic to servers of new versions, as the controllers agreed
 //   - healthChecker checks servers whose heartbeats are lost
 //
 // All but frontServer and configFollower are owned by one goroutine, that of eventLoop; other goroutines post commands to it.
@@ -64,6 +65,7 @@
 	dispatcher *dispatcher
 	loads      *loadExchange
 	health     *healthChecker
+	rollouts   *rolloutTable
 	follower   *configFollower
 	front      *frontServer
 }
@@ -82,6 +84,7 @@
 	g.quota = newQuotaClient(g.process, g.loop, g.members, g.endpoints, g.configs)
 	decisions := balancer.New(balancerConfig(options, g.process.incarnation, g.quota))
 	g.outliers = newOutlierClient(g.process, g.loop, g.members, g.endpoints, decisions)
+	g.rollouts = newRolloutTable(g.process, g.loop, g.endpoints)
 	conns := newConnPool(g.process, g.loop)
 	g.dispatcher = newDispatcher(g.process, g.loop, dispatcherOptions{
 		balancer:  decisions,
@@ -90,6 +93,7 @@
 		sender:    conns,
 		tenants:   g.quota,
 		outcomes:  g.outliers,
+		rollouts:  g.rollouts,
 	})
 	g.loads = newLoadExchange(g.process, g.loop, g.members, g.endpoints, g.outliers, g.dispatcher)
 	g.health = newHealthChecker(g.process, g.loop, g.members, g.endpoints, g.configs)
@@ -98,6 +102,7 @@
 
 	// The components below depend on each other in a circle.
 	g.endpoints.balancer, g.endpoints.quota, g.endpoints.outliers = g.dispatcher, g.quota, g.outliers
+	g.endpoints.rollouts = g.rollouts
 	g.configs.balancer, g.configs.tenants = g.dispatcher, g.quota
 	g.outliers.balancer = g.dispatcher
 	conns.sink = g.dispatcher
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -54,8 +54,9 @@
 	request  *request
 	id       balancer.ShardCallID
 	shard    balancer.ShardIndex
-	attempts []*attempt // by number; nil = ended
-	inFlight int        // attempts that have not ended
+	mayUse   []balancer.ShardIndex // to whose servers it may be sent
+	attempts []*attempt            // by number; nil = ended
+	inFlight int                   // attempts that have not ended
 	response *fasthttp.Response
 
 	firstConn  *serverConn // the connection that carried it first
--- a/dataplane/updates.go
+++ b/dataplane/updates.go
@@ -5,6 +5,7 @@
 
 	"oxbowspan/balancer"
 	"oxbowspan/config"
+	"oxbowspan/rollout"
 	"oxbowspan/rpc"
 )
 
@@ -33,6 +34,7 @@
 		g.applyMembership(update.Gateways)
 	}
 	if update.HasQuorum {
+		g.rollouts.confirmContact(polledAt)
 		g.members.renew(polledAt, duration(g.loop.now()))
 	}
 }
@@ -45,6 +47,8 @@
 			g.outliers.applyPins(document)
 		case config.TenantsDocumentName:
 			g.quota.applyDocument(document)
+		case rollout.DocumentName:
+			g.rollouts.apply(document)
 		}
 	}
 }
@@ -60,7 +64,7 @@
 // pollStatus implements updateSink.
 func (g *Gateway) pollStatus() pollStatus {
 	now := g.loop.now()
-	return pollStatus{stats: g.stats(now), healthChecks: g.health.reports(now)}
+	return pollStatus{stats: g.stats(now), healthChecks: g.health.reports(now), rollouts: g.rollouts.report()}
 }
 
 // stats returns the statistics of this gateway for operators, nil = nothing but the version of its configuration.
@@ -98,7 +102,7 @@
 func (g *Gateway) answerPoll(conn *rpc.Conn, requestID uint64, poll *rpc.Poll) {
 	update := &rpc.Update{}
 	if g.configs.fill(update, poll.Slot) {
-		update.Documents = g.quota.documents()
+		update.Documents = append(g.quota.documents(), g.rollouts.documents()...)
 	}
 	update.Reports = g.endpoints.reports()
 	go conn.Respond(requestID, &rpc.Frame{Body: &rpc.Frame_Update{Update: update}})
--- a/rpc/compat_test.go
+++ b/rpc/compat_test.go
@@ -178,7 +178,23 @@
 // TestCompatExchangesSetEveryField makes sure that the recorded frames cover the schema: every message kind of a frame, and
 // every field of every message. Fields that are added later are to be listed here, as the earlier release has none of them.
 func TestCompatExchangesSetEveryField(t *testing.T) {
-	added := map[protoreflect.FullName]bool{}
+	added := map[protoreflect.FullName]bool{
+		"rpc.Gossip.rollouts":             true,
+		"rpc.Poll.rollouts":               true,
+		"rpc.GatewayRollouts.incarnation": true,
+		"rpc.GatewayRollouts.sequence":    true,
+		"rpc.GatewayRollouts.rollouts":    true,
+		"rpc.RolloutReport.service":       true,
+		"rpc.RolloutReport.number":        true,
+		"rpc.RolloutReport.step":          true,
+		"rpc.RolloutReport.open_old":      true,
+		"rpc.RolloutReport.routes":        true,
+		"rpc.RouteOutcomes.route":         true,
+		"rpc.RouteOutcomes.old_answers":   true,
+		"rpc.RouteOutcomes.old_bad":       true,
+		"rpc.RouteOutcomes.new_answers":   true,
+		"rpc.RouteOutcomes.new_bad":       true,
+	}
 	set := map[protoreflect.FullName]bool{}
 	var visit func(m protoreflect.Message)
 	visit = func(m protoreflect.Message) {
