Rollouts: commands, revert by an operator, restore; tests of cases, shares and outcomes

Cause: a rollout could be ordered by the platform's call alone, an exported state with rollouts could not be restored, and a controller that starts during a rollout took its first reports for a run of bad answers. Change: oxbowspan-control rollout begin|list|show|revert; POST /-/rollouts/SERVICE/revert; the document can be restored; answers of one report are weighed together; polls and gossip slow down with the number of gateways.

--- a/controlplane/api.go
+++ b/controlplane/api.go
@@ -46,7 +46,10 @@
 	rollouts := &rolloutAPI{loop: c.loop, rollouts: c.rollouts, values: values, proposer: c.proposer, log: c.log}
 	mux.HandleFunc("POST /-/rollouts/begin", rollouts.begin)
 	mux.HandleFunc("GET /-/rollouts/read", rollouts.list)
+	restored := &resourceAPI{resource: rolloutsResource(), values: values, changes: changes, log: c.log}
+	mux.HandleFunc("POST /-/rollouts/replace", restored.replace)
 	mux.HandleFunc("GET /-/rollouts/{service}/read", rollouts.read)
+	mux.HandleFunc("POST /-/rollouts/{service}/revert", rollouts.revert)
 	stats := &gatewayStatsAPI{loop: c.loop, clock: c.clock, verifier: c.verifier, gateways: c.gateways}
 	mux.HandleFunc("GET /-/tenants/explain", stats.tenants)
 	mux.HandleFunc("GET /-/judgement/explain", stats.outliers)
--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -77,8 +77,8 @@
 			return
 		}
 		pause := g.send(ctx, p, sent)
-		if len(sent.message.Rollouts) > 0 {
-			pause = min(pause, rolloutInterval)
+		if reports := len(sent.message.Rollouts); reports > 0 {
+			pause = min(pause, max(rolloutInterval, time.Duration(reports)*rolloutGossipPerGateway))
 		}
 		timer.Reset(pause)
 	}
--- a/controlplane/resources.go
+++ b/controlplane/resources.go
@@ -7,6 +7,7 @@
 
 	"oxbowspan/config"
 	"oxbowspan/consensus"
+	"oxbowspan/rollout"
 )
 
 // Largest accepted bodies.
@@ -110,6 +111,18 @@
 	return documentResource(config.PinsDocumentName, validatePins, noConflicts)
 }
 
+// rolloutsResource is the document of rollouts as a whole. It is replaced only to restore an exported state.
+func rolloutsResource() resource {
+	return documentResource(rollout.DocumentName, validateRollouts, noConflicts)
+}
+
+func validateRollouts(body []byte) []string {
+	if _, err := rollout.Parse(body); err != nil {
+		return []string{err.Error()}
+	}
+	return nil
+}
+
 func validateTenants(body []byte) []string {
 	t, err := config.ParseTenants(body)
 	if err != nil {
--- a/controlplane/rollout_api.go
+++ b/controlplane/rollout_api.go
@@ -88,6 +88,48 @@
 	return problem, err
 }
 
+// revert ends a service's running rollout. One that is reverted already is acknowledged again.
+func (a *rolloutAPI) revert(w http.ResponseWriter, r *http.Request) {
+	service := r.PathValue("service")
+	ctx, cancel := context.WithTimeout(r.Context(), consensusTimeout)
+	defer cancel()
+	var problem *apiError
+	_, err := a.proposer.propose(ctx, func(v *consensus.Value) (next *consensus.Value) {
+		next, problem = evaluateRevert(v, service)
+		return next
+	})
+	switch {
+	case err != nil:
+		writeError(w, errNotDecided)
+	case problem != nil:
+		writeError(w, problem)
+	default:
+		a.log.Info().Str("service", service).Msg("rollout: reverted by an operator")
+		writeBody(w, []byte("{}"))
+	}
+}
+
+// evaluateRevert returns the value to propose where v is the newest, and why nothing is reverted, nil = it is.
+func evaluateRevert(v *consensus.Value, service string) (next *consensus.Value, problem *apiError) {
+	text := v.Document(rollout.DocumentName).Body
+	d, err := rollout.Parse(text)
+	if err != nil {
+		return v, &apiError{http.StatusInternalServerError, err.Error()}
+	}
+	switch r := d.Find(service); {
+	case r == nil:
+		return v, &apiError{http.StatusNotFound, "no rollout of this service was begun"}
+	case r.State == rollout.Completed:
+		return v, &apiError{http.StatusConflict, "the rollout is completed: begin one to the version before"}
+	case r.State == rollout.Reverted:
+		return v, nil
+	default:
+		reverted := rollout.Transition{State: rollout.Reverted, Step: r.Step, Reason: "by an operator"}
+		body := rollout.Apply(text, 0, *r, reverted)
+		return v.WithDocument(rollout.DocumentName, digest(body), body), nil
+	}
+}
+
 // documentAge is how long a version of the document was known at a time.
 type documentAge struct {
 	version consensus.Version
--- a/controlplane/rollout_manager.go
+++ b/controlplane/rollout_manager.go
@@ -17,6 +17,8 @@
 const (
 	// rolloutInterval is between two looks at the running rollouts.
 	rolloutInterval = 100 * time.Millisecond
+	// rolloutGossipPerGateway is between two messages to a peer, for each gateway whose report they carry.
+	rolloutGossipPerGateway = 2 * time.Millisecond
 	// rolloutTurn is how much longer each next controller leaves a transition that is due to those before it.
 	rolloutTurn = 500 * time.Millisecond
 	// rolloutTimeout is for a proposal of a transition.
--- a/dataplane/config_follower.go
+++ b/dataplane/config_follower.go
@@ -11,13 +11,14 @@
 
 // Timing of the polls of controllers.
 const (
-	pollHold          = time.Second            // for which a controller may hold a poll until there is something new
-	rolloutPollHold   = 200 * time.Millisecond // while a rollout runs: each poll reports how it fares
-	pollTimeoutMargin = 700 * time.Millisecond // beyond that, after which it counts as unreachable
-	retryPause        = 120 * time.Millisecond // between controllers that don't answer or have no quorum,
-	startupRetryPause = 40 * time.Millisecond  // and while no configuration is known: until then every client is refused
-	startupGrace      = 3 * time.Second        // after this an update of a controller without a quorum is accepted, as none with a quorum was found
-	peerPollInterval  = 2 * time.Second        // between polls of other gateways, while no controller with a quorum answers
+	pollHold              = time.Second // for which a controller may hold a poll until there is something new
+	rolloutHoldPerGateway = 2 * time.Millisecond
+	minRolloutHold        = 200 * time.Millisecond // while a rollout runs: each poll reports how it fares
+	pollTimeoutMargin     = 700 * time.Millisecond // beyond that, after which it counts as unreachable
+	retryPause            = 120 * time.Millisecond // between controllers that don't answer or have no quorum,
+	startupRetryPause     = 40 * time.Millisecond  // and while no configuration is known: until then every client is refused
+	startupGrace          = 3 * time.Second        // after this an update of a controller without a quorum is accepted, as none with a quorum was found
+	peerPollInterval      = 2 * time.Second        // between polls of other gateways, while no controller with a quorum answers
 )
 
 // updateSink takes the updates of controllers and other gateways. All methods run on the loop's goroutine.
@@ -150,12 +151,18 @@
 	case status := <-statuses:
 		poll.HealthChecks, poll.Stats, poll.Rollouts = status.healthChecks, status.stats, status.rollouts
 		if poll.Rollouts != nil {
-			poll.WaitMs = uint32(rolloutPollHold / time.Millisecond)
+			poll.WaitMs = uint32(rolloutHold(len(f.peers)+1) / time.Millisecond)
 		}
 	case <-f.stopped:
 	}
 }
 
+// rolloutHold returns how long a poll may be held while a rollout runs: the more gateways there are, the longer, as all poll the same
+// controllers.
+func rolloutHold(gateways int) time.Duration {
+	return min(max(minRolloutHold, time.Duration(gateways)*rolloutHoldPerGateway), pollHold)
+}
+
 // pollTimeout returns how long to wait for an update. A controller that is polled for the first time answers at once.
 func (f *configFollower) pollTimeout() time.Duration {
 	if f.controllerIncarnation == 0 {
--- /dev/null
+++ b/dataplane/rollouts_test.go
@@ -0,0 +1,191 @@
+package dataplane
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"oxbowspan/balancer"
+	"oxbowspan/config"
+	"oxbowspan/lease"
+	"oxbowspan/rollout"
+	"oxbowspan/rpc"
+)
+
+// fakeShards numbers shards, all of them with or without servers.
+type fakeShards struct {
+	byName   map[string]balancer.ShardIndex
+	unusable map[balancer.ShardIndex]bool
+	synced   int
+}
+
+func (s *fakeShards) shardIndex(name string) balancer.ShardIndex {
+	index, known := s.byName[name]
+	if !known {
+		index = balancer.ShardIndex(len(s.byName))
+		s.byName[name] = index
+	}
+	return index
+}
+
+func (s *fakeShards) usable(shard balancer.ShardIndex) bool { return !s.unusable[shard] }
+
+func (s *fakeShards) sync() { s.synced++ }
+
+func newTestRollouts() (*rolloutTable, *fakeShards, *fakeLoop) {
+	shards := &fakeShards{byName: map[string]balancer.ShardIndex{}, unusable: map[balancer.ShardIndex]bool{}}
+	loop := &fakeLoop{time: ticks(time.Minute)}
+	table := newRolloutTable(testProcess(), loop, shards)
+	table.confirmContact(time.Minute)
+	return table, shards, loop
+}
+
+func rolloutDocument(version uint64, r rollout.Rollout) *rpc.Document {
+	d := rollout.Document{Rollouts: []rollout.Rollout{r}}
+	return &rpc.Document{Name: rollout.DocumentName, Version: version, Body: d.Encode()}
+}
+
+// shareOf returns the share of calls of a service that go to the target version.
+func shareOf(table *rolloutTable, shards *fakeShards) float64 {
+	const calls = 1000
+	target := 0
+	for range calls {
+		if table.choose(shards.shardIndex("s")) == shards.shardIndex(versionShard("s", "v2")) {
+			target++
+		}
+	}
+	return float64(target) / calls
+}
+
+// A gateway sends to the target version what the step allows, and nothing while it is out of touch, reverted or without its servers.
+func TestRolloutShares(t *testing.T) {
+	running := func(step int) rollout.Rollout {
+		return rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Running, Step: step}
+	}
+	reverted, completed := running(2), running(4)
+	reverted.State, completed.State = rollout.Reverted, rollout.Completed
+	for _, test := range []struct {
+		name       string
+		rollout    rollout.Rollout
+		outOfTouch bool
+		without    string // version without usable servers
+		want       float64
+	}{
+		{"servers awaited", running(0), false, "", 0},
+		{"canary", running(1), false, "", 0.05},
+		{"third step", running(3), false, "", 0.35},
+		{"last step", running(4), false, "", 1},
+		{"out of touch", running(3), true, "", 0},
+		{"out of touch in the last step", running(4), true, "", 1},
+		{"completed", completed, false, "", 1},
+		{"completed, out of touch", completed, true, "", 1},
+		{"reverted", reverted, false, "", 0},
+		{"no server of the target version", running(3), false, "v2", 0},
+		{"no server of the target version in the last step", running(4), false, "v2", 0},
+		{"no server of another version", running(1), false, "old", 1},
+		{"reverted, no server of another version", reverted, false, "old", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table, shards, loop := newTestRollouts()
+			table.apply(rolloutDocument(1, test.rollout))
+			if test.outOfTouch {
+				loop.time += ticks(lease.TTL)
+			}
+			switch test.without {
+			case "v2":
+				shards.unusable[shards.shardIndex(versionShard("s", "v2"))] = true
+			case "old":
+				shards.unusable[shards.shardIndex("s")] = true
+			}
+			if got := shareOf(table, shards); math.Abs(got-test.want) > 0.002 {
+				t.Errorf("%v of the calls go to the target version, want %v", got, test.want)
+			}
+			total := 0.0
+			for _, candidate := range table.chooseAmong([]balancer.WeightedShard{{Shard: shards.shardIndex("s"), Weight: 3}, {Shard: 7, Weight: 1}}) {
+				total += candidate.Weight
+				if candidate.Shard == shards.shardIndex(versionShard("s", "v2")) && math.Abs(candidate.Weight-3*test.want) > 0.01 {
+					t.Errorf("weight %v of 3, want the share %v", candidate.Weight, test.want)
+				}
+			}
+			if math.Abs(total-4) > 1e-9 {
+				t.Errorf("the weights add up to %v, want 4", total)
+			}
+		})
+	}
+}
+
+// The version before a later rollout is the one that was completed; older documents change nothing.
+func TestRolloutFollowsAnother(t *testing.T) {
+	table, shards, _ := newTestRollouts()
+	next := rollout.Rollout{Number: 5, Service: "s", TargetVersion: "v3", StableVersion: "v2", DurationS: 15, State: rollout.Running, Step: 1}
+	table.apply(rolloutDocument(5, next))
+	table.apply(rolloutDocument(4, rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Completed}))
+	if shards.synced != 1 {
+		t.Errorf("the servers were listed anew %d times", shards.synced)
+	}
+	for version, want := range map[string]string{"v3": versionShard("s", "v3"), "v2": versionShard("s", "v2"), "v1": "s", "": "s"} {
+		if got := table.shardName("s", version); got != want {
+			t.Errorf("servers of version %q belong to %q, want %q", version, got, want)
+		}
+	}
+	if got := table.choose(shards.shardIndex("s")); got != shards.shardIndex(versionShard("s", "v2")) {
+		t.Errorf("a call goes to shard %d", got)
+	}
+	if got := table.choose(99); got != 99 {
+		t.Errorf("a call of another service goes to shard %d", got)
+	}
+}
+
+// Failures and answers that are several times slower than usual are bad; silence is, only of a server that answers others.
+func TestRolloutOutcomes(t *testing.T) {
+	table, _, loop := newTestRollouts()
+	table.apply(rolloutDocument(1, rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Running, Step: 1}))
+	old, target := &endpoint{service: "s", version: "v1"}, &endpoint{service: "s", version: "v2"}
+	r := &request{route: &route{Route: &config.Route{Hostname: "h", PathPrefix: "/p/"}}}
+	end := func(e *endpoint, outcome balancer.Outcome, elapsed time.Duration) {
+		a := &attempt{shardCall: &shardCall{request: r}, endpoint: e, sentAt: loop.time}
+		loop.time += ticks(elapsed)
+		table.observe(a, outcome, ticks(elapsed))
+	}
+	for range 20 {
+		end(old, balancer.Answered, 10*time.Millisecond)
+	}
+	end(target, balancer.TimedOut, 500*time.Millisecond) // it has not answered anybody yet
+	end(target, balancer.ConnectFailed, time.Millisecond)
+	end(target, balancer.Rejected, time.Millisecond)
+	end(target, balancer.Answered, 12*time.Millisecond)
+	end(target, balancer.Answered, 90*time.Millisecond) // bad
+	end(target, balancer.Errored, time.Millisecond)     // bad
+	silent := &attempt{shardCall: &shardCall{request: r}, endpoint: target, sentAt: loop.time}
+	end(target, balancer.Answered, 11*time.Millisecond)
+	table.observe(silent, balancer.TimedOut, ticks(time.Second))                                                              // bad: it answers others
+	table.observe(&attempt{shardCall: &shardCall{request: r}, endpoint: &endpoint{service: "t"}}, balancer.Errored, ticks(1)) // of another service
+	report := table.report()
+	if len(report.GetRollouts()) != 1 || len(report.Rollouts[0].Routes) != 1 {
+		t.Fatalf("report %v", report)
+	}
+	got := report.Rollouts[0].Routes[0]
+	if got.OldAnswers != 20 || got.OldBad != 0 || got.NewAnswers != 5 || got.NewBad != 3 {
+		t.Errorf("counted %v", got)
+	}
+	if later := table.report(); later.Sequence <= report.Sequence {
+		t.Errorf("the next report has number %d after %d", later.Sequence, report.Sequence)
+	}
+}
+
+// Requests at servers of the version before are counted until none of them can be sent there any more.
+func TestRolloutCountsOpenCalls(t *testing.T) {
+	table, shards, _ := newTestRollouts()
+	table.opened(shards.shardIndex("s")) // before the rollout began
+	table.apply(rolloutDocument(1, rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Running, Step: 4}))
+	for _, want := range []uint32{1, 0} {
+		if got := table.report().Rollouts[0].OpenOld; got != want {
+			t.Errorf("%d calls are reported open, want %d", got, want)
+		}
+		table.closed(shards.shardIndex("s"))
+	}
+	table.apply(rolloutDocument(2, rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Completed, Step: 4}))
+	if table.report() != nil {
+		t.Error("a completed rollout is reported")
+	}
+}
--- a/internal/controlcli/commands_test.go
+++ b/internal/controlcli/commands_test.go
@@ -28,6 +28,7 @@
 		{"status", runStatusCommands},
 		{"tenant", runTenantCommands},
 		{"judgement", runOutlierCommands},
+		{"rollout", runRolloutCommands},
 		{"loss of a controller", runControllerLoss},
 		{"loss of a majority", runMajorityLoss},
 	}
@@ -72,6 +73,19 @@
 	p.expect(t, exitOK, `"version":5`, "config", "get")
 }
 
+func runRolloutCommands(t *testing.T, p *programs) {
+	p.expect(t, exitFailed, "has no service", "rollout", "begin", "nowhere", "v2")
+	p.expect(t, exitFailed, "no rollout of service", "rollout", "show", "one")
+	p.expect(t, exitOK, "", "rollout", "begin", "one", "v2", "--within", "1h")
+	p.expect(t, exitOK, "", "rollout", "begin", "one", "v2", "--within", "1h") // sent again
+	p.expect(t, exitFailed, "is running", "rollout", "begin", "one", "v3")
+	p.expect(t, exitOK, "running", "rollout", "show", "one")
+	p.expect(t, exitOK, "", "rollout", "revert", "one")
+	p.expect(t, exitOK, "by an operator", "rollout", "list")
+	p.expect(t, exitOK, `"state": "reverted"`, "rollout", "show", "one", "--json")
+	p.expect(t, exitOK, "rollout of one to v2 is reverted", "events")
+}
+
 func runStatusCommands(t *testing.T, p *programs) {
 	p.eventually(t, exitOK, "i-", "servers", "once")
 	p.eventually(t, exitOK, "yes", "nodes")
@@ -147,7 +161,7 @@
 	export := filepath.Join(p.cluster.Dir, "export.json")
 	p.expectAlone(t, exitFailed, "a running controller", "state", "--dir", p.dataDirectory(0), "export", export)
 	p.killControllers()
-	p.expectAlone(t, exitOK, "version 5 and 2 documents", "state", "--dir", p.dataDirectory(0), "export", export)
+	p.expectAlone(t, exitOK, "version 5 and 3 documents", "state", "--dir", p.dataDirectory(0), "export", export)
 	for i := range p.cluster.Controllers {
 		p.removeData(t, i)
 	}
@@ -160,4 +174,5 @@
 	p.expect(t, exitFailed, "only one that starts anew", "state", "restore", export)
 	p.expect(t, exitOK, `"version":5`, "config", "get")
 	p.expect(t, exitOK, "desk", "tenant", "list")
+	p.expect(t, exitOK, "by an operator", "rollout", "list")
 }
--- a/internal/controlcli/program.go
+++ b/internal/controlcli/program.go
@@ -138,7 +138,7 @@
 
 // operatorCommands returns the commands that read a controller's state file or call controllers.
 func operatorCommands(path *string, out io.Writer) []*ffcli.Command {
-	commands := []*ffcli.Command{stateCommand(path, out), tenantCommand(path, out), outlierCommand(path, out), configCommand(path, out)}
+	commands := []*ffcli.Command{stateCommand(path, out), tenantCommand(path, out), outlierCommand(path, out), configCommand(path, out), rolloutCommand(path, out)}
 	return append(commands, statusCommands(path, out)...)
 }
 
--- a/internal/testing/simcluster/rollout_test.go
+++ b/internal/testing/simcluster/rollout_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 )
@@ -47,3 +49,241 @@
 		}
 	})
 }
+
+const (
+	rolloutDuration = 15 * time.Second
+	rolloutTarget   = "v2"
+	// exposureShare and exposureSlack bound the requests that reach a bad version, rollbackTime how long any does after its 50th bad
+	// answer (exposure_share, exposure_slack, rollback_ms).
+	exposureShare    = 0.1
+	exposureSlack    = 50
+	rollbackTime     = 5 * time.Second
+	rollbackAnswers  = 50
+	rolloutRequestMS = 5
+)
+
+// rolloutRecord counts the requests that reach a service during a rollout.
+type rolloutRecord struct {
+	mu                  sync.Mutex
+	old, target         int
+	bad                 int
+	lastOld, lastTarget time.Time
+	rollbackAt          time.Time // rollbackTime after the 50th bad answer
+	targetAfterRollback int
+}
+
+func (r *rolloutRecord) arrived(target bool) func(time.Time) {
+	return func(at time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !target {
+			r.old++
+			r.lastOld = at
+			return
+		}
+		r.target++
+		r.lastTarget = at
+		if !r.rollbackAt.IsZero() && at.After(r.rollbackAt) {
+			r.targetAfterRollback++
+		}
+	}
+}
+
+// answeredBadly counts a bad answer of the target version.
+func (r *rolloutRecord) answeredBadly() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.bad++; r.bad == rollbackAnswers {
+		r.rollbackAt = time.Now().Add(rollbackTime)
+	}
+}
+
+// rolloutCase is a rollout beside a fault.
+type rolloutCase struct {
+	name    string
+	service string
+	bad     func(random *rand.Rand, since time.Duration) bool // reports whether an answer of the target version fails; nil = it is good
+	slow    time.Duration                                     // service time of the target version, 0 = the usual one
+	disturb func(t *testing.T, cluster *Cluster)              // after two seconds
+	calm    bool                                              // a good version must be completed in time,
+	lost    int                                               // with so many requests failed at most
+}
+
+var rolloutCases = []rolloutCase{
+	{name: "good, one of the shards", service: "a0", calm: true},
+	{name: "good, a service of its own", service: singleService, calm: true},
+	{name: "three in ten fail", service: "a1", bad: failing(0.3, 0)},
+	{name: "fails late", service: singleService, bad: failing(0.4, 3*time.Second)},
+	{name: "eight times slower", service: "a0", slow: 8 * exampleServiceTime},
+	{name: "good, the first controller is killed", service: "a0", calm: true, disturb: func(_ *testing.T, cluster *Cluster) {
+		cluster.Controllers[0].Kill(true)
+	}},
+	{name: "good, all controllers lose power", service: "a0", disturb: func(t *testing.T, cluster *Cluster) {
+		powerCycle(t, cluster)
+	}},
+	{name: "fails late, all controllers lose power", service: "a0", bad: failing(0.4, 3*time.Second), disturb: func(t *testing.T, cluster *Cluster) {
+		powerCycle(t, cluster)
+	}},
+	{name: "fails late, a gateway is cut off from the controllers", service: "a0", bad: failing(0.4, 3*time.Second),
+		disturb: func(_ *testing.T, cluster *Cluster) {
+			for _, controller := range cluster.Controllers {
+				setPartitioned(cluster, cluster.Gateways[1].IP, controller.IP, true)
+			}
+		}},
+	{name: "good, a gateway is killed", service: singleService, calm: true, lost: 3, disturb: func(_ *testing.T, cluster *Cluster) {
+		cluster.Gateways[2].Kill(false)
+		cluster.Gateways[2].Start()
+	}},
+	{name: "good, a server of it hangs", service: "a0", disturb: func(_ *testing.T, cluster *Cluster) {
+		cluster.Servers[len(cluster.Servers)-1].SetHung(true)
+	}},
+}
+
+// failing returns what makes a share of the answers fail, from a time after the servers' start on.
+func failing(share float64, from time.Duration) func(*rand.Rand, time.Duration) bool {
+	return func(random *rand.Rand, since time.Duration) bool { return since >= from && random.Float64() < share }
+}
+
+// Good versions are completed in time, and no request is sent to the old servers from then on, which stop at once. Bad ones are
+// reverted, and reach no more requests than they may. Both beside faults of controllers and gateways.
+func TestRollouts(t *testing.T) {
+	for i, test := range rolloutCases {
+		t.Run(test.name, func(t *testing.T) {
+			runCluster(t, uint64(7100+i), 3, 3, func(t *testing.T, cluster *Cluster) { test.run(t, cluster, uint64(i)) })
+		})
+	}
+}
+
+func (test rolloutCase) run(t *testing.T, cluster *Cluster, seed uint64) {
+	commitFirstVersion(t, cluster)
+	record := &rolloutRecord{}
+	old := serversOf(cluster, test.service)
+	for _, server := range old {
+		server.SetOnRequest(record.arrived(false))
+	}
+	stopLoad := test.startLoad(cluster)
+	time.Sleep(3 * time.Second)
+	requireStatus(t, cluster.BeginRollout(cluster.Controllers[1], test.service, rolloutTarget, rolloutDuration), http.StatusOK, "order")
+	begun := time.Now()
+	test.startTarget(t, cluster, record, seed)
+	if test.disturb != nil {
+		time.Sleep(2 * time.Second)
+		test.disturb(t, cluster)
+	}
+	state := awaitRolloutEnd(cluster, test.service, begun.Add(rolloutDuration+3*time.Second))
+	took := time.Since(begun)
+	if state == "completed" {
+		for _, server := range old {
+			server.Crash(false)
+		}
+	}
+	settled := time.Now()
+	time.Sleep(max(0, rolloutDuration-took) + 4*time.Second)
+	refused := stopLoad()
+	test.check(t, record, state, took, settled, refused)
+}
+
+func (test rolloutCase) check(t *testing.T, record *rolloutRecord, state string, took time.Duration, settled time.Time, failed int) {
+	t.Helper()
+	record.mu.Lock()
+	defer record.mu.Unlock()
+	isBad := test.bad != nil || test.slow > 0
+	t.Logf("%s after %v, %d and %d requests, %d bad answers, %d requests failed", state, took, record.old, record.target, record.bad, failed)
+	switch {
+	case isBad && state != "reverted":
+		t.Errorf("a bad version is %s", state)
+	case test.calm && (state != "completed" || took > rolloutDuration):
+		t.Errorf("a good version is %s after %v", state, took)
+	}
+	if allowed := exposureShare*float64(record.old+record.target) + exposureSlack; isBad && float64(record.target) > allowed {
+		t.Errorf("%d of %d requests reached a bad version", record.target, record.old+record.target)
+	}
+	if record.targetAfterRollback > 0 {
+		t.Errorf("%d requests reached a bad version too late after its 50th bad answer", record.targetAfterRollback)
+	}
+	if state == "completed" && record.lastOld.After(settled) {
+		t.Errorf("a request reached an old server %v after the rollout was completed", record.lastOld.Sub(settled))
+	}
+	if test.calm && failed > test.lost {
+		t.Errorf("%d requests failed beside a good version, %d were lost with a gateway", failed, test.lost)
+	}
+}
+
+// startTarget starts servers of the target version.
+func (test rolloutCase) startTarget(t *testing.T, cluster *Cluster, record *rolloutRecord, seed uint64) {
+	t.Helper()
+	random, started := rand.New(rand.NewPCG(seed, 9)), time.Now()
+	var mu sync.Mutex
+	for range serversPerService {
+		serviceTime := exampleServiceTime
+		if test.slow > 0 {
+			serviceTime = test.slow
+		}
+		server := cluster.AddServer(test.service, serviceTime)
+		server.Version = rolloutTarget
+		requireNoError(t, server.Start())
+		server.SetOnRequest(record.arrived(true))
+		server.setFaults(func() responseFault {
+			mu.Lock()
+			defer mu.Unlock()
+			if test.slow > 0 {
+				record.answeredBadly()
+				return noFault
+			}
+			if test.bad != nil && test.bad(random, time.Since(started)) {
+				record.answeredBadly()
+				return faultStatus
+			}
+			return noFault
+		})
+	}
+}
+
+// startLoad sends requests to all gateways in turn until the returned function is called, which returns how many failed.
+func (test rolloutCase) startLoad(cluster *Cluster) (stop func() (failed int)) {
+	done := make(chan struct{})
+	var pending sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	send := sendGathered
+	if test.service == singleService {
+		send = sendSingle
+	}
+	pending.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(rolloutRequestMS * time.Millisecond):
+			}
+			pending.Go(func() {
+				response := send(cluster, cluster.Gateways[n%len(cluster.Gateways)], fmt.Sprint("r", n))
+				if response.Status != http.StatusOK || response.Header.Get(missingPartsHeader) > "0" {
+					mu.Lock()
+					failed++
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	return func() int {
+		close(done)
+		pending.Wait()
+		return failed
+	}
+}
+
+// awaitRolloutEnd reads a rollout until it is over, and returns its last state.
+func awaitRolloutEnd(cluster *Cluster, service string, deadline time.Time) (state string) {
+	for n := 0; time.Now().Before(deadline); n++ {
+		var read rolloutState
+		body := cluster.ReadResource(cluster.Controllers[n%len(cluster.Controllers)], "/-/rollouts/"+service+"/read")
+		if json.Unmarshal(body, &read) == nil && read.State != "" {
+			if state = read.State; state != "running" {
+				return state
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return state
+}
--- a/internal/testing/simcluster/server.go
+++ b/internal/testing/simcluster/server.go
@@ -26,6 +26,7 @@
 
 	ServiceTime     time.Duration // of one request
 	RecordCount     int           // of a response
+	Version         string        // of its program; "": v1
 	Concurrency     int           // requests executed at once; 0: three
 	ConnectionLimit int           // connections open at once, further ones are closed; 0: unlimited
 
--- a/internal/testing/simcluster/server_heartbeat.go
+++ b/internal/testing/simcluster/server_heartbeat.go
@@ -1,6 +1,7 @@
 package simcluster
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -74,7 +75,7 @@
 		Service:       s.Service,
 		Address:       s.Address(),
 		Zone:          zoneOf(s.IP),
-		Version:       reportedVersion,
+		Version:       cmp.Or(s.Version, reportedVersion),
 		CapacitySlots: reportedCapacity,
 		State:         state,
 		Sequence:      sequence,
--- a/rollout/analysis.go
+++ b/rollout/analysis.go
@@ -125,8 +125,9 @@
 	r.new.add(added.New)
 	good, bad := r.shares()
 	forBad, forGood := math.Log(bad/good), math.Log((1-bad)/(1-good))
-	r.score = max(0, r.score+float64(added.New.Answers-min(added.New.Bad, added.New.Answers))*forGood)
-	r.score += float64(added.New.Bad) * forBad
+	goodAnswers := float64(added.New.Answers - min(added.New.Bad, added.New.Answers))
+	// Their order is not known: a controller that has just started is told all of a rollout at once.
+	r.score = max(0, r.score+goodAnswers*forGood+float64(added.New.Bad)*forBad)
 }
 
 // shares returns the shares of bad answers that a good and a bad version are taken to have.
--- a/rollout/analysis_test.go
+++ b/rollout/analysis_test.go
@@ -101,6 +101,21 @@
 	}
 }
 
+// A controller that starts in the midst of a rollout is told all answers at once: a good version is not blamed for it.
+func TestAnalysisBeginsLate(t *testing.T) {
+	a := NewAnalysis()
+	for gateway := range uint64(3) {
+		a.Report(gateway, "r", RouteCounts{Old: Counts{4000, 80}, New: Counts{400, 8}})
+	}
+	if reason := a.Suspect(); reason != "" {
+		t.Error(reason)
+	}
+	a.Report(0, "r", RouteCounts{Old: Counts{4010, 80}, New: Counts{412, 16}})
+	if a.Suspect() == "" {
+		t.Error("8 bad answers of 12 are not noticed")
+	}
+}
+
 // What a gateway has reported counts once, and a gateway that begins anew adds to it.
 func TestAnalysisCountsReportsOnce(t *testing.T) {
 	a := NewAnalysis()
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -78,7 +78,6 @@
 
 	parsed        Rollout // of the version
 	parsedVersion uint64
-	shareNow      float64
 	all, target   int // requests until the term
 	calm          bool
 }
