--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,7 +137,7 @@
 	return netip.AddrPortFrom(address, uint16(s.InternalPorts[0]+offset)).String()
 }
 
-// DefaultMetricsPort is the port on which a gateway serves its metrics; deploy/system.toml names it.
+// DefaultMetricsPort is the port on which a gateway serves its metrics.
 const DefaultMetricsPort = 9464
 
 // MetricsAddress returns the address at which metrics are served, "" = none. The settings must have been checked.
--- a/internal/testing/simcluster/rollout_test.go
+++ b/internal/testing/simcluster/rollout_test.go
@@ -209,6 +209,40 @@
 	}
 }
 
+// Three rollouts at once, one of them of a bad version, and one of a version that no server has: each ends as it would alone. An order
+// at a controller that is cut off is not acknowledged; one for a service whose rollout is running is refused.
+func TestRolloutsAtOnce(t *testing.T) {
+	runCluster(t, 7200, 3, 3, func(t *testing.T, cluster *Cluster) {
+		commitFirstVersion(t, cluster)
+		good := rolloutCase{service: "a0"}
+		bad := rolloutCase{service: "a1", bad: failing(0.4, 0)}
+		records := []*rolloutRecord{{}, {}}
+		stopLoad := good.startLoad(cluster)
+		time.Sleep(3 * time.Second)
+		isolate(cluster, cluster.Controllers[2])
+		time.Sleep(3 * time.Second)
+		expectStatus(t, cluster.BeginRollout(cluster.Controllers[2], "a0", rolloutTarget, rolloutDuration), http.StatusServiceUnavailable, "order at an isolated controller")
+		setIsolated(cluster, cluster.Controllers[2], false, false)
+		for i, service := range []string{"a0", "a1", "a2"} {
+			requireStatus(t, cluster.BeginRollout(cluster.Controllers[i%2], service, rolloutTarget, rolloutDuration), http.StatusOK, "order for %s", service)
+		}
+		expectStatus(t, cluster.BeginRollout(cluster.Controllers[1], "a0", "v3", rolloutDuration), http.StatusConflict, "another version")
+		expectStatus(t, cluster.BeginRollout(cluster.Controllers[1], "a9", "v3", rolloutDuration), http.StatusUnprocessableEntity, "unknown service")
+		begun := time.Now()
+		good.startTarget(t, cluster, records[0], 1)
+		bad.startTarget(t, cluster, records[1], 2)
+		for service, want := range map[string]string{"a0": "completed", "a1": "reverted", "a2": "reverted"} {
+			if got := awaitRolloutEnd(cluster, service, begun.Add(rolloutDuration+3*time.Second)); got != want {
+				t.Errorf("rollout of %s is %s, want %s", service, got, want)
+			}
+		}
+		stopLoad()
+		if r := records[1]; float64(r.target) > exposureSlack+exposureShare*rolloutDuration.Seconds()*1000/rolloutRequestMS {
+			t.Errorf("%d requests reached the bad version", r.target)
+		}
+	})
+}
+
 // startTarget starts servers of the target version.
 func (test rolloutCase) startTarget(t *testing.T, cluster *Cluster, record *rolloutRecord, seed uint64) {
 	t.Helper()
