--- a/internal/testing/simcluster/server.go
+++ b/internal/testing/simcluster/server.go
@@ -120,6 +120,20 @@
 // SetHung makes the server accept requests without answering any, or answer again.
 func (s *Server) SetHung(hung bool) { s.hung.Store(hung) }
 
+// SetFailing sets a function that reports for each request whether its answer is to be a failure; nil removes it.
+func (s *Server) SetFailing(fails func() bool) {
+	if fails == nil {
+		s.setFaults(nil)
+		return
+	}
+	s.setFaults(func() responseFault {
+		if fails() {
+			return faultStatus
+		}
+		return noFault
+	})
+}
+
 // setFaults sets a function that chooses the fault of each response; nil removes it.
 func (s *Server) setFaults(injectFault func() responseFault) {
 	s.mu.Lock()
