Rollouts: both versions of a service spend one retry budget

Cause: the servers of a new version are a shard of their own, which had a base of the retry budget of its own: where both versions fail, a service could be sent 1.6 times its base in repeats. Change: BudgetShared gives a shard the budget of another; gateways give it to both versions. Measured: TestSharedRetryBudget; TestRollouts passes as before.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -182,6 +182,10 @@
 		b.setQueryType(e.Type, e.Config)
 	case ClusterResized:
 		b.resize(e)
+	case BudgetShared:
+		if b.sharedBudgetBase > 0 && max(e.Shard, e.With) < ShardIndex(len(b.budgets)) {
+			b.budgets[e.Shard] = b.budgets[e.With]
+		}
 	case PeerUpdate:
 		b.peerUpdate(e)
 	}
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -135,6 +135,8 @@
 	ClusterResized struct {
 		Shards, Instances int
 	}
+	// BudgetShared gives a shard the retry budget of another from now on, where each shard has one: both hold servers of one service.
+	BudgetShared struct{ Shard, With ShardIndex }
 	// PeerUpdate carries what other instances have in flight at servers, and verdicts on servers.
 	PeerUpdate struct {
 		Loads    []PeerLoad
@@ -152,6 +154,7 @@
 func (RecordsRestored) event()    {}
 func (QueryTypeChanged) event()   {}
 func (ClusterResized) event()     {}
+func (BudgetShared) event()       {}
 func (PeerUpdate) event()         {}
 
 // Outcome is how an attempt or a health check ended.
--- a/balancer/gateway_test.go
+++ b/balancer/gateway_test.go
@@ -258,6 +258,27 @@
 	}
 }
 
+// Shards that share a budget spend it together, however often that is said, and no other shard's.
+func TestSharedRetryBudget(t *testing.T) {
+	b := gatewayHarness(3, gatewayQueryType)
+	b.at += 20000 * Millisecond
+	for range 2 {
+		b.do(BudgetShared{Shard: 2, With: 0})
+		b.do(BudgetShared{Shard: 7, With: 0}) // not there yet
+	}
+	b.now = b.at
+	of := func(shard ShardIndex) *shardCall {
+		return &shardCall{req: &request{policy: b.types[0]}, shard: shard, size: 1}
+	}
+	spent := 0
+	for ; b.withinBudget(of(ShardIndex(2*(spent%2))), 1); spent++ {
+		b.budgetFor(ShardIndex(2*(spent%2))).retries.add(b.at, 1)
+	}
+	failIf(t, spent > 54 || spent < 40, "two shards that share a budget of 54 spend %d", spent)
+	failIf(t, b.withinBudget(of(0), 1) || b.withinBudget(of(2), 1), "the spent budget is still available")
+	failIf(t, !b.withinBudget(of(1), 1), "another shard's budget is spent")
+}
+
 // A probation attempt counts as an attempt: a call that may be sent to one server only has none beside its first one.
 func TestProbationKeepsAttemptLimit(t *testing.T) {
 	for _, limit := range []int{1, 2} {
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -104,6 +104,7 @@
 	g.endpoints.balancer, g.endpoints.quota, g.endpoints.outliers = g.dispatcher, g.quota, g.outliers
 	g.endpoints.rollouts = g.rollouts
 	g.configs.balancer, g.configs.tenants = g.dispatcher, g.quota
+	g.rollouts.events = g.dispatcher
 	g.outliers.balancer = g.dispatcher
 	conns.sink = g.dispatcher
 	return g
--- a/dataplane/rollouts.go
+++ b/dataplane/rollouts.go
@@ -37,6 +37,7 @@
 	process *process
 	loop    commandLoop
 	shards  shardTable
+	events  eventSink // for the balancer
 
 	version      uint64 // of the document, 0 = none
 	text         []byte
@@ -89,7 +90,12 @@
 	for _, r := range parsed.Rollouts {
 		t.applyRollout(r)
 	}
-	t.shards.sync() // servers may have moved between shards
+	t.shards.sync()                 // servers may have moved between shards
+	for _, r := range t.byService { // the retry budget is the service's, whatever its servers' versions
+		base := t.shards.shardIndex(r.Service)
+		t.events.handleEvent(balancer.BudgetShared{Shard: r.newShard, With: base})
+		t.events.handleEvent(balancer.BudgetShared{Shard: r.oldShard, With: base})
+	}
 }
 
 func (t *rolloutTable) applyRollout(r rollout.Rollout) {
--- a/dataplane/rollouts_test.go
+++ b/dataplane/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 	shards := &fakeShards{byName: map[string]balancer.ShardIndex{}, unusable: map[balancer.ShardIndex]bool{}}
 	loop := &fakeLoop{time: ticks(time.Minute)}
 	table := newRolloutTable(testProcess(), loop, shards)
+	table.events = &recordedEvents{}
 	table.confirmContact(time.Minute)
 	return table, shards, loop
 }
@@ -131,6 +133,10 @@
 	if got := table.choose(shards.shardIndex("s")); got != shards.shardIndex(versionShard("s", "v2")) {
 		t.Errorf("a call goes to shard %d", got)
 	}
+	shared := balancer.BudgetShared{Shard: shards.shardIndex(versionShard("s", "v3")), With: shards.shardIndex("s")}
+	if !slices.Contains(table.events.(*recordedEvents).events, balancer.Event(shared)) {
+		t.Error("the servers of the target version have a retry budget of their own")
+	}
 	if got := table.choose(99); got != 99 {
 		t.Errorf("a call of another service goes to shard %d", got)
 	}
