--- a/internal/testing/experiment/rollout.go
+++ b/internal/testing/experiment/rollout.go
@@ -135,7 +135,7 @@
 	defer r.cluster.stop()
 	var addresses []string
 	for _, controller := range r.cluster.cluster.Controllers {
-		addresses = append(addresses, controller.ControlAddress())
+		addresses = append([]string{controller.ControlAddress()}, addresses...) // the first one is disturbed, and asked last
 	}
 	r.client = controlclient.New(addresses)
 	time.Sleep(rolloutSettle)
