Rollouts: the steps keep within the platform's exposure_share; the document carries the share

Cause: the shares were constants of the gateways, made for an exposure of 0.1; a deployment that allows less would have been exceeded. Change: the controller that makes a transition derives the step's share from bounds.exposure_share and writes it into the document, which gateways follow, so that programs of two versions agree.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -14,6 +14,7 @@
 	"oxbowspan/internal/network"
 	"oxbowspan/internal/settings"
 	"oxbowspan/registry"
+	"oxbowspan/rollout"
 	"oxbowspan/rpc"
 )
 
@@ -149,6 +150,7 @@
 		table:    c.table,
 		events:   c.events,
 		proposer: c.proposer,
+		limits:   rollout.Limits{ExposureShare: c.settings.Bounds.ExposureShare},
 		log:      c.log,
 	})
 	c.gossip = newGossiper(gossipDependencies{
--- a/controlplane/rollout_manager.go
+++ b/controlplane/rollout_manager.go
@@ -52,6 +52,7 @@
 	table    *registry.Table
 	events   *eventLog
 	proposer *proposer
+	limits   rollout.Limits
 	log      zerolog.Logger
 }
 
@@ -186,7 +187,7 @@
 		if r.State != rollout.Running {
 			continue
 		}
-		transition, due := r.Next(m.progress(r, now))
+		transition, due := r.Next(m.progress(r, now), m.limits)
 		if !due {
 			continue
 		}
--- a/dataplane/rollouts_test.go
+++ b/dataplane/rollouts_test.go
@@ -62,7 +62,8 @@
 // A gateway sends to the target version what the step allows, and nothing while it is out of touch, reverted or without its servers.
 func TestRolloutShares(t *testing.T) {
 	running := func(step int) rollout.Rollout {
-		return rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Running, Step: step}
+		share := []float64{0, 0.05, 0.15, 0.35, 1}[step]
+		return rollout.Rollout{Number: 1, Service: "s", TargetVersion: "v2", DurationS: 15, State: rollout.Running, Step: step, StepShare: share}
 	}
 	reverted, completed := running(2), running(4)
 	reverted.State, completed.State = rollout.Reverted, rollout.Completed
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,7 @@
 	AcknowledgeMS    float64 `toml:"acknowledge_ms"`     // not used
 	RecoveryS        float64 `toml:"recovery_s"`         // not used
 	CatchUpS         float64 `toml:"catch_up_s"`         // not used
+	ExposureShare    float64 `toml:"exposure_share"`     // of the requests during a rollout that a bad version may get; 0 = 0.1
 	HasRetryBudget   bool    `toml:"-"`                  // retry_budget_ratio is set
 }
 
--- a/rollout/analysis_test.go
+++ b/rollout/analysis_test.go
@@ -135,3 +135,27 @@
 		t.Errorf("%d routes are kept", len(a.routes))
 	}
 }
+
+// Where the platform allows less exposure, all steps but the last one get less.
+func TestLimitsOfExposure(t *testing.T) {
+	for _, test := range []struct{ allowed, canary, third float64 }{{0, 0.05, 0.35}, {0.1, 0.05, 0.35}, {0.5, 0.05, 0.35}, {0.04, 0.02, 0.14}} {
+		r := Rollout{State: Running, DurationS: 15}
+		first, ok := r.Next(Progress{TargetServers: 8, StableServers: 8}, Limits{test.allowed})
+		if !ok || first.Share != test.canary {
+			t.Errorf("allowed %v: first step %+v", test.allowed, first)
+		}
+		exposure := 0.0
+		for number, s := range steps[:LastStep] {
+			exposure += (Limits{test.allowed}).share(number) * s.hold
+		}
+		if limit := test.allowed; limit > 0 && exposure > 0.7*limit {
+			t.Errorf("allowed %v: the steps before the last one take %v", test.allowed, exposure)
+		}
+		if got := (Limits{test.allowed}).share(3); got < test.third-1e-9 || got > test.third+1e-9 {
+			t.Errorf("allowed %v: third step %v", test.allowed, got)
+		}
+		if (Limits{test.allowed}).share(LastStep) != 1 {
+			t.Errorf("allowed %v: the last step is not all", test.allowed)
+		}
+	}
+}
--- a/rollout/document.go
+++ b/rollout/document.go
@@ -30,6 +30,7 @@
 	DurationS     float64 `json:"duration_s"`               // within which it is to be completed or reverted
 	State         State   `json:"state"`
 	Step          int     `json:"step"`
+	StepShare     float64 `json:"step_share"`      // of the service's requests that may reach the target version in this step
 	ElapsedMS     uint64  `json:"elapsed_ms"`      // from its beginning until the document was proposed
 	StepElapsedMS uint64  `json:"step_elapsed_ms"` // from the beginning of the step until then
 	Reason        string  `json:"reason,omitempty"`
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -181,7 +181,7 @@
 		return
 	}
 	p := m.progress(c, r, now)
-	t, due := r.Next(p)
+	t, due := r.Next(p, Limits{})
 	if !due || rank > 0 && m.random.IntN(8) > 0 {
 		return
 	}
@@ -194,7 +194,7 @@
 	if m.mistake == fenceIgnored {
 		d, _ := Parse(m.text)
 		r := d.Find("s")
-		r.State, r.Step, r.Reason = t.State, t.Step, t.Reason
+		r.State, r.Step, r.StepShare, r.Reason = t.State, t.Step, t.Share, t.Reason
 		m.text = d.Encode()
 		m.version++
 		return
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -8,6 +8,23 @@
 	hold  float64 // how long it lasts at least, as a part of the rollout's duration
 }
 
+// Limits are what the platform allows.
+type Limits struct {
+	// ExposureShare is the share of the requests of a rollout's duration that a bad version may get; 0 = nominalExposure.
+	ExposureShare float64
+}
+
+// nominalExposure is the exposure for which the steps are made. Where less is allowed their shares are smaller, but for the last one.
+const nominalExposure = 0.1
+
+// share returns the share of a step.
+func (l Limits) share(number int) float64 {
+	if number >= LastStep || l.ExposureShare <= 0 {
+		return steps[number].share
+	}
+	return steps[number].share * min(1, l.ExposureShare/nominalExposure)
+}
+
 // steps bound the exposure of a version that turns out to be bad at any of them: the sum of share times hold up to the last step is
 // 0.065 of the requests of the duration, and what the last step adds until it is found and reverted (about half a second) stays
 // within the platform's 0.1 where the duration is 15 s. A version that is bad under load only shows in the later ones.
@@ -36,12 +53,10 @@
 	switch {
 	case r.State == Completed:
 		return 1
-	case r.State == Reverted || r.Step < 0 || r.Step > LastStep:
-		return 0
-	case !inTouch && r.Step < LastStep:
+	case r.State == Reverted || !inTouch && r.Step < LastStep:
 		return 0
 	}
-	return steps[r.Step].share
+	return r.StepShare
 }
 
 // Progress is what a controller knows of a running rollout.
@@ -73,14 +88,21 @@
 type Transition struct {
 	State  State
 	Step   int
+	Share  float64 // of the step
 	Reason string
 }
 
-// Next returns the transition that is due; ok is false where there is none.
-func (r *Rollout) Next(p Progress) (next Transition, ok bool) {
+// Next returns the transition that is due within the limits; ok is false where there is none.
+func (r *Rollout) Next(p Progress, limits Limits) (next Transition, ok bool) {
+	next, ok = r.next(p)
+	next.Share = limits.share(next.Step)
+	return next, ok
+}
+
+func (r *Rollout) next(p Progress) (next Transition, ok bool) {
 	duration := time.Duration(r.DurationS * float64(time.Second))
 	switch {
-	case r.State != Running:
+	case r.State != Running || r.Step < awaitStep || r.Step > LastStep: // of a later program, if not over
 		return Transition{}, false
 	case p.Suspect != "":
 		return Transition{State: Reverted, Step: r.Step, Reason: p.Suspect}, true
@@ -89,7 +111,7 @@
 	case r.Step == awaitStep:
 		enough := p.TargetServers > 0 && (2*p.TargetServers >= p.StableServers || float64(p.Elapsed) >= awaitedMost*float64(duration))
 		return Transition{State: Running, Step: r.Step + 1}, enough
-	case p.StepElapsed < r.hold(p.Elapsed-p.StepElapsed, duration) || !p.evidence(steps[r.Step].share):
+	case p.StepElapsed < r.hold(p.Elapsed-p.StepElapsed, duration) || !p.evidence(r.StepShare):
 		return Transition{}, false
 	case r.Step < LastStep:
 		return Transition{State: Running, Step: r.Step + 1}, p.Applied >= p.Gateways
@@ -123,6 +145,6 @@
 	if r.Step != t.Step {
 		r.StepElapsedMS = 0
 	}
-	r.State, r.Step, r.Reason = t.State, t.Step, t.Reason
+	r.State, r.Step, r.StepShare, r.Reason = t.State, t.Step, t.Share, t.Reason
 	return d.Encode()
 }
