--- a/review/_rig/sign_off.go
+++ b/review/_rig/sign_off.go
@@ -36,6 +36,7 @@
 	lastTrouble := time.Time{}
 	if trouble {
 		time.Sleep(400 * time.Millisecond)
+		killedAt := time.Now()
 		for _, n := range d.controllers {
 			n.signal(syscall.SIGKILL)
 		}
@@ -47,7 +48,9 @@
 			d.writeBoot(n, i, true, false)
 			d.start(n)
 		}
-		lastTrouble = time.Now()
+		if lastTrouble = time.Now(); lastTrouble.Sub(killedAt) > time.Second {
+			cannotRun("the core was away for over a second")
+		}
 	}
 	inTouch := lastTrouble.Add(contact) // from then on all machines are in touch
 	if trouble {
