--- a/review/_rig/sign_off.go
+++ b/review/_rig/sign_off.go
@@ -10,8 +10,14 @@
 // servesOn is how long a server serves after its sign-off was acknowledged: drainLimit and some seconds longer.
 const servesOn = 8 * time.Second
 
-// signOffCase: two servers leave one after the other, each with a sign-off that is acknowledged, and serve on. Then every
-// process of the core is killed at once and is back within a second.
+// The release: gap_s, and how long a new server runs before the old one signs off.
+const (
+	releaseGap    = time.Second
+	newServerLead = 500 * time.Millisecond
+)
+
+// signOffCase: in a release two servers leave one after the other, each with a sign-off that is acknowledged, and serve on.
+// Then every process of the core is killed at once and is back within a second.
 func signOffCase(root string, trouble bool) (broken int) {
 	machinesAt := time.Now()
 	d, startServers := startCore(root, 2)
@@ -25,13 +31,17 @@
 	c := startClients(d, 200, "GET", "file10.example", "/gozi722/2f", func() []byte { return nil }, 5*time.Second)
 	time.Sleep(contact + 2*time.Second) // a calm time, so that all machines are in touch
 
+	// A release: two of five servers are replaced, one at a time, a second apart. The new one starts first.
 	leavers := servers[:2]
 	acknowledged := map[*server]time.Time{}
 	for i, s := range leavers {
-		if i > 0 {
-			time.Sleep(time.Until(acknowledged[leavers[i-1]].Add(time.Second)))
-		}
+		stepAt := time.Now()
+		servers = append(servers, startServers("kafi81c", 1, 20*time.Millisecond)...)
+		time.Sleep(newServerLead)
 		acknowledged[s] = s.signOff()
+		if i+1 < len(leavers) {
+			time.Sleep(time.Until(stepAt.Add(releaseGap)))
+		}
 	}
 	lastTrouble := time.Time{}
 	if trouble {
