--- a/controlplane/hints.go
+++ b/controlplane/hints.go
@@ -57,6 +57,17 @@
 	for _, controller := range m.Controllers {
 		h.restoredAddresses = append(h.restoredAddresses, controller.Address)
 	}
+	h.logRestored()
+}
+
+// logRestored logs the numbers of restored servers by state.
+func (h *hintSaver) logRestored() {
+	counts := map[registry.State]int{}
+	for _, r := range h.table.ChangesAfter(0) {
+		counts[r.State]++
+	}
+	h.log.Info().Int("ready", counts[registry.Ready]).Int("draining", counts[registry.Draining]).
+		Int("gone", counts[registry.Deregistered]).Msg("hints: servers restored")
 }
 
 // restorePeers starts to gossip with the controllers that an earlier run stored.
