Departures of servers are acknowledged once the disks of a majority of controllers hold them

Cause: a draining or sign-off was acknowledged once a majority of the controllers had it in memory. The disks learned it with the next save of the hints, up to 2 s later. A kill of all in between forgot it; each controller restored the server as ready.

The servers sent no heartbeat any more, and gateways ask each other only while no controller answers, so that neither brought them back.

Change: each controller writes a departure to its state file when it learns it (a log that the next hints replace), tells the sender by cursors what its disk holds, and acknowledges once a majority of the members' disks have it. Why it works: any majority that answers after the loss has one of these disks among it, and records merge by the most advanced state.

TestServerCallResponseTime asked that a drain is acknowledged while the disks of all controllers stall. In its place it asks that such a drain and sign-off get 503 within the second, that the same calls are acknowledged when the disks respond again, and that any single stalled disk delays no acknowledgement. TestHeartbeatWaitsForReplication asks for disks in place of memory.

--- a/controlplane/contact_test.go
+++ b/controlplane/contact_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// A report that takes a server out of service is acknowledged only when a majority has it, also if it is sent again.
+// A report that takes a server out of service is acknowledged only when a majority has it on their disks, also if it is sent again.
 func TestHeartbeatWaitsForReplication(t *testing.T) {
 	c := newTestMember(t)
 	report := func(state registry.State, sequence registry.Sequence) reportOutcome {
@@ -90,12 +90,19 @@
 	if first.wait == nil || again.wait == nil || first.isolated {
 		t.Fatalf("outcome of draining: %+v, of the repeated report: %+v", first, again)
 	}
+	b := c.peers.byAddress["b"]
+	b.storesDepartures = true
+	b.ackedCursor = c.table.Cursor()
 	c.heartbeats.completeWaits()
 	if len(c.heartbeats.waits) != 2 {
-		t.Fatal("a wait is completed before a majority has the report")
+		t.Fatal("a wait is completed before any disk has the report")
 	}
-	c.peers.byAddress["b"].ackedCursor = c.table.Cursor()
+	b.observeStored(uint64(c.table.Cursor()))
 	c.heartbeats.completeWaits()
+	if len(c.heartbeats.waits) != 2 {
+		t.Fatal("a wait is completed before the disks of a majority have the report")
+	}
+	(<-c.loop.commands)() // this controller's disk has it
 	for _, outcome := range []reportOutcome{first, again} {
 		select {
 		case <-outcome.wait.done:
@@ -108,6 +115,30 @@
 	}
 }
 
+// A majority in which a peer's release can't store departures counts by what that peer has received, so that servers can leave while
+// releases are mixed. A restarted peer counts again only once it has confirmed the report anew.
+func TestReplicationByMixedReleases(t *testing.T) {
+	c := newTestMember(t)
+	b := c.peers.byAddress["b"]
+	members := c.learner.value.Members
+	b.ackedCursor = 7
+	if !c.peers.replicated(members, 7, true) || c.peers.replicated(members, 8, true) || c.peers.replicated(members, 7, false) {
+		t.Error("a peer of a release that can't store departures does not count by what it has received")
+	}
+	b.storesDepartures = true
+	if c.peers.replicated(members, 7, true) {
+		t.Error("a peer counts that has not stored the report")
+	}
+	b.observeStored(7)
+	if !c.peers.replicated(members, 7, true) {
+		t.Error("a peer that has stored the report does not count")
+	}
+	b.forgetReplicas()
+	if c.peers.replicated(members, 7, true) {
+		t.Error("a restarted peer counts that has not confirmed the report")
+	}
+}
+
 func TestReplicationWaitExpires(t *testing.T) {
 	c := newTestMember(t)
 	c.heartbeats.apply("i-1", func(now time.Duration) {
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -46,6 +46,7 @@
 	table         *registry.Table
 	events        *eventLog
 	serverChanges *serverChangeLog
+	departures    *departureLog
 	hints         *hintSaver
 	updates       *updateSchedule
 	acceptor      *acceptorEndpoint
@@ -114,7 +115,8 @@
 	c.acceptor = newAcceptorEndpoint(c.store, c.loop, c.clock, c, c.log)
 	c.contact = newContactMonitor(c.self, c.acceptor, c.learner)
 	c.peers = newPeerSet(c.self, c.settings.SeedControllers(), c.network, c.clock, c.startGossip)
-	c.hints = newHintSaver(c.store, c.table, c.peers, c.learner, c.loop, c.clock, c.log)
+	c.departures = newDepartureLog(c.store, c.table, c.loop, c.clock, c, c.log)
+	c.hints = newHintSaver(c.store, c.table, c.peers, c.learner, c.departures, c.loop, c.clock, c.log)
 	c.verifier = newContactVerifier(c.contact, c.peers)
 	c.membership = newMembershipManager(c.self, c.settings.ToleratedLosses, c.settings.Zones, c.learner, c.contact, c.peers)
 	c.completion = newReplicaCompletion(c.self, c.learner, c.acceptor, c.contact, c.peers)
@@ -123,7 +125,7 @@
 // wireServices creates the components that communicate with servers, gateways and peers.
 func (c *Controller) wireServices(highestBallot uint64) {
 	c.gateways = newGatewayDirectory(c.clock, c.events, c.updates)
-	c.heartbeats = newHeartbeatService(c.clock, c.table, c.learner, c.contact, c.peers, c.updates)
+	c.heartbeats = newHeartbeatService(c.clock, c.table, c.learner, c.contact, c.peers, c.departures, c.updates)
 	c.polls = newPollService(pollDependencies{
 		self:              c.self,
 		heartbeatInterval: c.settings.HeartbeatInterval(),
@@ -166,6 +168,7 @@
 		gateways:   c.gateways,
 		membership: c.membership,
 		heartbeats: c.heartbeats,
+		departures: c.departures,
 		updates:    c.updates,
 		rollouts:   c.rollouts,
 	})
@@ -211,6 +214,12 @@
 // decisionObserved implements learnListener.
 func (c *Controller) decisionObserved(d consensus.Decision) { c.acceptor.recordDecision(d) }
 
+// departuresStored implements departureListener.
+func (c *Controller) departuresStored() {
+	c.gossip.confirmStored()
+	c.heartbeats.completeWaits()
+}
+
 // observeBallot implements ballotObserver.
 func (c *Controller) observeBallot(number uint64) { c.proposer.observeBallot(number) }
 
--- a/controlplane/controller_loop.go
+++ b/controlplane/controller_loop.go
@@ -81,6 +81,7 @@
 	c.heartbeats.expireWaits(now)
 	c.contact.prune(now)
 	c.scheduler.startDue(now)
+	c.departures.save()
 	c.hints.save(now)
 }
 
--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -41,6 +41,7 @@
 	gateways   *gatewayDirectory
 	membership *membershipManager
 	heartbeats *heartbeatService
+	departures *departureLog
 	updates    *updateSchedule
 	rollouts   *rolloutManager
 }
@@ -130,6 +131,8 @@
 	}
 	m.Rollouts = g.rollouts.gatewayReports(now)
 	cursor := g.table.Cursor()
+	m.ReportsCursor = uint64(cursor)
+	m.StoredCursor, m.StoredIncarnation = uint64(p.receipts.Stored()), p.incarnation
 	g.addReports(m, p, now)
 	g.addGateways(m, p, now)
 	for _, other := range g.peers.byAddress {
@@ -206,6 +209,7 @@
 	reply.MissingBody = g.learner.learnMessage(m.Value, g.acceptor.acceptedValue.Load())
 	g.observeReplica(p, m.From, consensus.Slot(m.Slot))
 	g.receiveReports(p, m.Reports, now)
+	reply.StoredCursor = g.acknowledgeReports(p, m)
 	reply.UnknownGateway = g.receiveGateways(m.Gateways, now)
 	for _, report := range m.Rollouts {
 		g.gateways.receiveRollouts(report, now)
@@ -220,6 +224,29 @@
 	return reply
 }
 
+// acknowledgeReports records up to which cursor a message brings the reports of a peer, and to which the peer has stored those of this
+// controller. It returns the cursor up to which the peer's departures are on this controller's disk.
+func (g *gossiper) acknowledgeReports(p *peer, m *rpc.Gossip) (stored uint64) {
+	if m.StoredIncarnation == g.self.incarnation {
+		p.observeStored(m.StoredCursor)
+		g.heartbeats.completeWaits()
+	}
+	if m.ReportsCursor > 0 {
+		p.receipts.Add(registry.Cursor(m.ReportsCursor), g.table.Cursor())
+		p.receipts.Confirm(g.departures.isStored)
+	}
+	return uint64(p.receipts.Stored())
+}
+
+// confirmStored tells the peers which of their departures have been stored since the last message to them.
+func (g *gossiper) confirmStored() {
+	for _, p := range g.peers.byAddress {
+		if p.receipts.Confirm(g.departures.isStored) {
+			p.gossipNow()
+		}
+	}
+}
+
 // receiveReply processes the reply to a message.
 func (g *gossiper) receiveReply(p *peer, m *rpc.GossipReply, sent outgoingGossip) {
 	if m.From == nil {
@@ -230,6 +257,7 @@
 	g.observePeer(p, m.From, m.Incarnation, consensus.Slot(m.Slot), now)
 	if sameIncarnation {
 		p.ackedCursor, p.ackedGateways = max(p.ackedCursor, sent.cursor), p.sentGateways
+		p.observeStored(m.StoredCursor)
 	}
 	if m.UnknownGateway {
 		p.ackedGateways = 0
@@ -274,6 +302,9 @@
 	if len(g.table.ChangesAfter(before)) > 0 {
 		g.updates.request(urgent)
 	}
+	if urgent {
+		g.departures.record()
+	}
 }
 
 // receiveGateways records the gateways that poll a peer. unknown is true if one of them was identified only by its incarnation and
@@ -306,10 +337,10 @@
 // observePeer records that a peer is alive. A peer that has restarted no longer has the state that it acknowledged.
 func (g *gossiper) observePeer(p *peer, from *rpc.Controller, incarnation uint64, slot consensus.Slot, now time.Duration) {
 	if p.incarnation != incarnation && p.incarnation != 0 {
-		p.ackedCursor, p.ackedGateways = 0, 0
+		p.forgetReplicas()
 	}
 	g.contact.observeIncarnation(consensus.AcceptorID(from.Id), incarnation)
-	p.restoresBodies = from.RestoresBodies
+	p.restoresBodies, p.storesDepartures = from.RestoresBodies, from.StoresDepartures
 	p.incarnation, p.id, p.controlAddress, p.zone = incarnation, consensus.AcceptorID(from.Id), from.ControlAddress, from.Zone
 	p.lastSeen, p.slot = max(now, 1), slot
 }
--- a/controlplane/heartbeat_service.go
+++ b/controlplane/heartbeat_service.go
@@ -6,22 +6,23 @@
 	"oxbowspan/registry"
 )
 
-// replicationTimeout limits how long a server's report may wait until a majority has it. Servers time out their call after one
+// replicationTimeout limits how long a server's report may wait until a majority has stored it. Servers time out their call after one
 // second.
 const replicationTimeout = 800 * time.Millisecond
 
 // heartbeatService processes the reports that servers send about themselves. It is owned by the event loop.
 type heartbeatService struct {
-	clock   *monotonicClock
-	table   *registry.Table
-	learner *learner
-	contact *contactMonitor
-	peers   *peerSet
-	updates *updateSchedule
-	waits   []*replicationWait
+	clock      *monotonicClock
+	table      *registry.Table
+	learner    *learner
+	contact    *contactMonitor
+	peers      *peerSet
+	departures *departureLog
+	updates    *updateSchedule
+	waits      []*replicationWait
 }
 
-// replicationWait waits until a majority of the members have the reports up to a cursor.
+// replicationWait waits until a majority of the members have the departures up to a cursor on their disks.
 type replicationWait struct {
 	cursor   registry.Cursor
 	done     chan struct{} // closed when they have them
@@ -35,12 +36,12 @@
 }
 
 func newHeartbeatService(clock *monotonicClock, table *registry.Table, learner *learner, contact *contactMonitor, peers *peerSet,
-	updates *updateSchedule) *heartbeatService {
-	return &heartbeatService{clock: clock, table: table, learner: learner, contact: contact, peers: peers, updates: updates}
+	departures *departureLog, updates *updateSchedule) *heartbeatService {
+	return &heartbeatService{clock: clock, table: table, learner: learner, contact: contact, peers: peers, departures: departures, updates: updates}
 }
 
 // apply applies a server's report by calling update, which enters it into the table. A report that takes the server out of service
-// may be acknowledged only when a majority has it, so that it isn't lost if this controller fails.
+// may be acknowledged only when the disks of a majority hold it, so that it isn't lost even if all controllers are killed.
 func (s *heartbeatService) apply(id registry.InstanceID, update func(now time.Duration)) reportOutcome {
 	now, before := s.clock.now(), s.table.Cursor()
 	outcome := reportOutcome{isolated: now > peerLivenessTimeout && !s.contact.hasQuorum(now)}
@@ -50,6 +51,9 @@
 	if len(changed) > 0 {
 		s.updates.request(outOfService)
 	}
+	if outOfService && len(changed) > 0 {
+		s.departures.record()
+	}
 	if outOfService && !s.isReplicated(cursor) {
 		outcome.wait = &replicationWait{cursor: cursor, done: make(chan struct{}), deadline: now + replicationTimeout}
 		s.waits = append(s.waits, outcome.wait)
@@ -73,10 +77,10 @@
 }
 
 func (s *heartbeatService) isReplicated(cursor registry.Cursor) bool {
-	return s.peers.replicated(s.learner.value.Members, cursor)
+	return s.peers.replicated(s.learner.value.Members, cursor, s.departures.isStored(cursor))
 }
 
-// completeWaits completes the waits for reports that a majority has.
+// completeWaits completes the waits for departures that a majority has stored.
 func (s *heartbeatService) completeWaits() {
 	s.filterWaits(func(w *replicationWait) bool {
 		if s.isReplicated(w.cursor) {
--- a/controlplane/hints.go
+++ b/controlplane/hints.go
@@ -27,6 +27,7 @@
 	table             *registry.Table
 	peers             *peerSet
 	learner           *learner
+	departures        *departureLog
 	loop              *eventLoop
 	clock             *monotonicClock
 	savedAt           time.Duration
@@ -37,29 +38,41 @@
 	log               zerolog.Logger
 }
 
-func newHintSaver(store *acceptorstore.Store, table *registry.Table, peers *peerSet, learner *learner, loop *eventLoop, clock *monotonicClock, log zerolog.Logger) *hintSaver {
-	return &hintSaver{store: store, table: table, peers: peers, learner: learner, loop: loop, clock: clock, log: log}
+func newHintSaver(store *acceptorstore.Store, table *registry.Table, peers *peerSet, learner *learner, departures *departureLog, loop *eventLoop,
+	clock *monotonicClock, log zerolog.Logger) *hintSaver {
+	return &hintSaver{store: store, table: table, peers: peers, learner: learner, departures: departures, loop: loop, clock: clock, log: log}
 }
 
-// restore loads the state that an earlier run stored: the hints into the table, and the committed revisions into the history. Hints
-// that can't be decoded are ignored. It must be called before the event loop runs: a value that is learned before it would displace
+// restore loads the state that an earlier run stored: the hints and the departures into the table, and the committed revisions into the
+// history. Hints and departures that can't be decoded are ignored. It must be called before the event loop runs: a value that is learned before it would displace
 // older revisions, and the store's goroutine may read the file again.
 func (h *hintSaver) restore() {
 	h.learner.history.Restore(h.store.History())
-	hints, m := h.store.Hints(), &rpc.Gossip{}
-	if len(hints) == 0 || proto.Unmarshal(hints, m) != nil {
-		return
-	}
-	for _, r := range m.Reports {
-		r.AgeMs = 0 // it is unknown how long ago the heartbeat was received
-		h.table.Merge(decodeReport(r, h.clock.now()), hintSource)
+	hints := &rpc.Gossip{}
+	if proto.Unmarshal(h.store.Hints(), hints) == nil {
+		for _, r := range hints.Reports {
+			h.restoreReport(r)
+		}
+		for _, controller := range hints.Controllers {
+			h.restoredAddresses = append(h.restoredAddresses, controller.Address)
+		}
 	}
-	for _, controller := range m.Controllers {
-		h.restoredAddresses = append(h.restoredAddresses, controller.Address)
+	for _, departure := range h.store.Departures() {
+		r := &rpc.ServerReport{}
+		if proto.Unmarshal(departure.Report, r) == nil {
+			h.restoreReport(r)
+		}
 	}
+	h.departures.restored()
 	h.logRestored()
 }
 
+// restoreReport enters a report from the disk into the table.
+func (h *hintSaver) restoreReport(r *rpc.ServerReport) {
+	r.AgeMs = 0 // it is unknown how long ago the heartbeat was received
+	h.table.Merge(decodeReport(r, h.clock.now()), hintSource)
+}
+
 // logRestored logs the numbers of restored servers by state.
 func (h *hintSaver) logRestored() {
 	counts := map[registry.State]int{}
--- a/controlplane/identity.go
+++ b/controlplane/identity.go
@@ -26,6 +26,8 @@
 		Zone:           i.zone,
 		Voter:          voter,
 		RestoresBodies: true,
+
+		StoresDepartures: true,
 	}
 }
 
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -24,27 +24,30 @@
 	cancel  context.CancelFunc
 
 	// From its messages.
-	id             consensus.AcceptorID
-	controlAddress string
-	zone           string
-	incarnation    uint64
-	slot           consensus.Slot           // newest slot that it knows to be decided
-	replica        consensus.Replica        // on its disk, valid if reportsReplica
-	reportsReplica bool                     // it reports the replica on its disk
-	restoresBodies bool                     // it restores bodies that are omitted from a value
-	draining       bool                     // it is shutting down
-	lastSeenAges   map[string]time.Duration // time since it last saw other controllers, by their address
+	id               consensus.AcceptorID
+	controlAddress   string
+	zone             string
+	incarnation      uint64
+	slot             consensus.Slot           // newest slot that it knows to be decided
+	replica          consensus.Replica        // on its disk, valid if reportsReplica
+	reportsReplica   bool                     // it reports the replica on its disk
+	restoresBodies   bool                     // it restores bodies that are omitted from a value
+	storesDepartures bool                     // it reports which departures are on its disk
+	draining         bool                     // it is shutting down
+	lastSeenAges     map[string]time.Duration // time since it last saw other controllers, by their address
 
 	addedAt  time.Duration
 	lastSeen time.Duration // 0 = never
 	listed   bool          // it is in the list of controllers that gateways receive
 
 	// State of the gossip to it.
-	ackedCursor      registry.Cursor // up to which it has this controller's reports
-	ackedGateways    uint64          // up to which sequence it has the gateways that poll this controller
-	sentGateways     uint64          // up to which sequence the message in flight contains them in full
-	gatewaysSentAt   time.Duration   // when all of them were last sent
-	differingRanges  []int           // ranges of reports that differ, by the last comparison of digests
+	ackedCursor      registry.Cursor   // up to which it has this controller's reports
+	storedCursor     registry.Cursor   // up to which this controller's departures are on its disk
+	receipts         registry.Receipts // of its reports
+	ackedGateways    uint64            // up to which sequence it has the gateways that poll this controller
+	sentGateways     uint64            // up to which sequence the message in flight contains them in full
+	gatewaysSentAt   time.Duration     // when all of them were last sent
+	differingRanges  []int             // ranges of reports that differ, by the last comparison of digests
 	digestsSentAt    time.Duration
 	missingBody      bool // it lacks a body of the value that it was sent, so the value is sent to it in full
 	requestFullValue bool // this controller lacks a body of the value that the peer sent
@@ -58,6 +61,26 @@
 // lastSeenAge returns the time since the peer was last seen, or since it was added if it was never seen.
 func (p *peer) lastSeenAge(now time.Duration) time.Duration { return now - max(p.lastSeen, p.addedAt) }
 
+// forgetReplicas discards what is known of the reports that the peer and this controller have of each other. It must be called when the
+// peer has restarted.
+func (p *peer) forgetReplicas() {
+	p.ackedCursor, p.ackedGateways, p.storedCursor, p.receipts = 0, 0, 0, registry.Receipts{}
+}
+
+// observeStored records that the peer's disk has this controller's departures up to a cursor.
+func (p *peer) observeStored(cursor uint64) {
+	p.storedCursor = max(p.storedCursor, registry.Cursor(cursor))
+}
+
+// hasDepartures reports whether the peer has this controller's departures up to a cursor on its disk, or in memory if its release can't
+// store them.
+func (p *peer) hasDepartures(cursor registry.Cursor) bool {
+	if !p.storesDepartures {
+		return p.ackedCursor >= cursor
+	}
+	return p.storedCursor >= cursor
+}
+
 // describe returns the peer as a message for gateways.
 func (p *peer) describe(now time.Duration, voter bool) *rpc.Controller {
 	return &rpc.Controller{Id: uint64(p.id), Address: p.address, ControlAddress: p.controlAddress, Zone: p.zone, Voter: voter,
@@ -161,14 +184,15 @@
 	return out
 }
 
-// replicated reports whether a majority of the members have this controller's reports up to a cursor.
-func (s *peerSet) replicated(members []consensus.Member, cursor registry.Cursor) bool {
+// replicated reports whether a majority of the members have this controller's departures up to a cursor on their disks. stored states
+// whether this controller has.
+func (s *peerSet) replicated(members []consensus.Member, cursor registry.Cursor, stored bool) bool {
 	return consensus.HasMajority(members, func(id consensus.AcceptorID) bool {
 		if id == s.self.id {
-			return true
+			return stored
 		}
 		for _, p := range s.byAddress {
-			if p.id == id && p.ackedCursor >= cursor {
+			if p.id == id && p.hasDepartures(cursor) {
 				return true
 			}
 		}
--- a/internal/acceptorstore/format.go
+++ b/internal/acceptorstore/format.go
@@ -42,6 +42,8 @@
 
 	historyBucket = []byte("history") // maps historyKey to the fingerprint of each revision; may be absent
 
+	departuresBucket = []byte("departures") // maps instances to their reports; holds what hintsKey may lack; may be absent
+
 	hintsBucket = []byte("others")
 	hintsKey    = []byte("hints") // an rpc.Gossip with only the reports set; in version 1 in stateBucket
 )
--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -51,13 +51,14 @@
 // Store is the state file of one acceptor. Its methods may be called from any goroutine unless their documentation restricts
 // it.
 type Store struct {
-	dir     string
-	queue   chan func()
-	closing chan struct{}
-	done    chan struct{}             // closed when the store's goroutine has ended
-	hints   []byte                    // as read by Open
-	history []consensus.HistoryRecord // as read by Open
-	openErr error                     // why Open could not create the file; nil if the file was opened
+	dir        string
+	queue      chan func()
+	closing    chan struct{}
+	done       chan struct{}             // closed when the store's goroutine has ended
+	hints      []byte                    // as read by Open
+	history    []consensus.HistoryRecord // as read by Open
+	departures []Departure               // as read by Open
+	openErr    error                     // why Open could not create the file; nil if the file was opened
 
 	// The following fields belong to the store's goroutine.
 	db                *bbolt.DB               // nil while the file could not be created or its directory not be synced
@@ -157,6 +158,7 @@
 	}
 	db.View(func(tx *bbolt.Tx) error {
 		s.history = readHistory(tx)
+		s.departures = readDepartures(tx)
 		return nil
 	})
 	s.historyCounts = map[string]int{}
@@ -255,12 +257,17 @@
 // the calls. Both functions run on the store's goroutine and must not block. If the queue is full or the store is closed,
 // Update returns ErrBusy at once and calls neither.
 func (s *Store) Update(step StepFunc, after StoredFunc) error {
+	return s.enqueueWrite(func() { s.update(step, after) })
+}
+
+// enqueueWrite queues a function for the store's goroutine. It returns ErrBusy if the queue is full or the store is closed.
+func (s *Store) enqueueWrite(f func()) error {
 	select {
 	case <-s.closing:
 		return ErrBusy
 	default:
 	}
-	if !s.enqueue(func() { s.update(step, after) }) {
+	if !s.enqueue(f) {
 		return ErrBusy
 	}
 	return nil
@@ -297,14 +304,15 @@
 	return s.commit(func(tx *bbolt.Tx) error { return writeState(tx, next, withValue) })
 }
 
-// Hints returns the hints that were last saved before Open; nil if there are none. Hints are optional: nothing depends on them.
+// Hints returns the hints that were last saved before Open; nil if there are none. Hints may be out of date, except that they and
+// Departures together contain every departure whose save has succeeded.
 func (s *Store) Hints() []byte { return s.hints }
 
 // History returns the committed revisions that were saved before Open, ordered by document and version.
 func (s *Store) History() []consensus.HistoryRecord { return s.history }
 
-// SaveHints queues a write that replaces the hints and adds committed revisions, and calls after on the store's goroutine
-// when it has ended. If the disk is not idle, i.e. other work is queued, it does nothing and returns false.
+// SaveHints queues a write that replaces the hints, deletes the departures and adds committed revisions, and calls after on the
+// store's goroutine when it has ended. If the disk is not idle, i.e. other work is queued, it does nothing and returns false.
 func (s *Store) SaveHints(hints []byte, history []consensus.HistoryRecord, after func(error)) bool {
 	if len(s.queue) > 0 {
 		return false
@@ -318,6 +326,9 @@
 			if err := tx.Bucket(hintsBucket).Put(hintsKey, hints); err != nil {
 				return err
 			}
+			if err := deleteDepartures(tx); err != nil {
+				return err
+			}
 			return s.saveHistory(tx, history)
 		})
 		if err == nil {
--- /dev/null
+++ b/internal/testing/simcluster/departure_test.go
@@ -0,0 +1,84 @@
+package simcluster
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// departureCase is one way in which processes are lost after a server's departure was acknowledged.
+type departureCase struct {
+	signOff   bool          // the server signs off without having said that it drains
+	powerLoss bool          // of the machines whose processes are lost
+	gateways  bool          // the gateways are lost too
+	delay     time.Duration // between the acknowledgement and the loss
+}
+
+func (c departureCase) String() string {
+	return fmt.Sprintf("sign-off %t, power loss %t, gateways %t, after %v", c.signOff, c.powerLoss, c.gateways, c.delay)
+}
+
+// TestDepartureSurvivesLossOfAllControllers guards against the loss of an acknowledged draining or sign-off when all controllers are
+// lost at once and come back: the server serves on, but its heartbeats do not come any more, and must get no request.
+func TestDepartureSurvivesLossOfAllControllers(t *testing.T) {
+	seed := uint64(500)
+	for _, signOff := range []bool{true, false} {
+		for _, powerLoss := range []bool{false, true} {
+			for _, gateways := range []bool{false, true} {
+				for _, delay := range []time.Duration{0, 400 * time.Millisecond, 1700 * time.Millisecond} {
+					seed++
+					test := departureCase{signOff, powerLoss, gateways, delay}
+					t.Run(test.String(), func(t *testing.T) {
+						runCluster(t, seed, 3, 3, func(t *testing.T, cluster *Cluster) { test.run(t, cluster) })
+					})
+				}
+			}
+		}
+	}
+}
+
+func (c departureCase) run(t *testing.T, cluster *Cluster) {
+	const away = 500 * time.Millisecond // of the processes that are lost
+	commitFirstVersion(t, cluster)
+	time.Sleep(3 * time.Second)
+	leaving := cluster.Servers[drainingServer]
+	late := countLateRequests(leaving, leave(t, cluster, leaving, c.signOff).Add(drainLimit))
+	time.Sleep(c.delay)
+	killAll(c.powerLoss, cluster.Controllers...)
+	if c.gateways {
+		for _, gateway := range cluster.Gateways {
+			gateway.Kill(c.powerLoss)
+		}
+	}
+	time.Sleep(away)
+	startAll(t, cluster.Controllers...)
+	if c.gateways {
+		for _, gateway := range cluster.Gateways {
+			gateway.Start()
+		}
+	}
+	var requests requestCounter
+	sendSingleLoad(cluster, &requests, 8*time.Second)
+	if count := late(); count > 0 {
+		t.Errorf("%d requests reached a server later than %v after its departure was acknowledged", count, drainLimit)
+	}
+	requests.expectServed(t, 50, "requests")
+}
+
+// leave announces that a server drains, or signs it off, as its last call. The server serves on. It returns the time of the
+// acknowledgement.
+func leave(t *testing.T, cluster *Cluster, server *Server, signOff bool) time.Time {
+	t.Helper()
+	server.stopHeartbeats()
+	if !signOff {
+		at := server.Drain()
+		if at.IsZero() {
+			t.Fatal("a draining is not acknowledged, though there are no faults")
+		}
+		return at
+	}
+	reply := timedPost(cluster, cluster.Controllers[1].ControlAddress(), signOffPath(server.Instance), nil)
+	requireStatus(t, reply.status, http.StatusOK, "sign-off")
+	return time.Now()
+}
--- a/internal/testing/simcluster/server_call_test.go
+++ b/internal/testing/simcluster/server_call_test.go
@@ -48,55 +48,101 @@
 	sequence   uint64
 }
 
+// coreCondition is what the controllers are able to do, on which the responses to a server's calls depend.
+type coreCondition int
+
+const (
+	coreHealthy     coreCondition = iota // all calls must be acknowledged
+	coreCannotStore                      // heartbeats must be acknowledged, drains and sign-offs must not
+	coreCannotReach                      // a drain must not be acknowledged; a sign-off of an unknown instance, which has no effect, may be
+)
+
 // TestServerCallResponseTime checks that each heartbeat and sign-off is answered within a second and with a short body, also if
-// most controllers are partitioned or their disks stall. A controller that cannot pass a drain on must not acknowledge it.
+// most controllers are partitioned or their disks stall. A drain that no majority of the controllers has on its disks must not be
+// acknowledged: it would be forgotten if all controllers were killed.
 func TestServerCallResponseTime(t *testing.T) {
 	runCluster(t, 71, 3, 1, func(t *testing.T, cluster *Cluster) {
 		commitFirstVersion(t, cluster)
 		time.Sleep(3 * time.Second)
 		test := &serverCallTest{cluster: cluster, controller: cluster.Controllers[0], sequence: 1 << 20}
-		test.callAll(t, "no faults", true)
-		for _, controller := range cluster.Controllers {
+		test.callAll(t, "no faults", coreHealthy)
+		for i, controller := range cluster.Controllers {
 			controller.Controller.StallDisk(3 * time.Second)
+			test.callAll(t, fmt.Sprintf("disk %d stalled", i), coreHealthy)
+			time.Sleep(4 * time.Second)
 		}
-		test.callAll(t, "all disks stalled", true)
+		for _, controller := range cluster.Controllers {
+			controller.Controller.StallDisk(5 * time.Second)
+		}
+		test.callAll(t, "all disks stalled", coreCannotStore)
 		time.Sleep(4 * time.Second)
+		test.repeatLast(t, "disks respond again")
+		test.callAll(t, "disks respond again", coreHealthy)
 		isolate(cluster, test.controller)
-		test.callAll(t, "just partitioned", false)
+		test.callAll(t, "just partitioned", coreCannotReach)
 		time.Sleep(3 * time.Second)
-		test.callAll(t, "partitioned for long", false)
+		test.callAll(t, "partitioned for long", coreCannotReach)
 		cluster.Network.Heal()
 		time.Sleep(3 * time.Second)
-		test.callAll(t, "healed", true)
+		test.callAll(t, "healed", coreHealthy)
 		killAll(true, cluster.Controllers[1:]...)
-		test.callAll(t, "two without power", false)
+		test.callAll(t, "two without power", coreCannotReach)
 	})
 }
 
-// callAll makes each kind of call for a new instance. If the controller is connected to a majority, all calls must be
-// acknowledged, and otherwise the drain must not be. A sign-off of an unknown instance has no effect and may be acknowledged.
-func (s *serverCallTest) callAll(t *testing.T, when string, connected bool) {
+// serverCall is a call that a server makes.
+type serverCall struct {
+	name  string
+	path  func(instance string) string
+	state string // of a heartbeat
+}
+
+func (c serverCall) isDeparture() bool { return c.state != stateReady }
+
+// serverCalls are all kinds of calls.
+var serverCalls = []serverCall{
+	{"heartbeat", heartbeatPath, stateReady},
+	{"drain", heartbeatPath, config.StateDraining},
+	{"sign-off", signOffPath, ""},
+}
+
+// callAll makes each kind of call for a new instance and checks the responses.
+func (s *serverCallTest) callAll(t *testing.T, when string, condition coreCondition) {
 	t.Helper()
-	for _, call := range []struct {
-		name  string
-		path  func(instance string) string
-		state string
-	}{
-		{"heartbeat", heartbeatPath, stateReady},
-		{"drain", heartbeatPath, config.StateDraining},
-		{"sign-off", signOffPath, ""},
-	} {
+	for _, call := range serverCalls {
 		s.sequence++
-		instance := fmt.Sprint("i-", s.sequence)
-		body := s.cluster.Servers[drainingServer].heartbeat(call.state, s.sequence)
-		reply := timedPost(s.cluster, s.controller.ControlAddress(), call.path(instance), body)
-		if reply.elapsed >= acknowledgementTimeout || reply.length > maxAcknowledgementBytes || reply.status == 0 {
-			t.Errorf("%s: %s is answered with status %d and %d bytes after %v", when, call.name, reply.status, reply.length, reply.elapsed)
-		}
-		if connected {
-			expectStatus(t, reply.status, http.StatusOK, "%s: %s", when, call.name)
-		} else if call.state == config.StateDraining && reply.status == http.StatusOK {
-			t.Errorf("%s: drain is acknowledged by a controller that cannot pass it on", when)
+		what := when + ": " + call.name
+		status := s.call(t, call, s.sequence, what)
+		switch {
+		case condition == coreHealthy, condition == coreCannotStore && !call.isDeparture():
+			expectStatus(t, status, http.StatusOK, "%s", what)
+		case condition == coreCannotStore:
+			expectStatus(t, status, http.StatusServiceUnavailable, "%s, which is on no disk,", what)
+		case call.state == config.StateDraining && status == http.StatusOK:
+			t.Errorf("%s is acknowledged by a controller that cannot pass it on", what)
 		}
 	}
 }
+
+// repeatLast makes the calls of the last callAll again, for the same instances. All must be acknowledged.
+func (s *serverCallTest) repeatLast(t *testing.T, when string) {
+	t.Helper()
+	for i, call := range serverCalls {
+		what := when + ": repeated " + call.name
+		status := s.call(t, call, s.sequence-uint64(len(serverCalls)-1-i), what)
+		expectStatus(t, status, http.StatusOK, "%s", what)
+	}
+}
+
+// call makes a call for an instance that is named by a sequence number, checks the time and the length of the response, and returns its
+// status.
+func (s *serverCallTest) call(t *testing.T, call serverCall, sequence uint64, what string) (status int) {
+	t.Helper()
+	instance := fmt.Sprint("i-", sequence)
+	body := s.cluster.Servers[drainingServer].heartbeat(call.state, sequence)
+	reply := timedPost(s.cluster, s.controller.ControlAddress(), call.path(instance), body)
+	if reply.elapsed >= acknowledgementTimeout || reply.length > maxAcknowledgementBytes || reply.status == 0 {
+		t.Errorf("%s is answered with status %d and %d bytes after %v", what, reply.status, reply.length, reply.elapsed)
+	}
+	return reply.status
+}
