Gossip for a controller's earlier incarnation confirms no departures

What callers could see: a departure acknowledged though only one disk held it, if a controller restarts within the moment in which a peer's message for its earlier incarnation is on the way.

Cause: the message contains what the earlier incarnation lacked, but its cursor covers all reports; the restarted controller took the cursor for received.

--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -132,7 +132,8 @@
 	m.Rollouts = g.rollouts.gatewayReports(now)
 	cursor := g.table.Cursor()
 	m.ReportsCursor = uint64(cursor)
-	m.StoredCursor, m.StoredIncarnation = uint64(p.receipts.Stored()), p.incarnation
+	m.StoredCursor, m.ToIncarnation = uint64(p.receipts.Stored()), p.incarnation
+	m.CompleteReports = p.ackedCursor == 0
 	g.addReports(m, p, now)
 	g.addGateways(m, p, now)
 	for _, other := range g.peers.byAddress {
@@ -227,11 +228,12 @@
 // acknowledgeReports records up to which cursor a message brings the reports of a peer, and to which the peer has stored those of this
 // controller. It returns the cursor up to which the peer's departures are on this controller's disk.
 func (g *gossiper) acknowledgeReports(p *peer, m *rpc.Gossip) (stored uint64) {
-	if m.StoredIncarnation == g.self.incarnation {
+	current := m.ToIncarnation == g.self.incarnation // otherwise the sender doesn't know yet that this controller has restarted
+	if current {
 		p.observeStored(m.StoredCursor)
 		g.heartbeats.completeWaits()
 	}
-	if m.ReportsCursor > 0 {
+	if current || m.CompleteReports {
 		p.receipts.Add(registry.Cursor(m.ReportsCursor), g.table.Cursor())
 		p.receipts.Confirm(g.departures.isStored)
 	}
--- a/rpc/compat_test.go
+++ b/rpc/compat_test.go
@@ -201,7 +201,8 @@
 		"rpc.Controller.stores_departures": true,
 		"rpc.Gossip.reports_cursor":        true,
 		"rpc.Gossip.stored_cursor":         true,
-		"rpc.Gossip.stored_incarnation":    true,
+		"rpc.Gossip.complete_reports":      true,
+		"rpc.Gossip.to_incarnation":        true,
 		"rpc.GossipReply.stored_cursor":    true,
 	}
 	set := map[protoreflect.FullName]bool{}
