A controller that has restarted is sent all records at once, those that came from it too

What callers could see: requests to a server that had signed off, through gateways that poll a controller that lost its memory and disk, for up to 2.4 s: until the next comparison of digests.

Cause: records are not sent back to the controller from which they came, also after that one restarted and lost them. So it took a late heartbeat of a server that had signed off with it for a new server's. And where the restart was noticed by a reply, the records followed only with the next regular message, 0.4 s later. Change: a replica whose cursor is 0 gets all records, and a restarted peer gets them without delay. Why it works: after the first message such a replica has what every other replica has.

Tests, both failed before: `registry` TestRestartedReplicaIsSentItsOwnRecords, `simcluster` TestRestartedControllerLearnsItsOwnReports (the restarted controller reported the server as ready to a gateway).

--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -336,10 +336,12 @@
 	return differing
 }
 
-// observePeer records that a peer is alive. A peer that has restarted no longer has the state that it acknowledged.
+// observePeer records that a peer is alive. A peer that has restarted no longer has the state that it acknowledged, and is sent it at
+// once.
 func (g *gossiper) observePeer(p *peer, from *rpc.Controller, incarnation uint64, slot consensus.Slot, now time.Duration) {
 	if p.incarnation != incarnation && p.incarnation != 0 {
 		p.forgetReplicas()
+		p.gossipNow()
 	}
 	g.contact.observeIncarnation(consensus.AcceptorID(from.Id), incarnation)
 	p.restoresBodies, p.storesDepartures = from.RestoresBodies, from.StoresDepartures
--- a/internal/testing/simcluster/departure_test.go
+++ b/internal/testing/simcluster/departure_test.go
@@ -1,10 +1,15 @@
 package simcluster
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"testing"
 	"time"
+
+	"oxbowspan/internal/settings"
+	"oxbowspan/registry"
+	"oxbowspan/rpc"
 )
 
 // departureCase is one way in which processes are lost after a server's departure was acknowledged.
@@ -82,3 +87,45 @@
 	requireStatus(t, reply.status, http.StatusOK, "sign-off")
 	return time.Now()
 }
+
+// TestRestartedControllerLearnsItsOwnReports guards against a controller that has lost its disk and is not told by the others what it had
+// told them: it would list a server that signed off with it as ready again when a late heartbeat of that server arrives.
+func TestRestartedControllerLearnsItsOwnReports(t *testing.T) {
+	runCluster(t, 530, 3, 1, func(t *testing.T, cluster *Cluster) {
+		commitFirstVersion(t, cluster)
+		time.Sleep(3 * time.Second)
+		restarted, leaving := cluster.Controllers[1], cluster.Servers[drainingServer]
+		leave(t, cluster, leaving, true) // with that controller
+		restarted.Kill(false)
+		restarted.WipeDisk()
+		requireNoError(t, restarted.Start())
+		time.Sleep(300 * time.Millisecond)
+		timedPost(cluster, restarted.ControlAddress(), heartbeatPath(leaving.Instance), leaving.heartbeat(stateReady, 1<<20))
+		if report := reportOf(t, cluster, restarted, leaving.Instance); report != nil && report.State == uint32(registry.Ready) {
+			t.Error("a restarted controller reports a server as ready that had signed off with it")
+		}
+	})
+}
+
+// reportOf returns a controller's report of a server in its answer to a gateway's first poll; nil if it reports none.
+func reportOf(t *testing.T, cluster *Cluster, controller *ControllerNode, instance string) *rpc.ServerReport {
+	t.Helper()
+	client := &rpc.Client{Address: controller.settings().InternalAddress(settings.ControllerPort), Network: cluster.Network.Host("10.0.9.5")}
+	defer client.Close()
+	for range 200 {
+		ctx, cancel := context.WithTimeout(context.Background(), controlCallTimeout)
+		reply, err := client.Call(ctx, &rpc.Frame{Body: &rpc.Frame_Poll{Poll: &rpc.Poll{}}})
+		cancel()
+		if err == nil && reply.GetUpdate().HasQuorum {
+			for _, report := range reply.GetUpdate().Reports {
+				if report.Instance == instance {
+					return report
+				}
+			}
+			return nil
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("a controller does not come into contact with a majority")
+	return nil
+}
--- a/registry/table.go
+++ b/registry/table.go
@@ -49,9 +49,14 @@
 
 // UpdatesFor returns the records updated after a cursor that must be sent to another controller, in the order of their last
 // updates: those whose heartbeat was received here, those that changed, and those received from a third controller that the
-// other one cannot reach itself, as reported by unreachable. Records received from the other controller are left out.
+// other one cannot reach itself, as reported by unreachable. Records received from the other controller are left out, unless after is
+// 0: that controller is new or has restarted, and may have lost them.
 func (t *Table) UpdatesFor(after Cursor, to string, unreachable func(source string) bool) []*Record {
-	all := t.recordsAfter(func(r *Record) Cursor { return r.lastUpdate }, after, to)
+	exceptSource := to
+	if after == 0 {
+		exceptSource = ""
+	}
+	all := t.recordsAfter(func(r *Record) Cursor { return r.lastUpdate }, after, exceptSource)
 	return slices.DeleteFunc(all, func(r *Record) bool {
 		return r.source != "" && r.lastChange <= after && !unreachable(r.source)
 	})
--- a/registry/table_test.go
+++ b/registry/table_test.go
@@ -239,3 +239,22 @@
 		t.Fatal("the lease is not part of the records for other controllers")
 	}
 }
+
+// A replica that has restarted lacks also the records that it sent before. Without them it would take a late heartbeat of a server that
+// signed off with it for that of a new server.
+func TestRestartedReplicaIsSentItsOwnRecords(t *testing.T) {
+	table := NewTable(testHeartbeatInterval)
+	table.Merge(Record{Instance: "a", Service: "s", Address: "x", State: Deregistered, Sequence: 1}, "peer")
+	table.Merge(Record{Instance: "b", Service: "s", Address: "y", Sequence: 1}, "other")
+	none := func(string) bool { return false }
+	if sent := table.UpdatesFor(0, "peer", none); len(sent) != 2 {
+		t.Errorf("%d records are sent to a replica without any, want 2", len(sent))
+	}
+	if sent := table.UpdatesFor(1, "peer", none); len(sent) != 1 || sent[0].Instance != "b" {
+		t.Errorf("%d records are sent to a replica that has its own, want that of another replica", len(sent))
+	}
+	table.Merge(Record{Instance: "a", State: Deregistered, Sequence: 2}, "peer")
+	if sent := table.UpdatesFor(2, "peer", none); len(sent) != 0 {
+		t.Errorf("%d records are sent back to the replica from which they came", len(sent))
+	}
+}
