A controller that has started is current for gateways only with the reports of a majority

What callers could see: requests to a server that had signed off while a controller was away, through a gateway that polls that controller right after its start, until the others' reports arrive.

Cause: a poll was answered as current once a majority had confirmed the newest configuration. That says nothing of the servers' records, which come by messages in the other direction. Change: such polls wait, within the limit that they had, until a majority of the members has sent all its records. Why it works: what was acknowledged is on the disks of a majority, and two majorities share a member.

Test: TestPollsWaitForReportsOfMajority fails without the condition ("current for gateways without others' reports: true").

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -53,6 +53,7 @@
 	learner       *learner
 	contact       *contactMonitor
 	verifier      *contactVerifier
+	reports       *reportSync
 	peers         *peerSet
 	gossip        *gossiper
 	gateways      *gatewayDirectory
@@ -118,6 +119,7 @@
 	c.departures = newDepartureLog(c.store, c.table, c.loop, c.clock, c, c.log)
 	c.hints = newHintSaver(c.store, c.table, c.peers, c.learner, c.departures, c.loop, c.clock, c.log)
 	c.verifier = newContactVerifier(c.contact, c.peers)
+	c.reports = newReportSync(c.self, c.learner)
 	c.membership = newMembershipManager(c.self, c.settings.ToleratedLosses, c.settings.Zones, c.learner, c.contact, c.peers)
 	c.completion = newReplicaCompletion(c.self, c.learner, c.acceptor, c.contact, c.peers)
 }
@@ -134,6 +136,7 @@
 		learner:           c.learner,
 		contact:           c.contact,
 		verifier:          c.verifier,
+		reports:           c.reports,
 		peers:             c.peers,
 		gateways:          c.gateways,
 		table:             c.table,
@@ -166,6 +169,8 @@
 		verifier:   c.verifier,
 		peers:      c.peers,
 		gateways:   c.gateways,
+		polls:      c.polls,
+		reports:    c.reports,
 		membership: c.membership,
 		heartbeats: c.heartbeats,
 		departures: c.departures,
--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -39,6 +39,8 @@
 	verifier   *contactVerifier
 	peers      *peerSet
 	gateways   *gatewayDirectory
+	polls      *pollService
+	reports    *reportSync
 	membership *membershipManager
 	heartbeats *heartbeatService
 	departures *departureLog
@@ -211,6 +213,9 @@
 	g.observeReplica(p, m.From, consensus.Slot(m.Slot))
 	g.receiveReports(p, m.Reports, now)
 	reply.StoredCursor = g.acknowledgeReports(p, m)
+	if isComplete(m) && g.reports.observe(p.id) {
+		g.polls.reportsReceived(now)
+	}
 	reply.UnknownGateway = g.receiveGateways(m.Gateways, now)
 	for _, report := range m.Rollouts {
 		g.gateways.receiveRollouts(report, now)
@@ -225,6 +230,9 @@
 	return reply
 }
 
+// isComplete reports whether a message contains all reports of its sender. Earlier releases don't tell.
+func isComplete(m *rpc.Gossip) bool { return m.CompleteReports || !m.From.StoresDepartures }
+
 // acknowledgeReports records up to which cursor a message brings the reports of a peer, and to which the peer has stored those of this
 // controller. It returns the cursor up to which the peer's departures are on this controller's disk.
 func (g *gossiper) acknowledgeReports(p *peer, m *rpc.Gossip) (stored uint64) {
--- a/controlplane/gossip_test.go
+++ b/controlplane/gossip_test.go
@@ -1,16 +1,46 @@
 package controlplane
 
 import (
+	"context"
 	"testing"
+	"time"
 
+	"oxbowspan/internal/testing/simnet"
+	"oxbowspan/registry"
 	"oxbowspan/rpc"
 )
 
+// startPoll passes a gateway's poll to a controller. It returns a channel that receives the answer.
+func startPoll(t *testing.T, c *Controller, poll *rpc.Poll) <-chan *rpc.Update {
+	t.Helper()
+	const address = "10.0.9.1:7100"
+	network := simnet.New(func(string, string) time.Duration { return 0 })
+	listener, err := network.Host("10.0.9.1").Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan struct{})
+	server := &rpc.Server{Handle: func(conn *rpc.Conn, f *rpc.Frame) {
+		c.polls.receive(conn, f.Id, f.GetPoll())
+		close(received)
+	}}
+	go server.Serve(listener)
+	client := &rpc.Client{Address: address, Network: network.Host("10.0.9.2")}
+	t.Cleanup(func() { client.Close(); listener.Close() })
+	answers := make(chan *rpc.Update, 1)
+	go func() {
+		reply, _ := client.Call(context.Background(), &rpc.Frame{Body: &rpc.Frame_Poll{Poll: poll}})
+		answers <- reply.GetUpdate()
+	}()
+	<-received
+	return answers
+}
+
 // gossipFrom returns a message of another controller that contains no reports.
 func gossipFrom(address string, toIncarnation uint64) *rpc.Gossip {
 	return &rpc.Gossip{
 		From:          &rpc.Controller{Id: 2, Address: address, StoresDepartures: true},
-		Incarnation:   22,
+		Incarnation:   1,
 		ReportsCursor: 500,
 		StoredCursor:  300,
 		ToIncarnation: toIncarnation,
@@ -46,3 +76,48 @@
 		})
 	}
 }
+
+// A controller that has started gives its list of servers for current only once a majority has sent it all reports: its own disk may lack
+// a departure that was acknowledged while it was away.
+func TestPollsWaitForReportsOfMajority(t *testing.T) {
+	c, now := newTestMember(t), time.Minute
+	c.observeReply(2, now, 4)
+	if !c.contact.isCurrent(now) || c.polls.isCurrent(now) {
+		t.Fatalf("in contact: %v, current for gateways without others' reports: %v", c.contact.isCurrent(now), c.polls.isCurrent(now))
+	}
+	answers := startPoll(t, c, &rpc.Poll{})
+	c.observeReply(2, now+time.Second, 4)
+	c.verifier.finish(now + time.Second)
+	if len(c.polls.waiters) != 1 {
+		t.Fatal("a poll is answered before the other controllers have sent their reports")
+	}
+	m := gossipFrom("b", c.self.incarnation)
+	c.gossip.receive(m)
+	if c.polls.isCurrent(now) || len(c.polls.waiters) != 1 {
+		t.Error("a message with the newest reports only is taken for all of them")
+	}
+	m.CompleteReports = true
+	m.Reports = []*rpc.ServerReport{{Instance: "i-1", Service: "s", Address: "10.0.3.1:80", State: uint32(registry.Deregistered)}}
+	c.gossip.receive(m)
+	update := <-answers
+	if !update.HasQuorum || len(update.Reports) != 1 || update.Reports[0].State != uint32(registry.Deregistered) {
+		t.Errorf("answer after a majority has sent all reports: %v", update)
+	}
+	m.CompleteReports = false
+	c.gossip.receive(m)
+	if !c.polls.isCurrent(now) {
+		t.Error("reports that were received once do not count any more")
+	}
+}
+
+// A peer of an earlier release doesn't tell which of its messages contain all reports. It must not keep gateways waiting.
+func TestReportsOfEarlierReleasesCount(t *testing.T) {
+	c, now := newTestMember(t), time.Minute
+	c.observeReply(2, now, 4)
+	m := gossipFrom("b", c.self.incarnation)
+	m.From.StoresDepartures = false
+	c.gossip.receive(m)
+	if !c.polls.isCurrent(now) {
+		t.Error("not current for gateways after a message of an earlier release")
+	}
+}
--- a/controlplane/poll_service.go
+++ b/controlplane/poll_service.go
@@ -16,7 +16,8 @@
 	id        uint64 // of the frame
 	poll      *rpc.Poll
 	deadline  time.Duration
-	verifying bool // until a majority has replied to messages sent after the poll arrived
+	verifying bool // until a majority has replied to messages sent after the poll arrived, and this controller has the server reports
+	replied   bool // a majority has replied to these messages
 }
 
 // pollService answers the long polls of gateways. It is owned by the event loop.
@@ -34,6 +35,7 @@
 	learner           *learner
 	contact           *contactMonitor
 	verifier          *contactVerifier
+	reports           *reportSync
 	peers             *peerSet
 	gateways          *gatewayDirectory
 	table             *registry.Table
@@ -45,7 +47,8 @@
 }
 
 // receive handles a poll. The poll is answered immediately if there is an update or the gateway doesn't want to wait. The first poll
-// of a gateway to this incarnation is answered once a majority has confirmed that this controller's state is current.
+// of a gateway to this incarnation is answered once a majority has confirmed that this controller's state is current, and has sent it
+// the server reports.
 func (s *pollService) receive(conn *rpc.Conn, id uint64, poll *rpc.Poll) {
 	now := s.clock.now()
 	s.observeSender(poll, now)
@@ -80,17 +83,32 @@
 	}
 }
 
-// verify answers a poll once a majority has confirmed this controller's state, or once the verification has timed out.
+// verify answers a poll once a majority has confirmed this controller's state and it has the server reports, or once the verification
+// has timed out.
 func (s *pollService) verify(w *pollWaiter, now time.Duration) {
 	w.verifying, w.deadline = true, now+2*verifyTimeout
 	s.verifier.verify(now, func(verified bool) {
-		if s.waiters[w] {
+		switch {
+		case !s.waiters[w]:
+		case verified && !s.reports.complete():
+			w.replied = true // reportsReceived answers it
+		default:
 			w.verifying = !verified
 			s.respond(w, s.clock.now())
 		}
 	})
 }
 
+// reportsReceived answers the polls that waited only for the server reports.
+func (s *pollService) reportsReceived(now time.Duration) {
+	for w := range s.waiters {
+		if w.replied {
+			w.verifying = false
+			s.respond(w, now)
+		}
+	}
+}
+
 // notify answers the polls whose gateway may be sent an update.
 func (s *pollService) notify(now time.Duration) {
 	for w := range s.waiters {
@@ -137,11 +155,14 @@
 func (s *pollService) respond(w *pollWaiter, now time.Duration) {
 	delete(s.waiters, w)
 	update := s.update(w.poll, now)
-	update.HasQuorum = !w.verifying && s.contact.isCurrent(now)
+	update.HasQuorum = !w.verifying && s.isCurrent(now)
 	// The event loop must not wait for a gateway. One that doesn't read delays only its own answer, until its connection is closed.
 	go w.conn.Respond(w.id, &rpc.Frame{Body: &rpc.Frame_Update{Update: update}})
 }
 
+// isCurrent reports whether a majority recently confirmed this controller's state, and it has the server reports.
+func (s *pollService) isCurrent(now time.Duration) bool { return s.contact.isCurrent(now) && s.reports.complete() }
+
 // update returns the state that a gateway lacks. The caller sets HasQuorum.
 func (s *pollService) update(poll *rpc.Poll, now time.Duration) *rpc.Update {
 	update := &rpc.Update{
--- a/internal/testing/simcluster/departure_test.go
+++ b/internal/testing/simcluster/departure_test.go
@@ -129,3 +129,25 @@
 	t.Fatal("a controller does not come into contact with a majority")
 	return nil
 }
+
+// TestRestartedControllerReportsDeparturesMeanwhile guards against a controller that starts with an old disk and gives gateways its list of
+// servers as current before it has the other controllers' reports.
+func TestRestartedControllerReportsDeparturesMeanwhile(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 250 * time.Millisecond, 390 * time.Millisecond} {
+		t.Run(fmt.Sprint("after ", delay), func(t *testing.T) {
+			runCluster(t, 540, 3, 1, func(t *testing.T, cluster *Cluster) {
+				commitFirstVersion(t, cluster)
+				time.Sleep(3 * time.Second)
+				restarted, leaving := cluster.Controllers[0], cluster.Servers[drainingServer]
+				restarted.Kill(false)
+				leave(t, cluster, leaving, true)
+				time.Sleep(delay)
+				requireNoError(t, restarted.Start())
+				report := reportOf(t, cluster, restarted, leaving.Instance)
+				if report == nil || report.State != uint32(registry.Deregistered) {
+					t.Errorf("first report of a server that signed off meanwhile: %v", report)
+				}
+			})
+		})
+	}
+}
