Gateways do not add a server again that was reported as draining or deregistered

What callers could see: requests to a server that had signed off, from the restart of a controller with an old disk until its list is repaired.

Cause: a gateway removes a server that has left, with all it knows of it, once nothing is in flight there; any later report of it as ready, also of a controller without a majority or of another gateway, adds it as a new one. Change: a bounded memory of the servers that left last (registry.Departed); an instance id is never used again, so that it needs no time limit. Servers that were merely missing from a list may return.

Test: TestDepartedServerIsNotAddedAgain failed before for all four kinds of updates. (Written for sign-offs first; drained servers that went missing later are its third row.)

--- a/controlplane/poll_service.go
+++ b/controlplane/poll_service.go
@@ -161,7 +161,9 @@
 }
 
 // isCurrent reports whether a majority recently confirmed this controller's state, and it has the server reports.
-func (s *pollService) isCurrent(now time.Duration) bool { return s.contact.isCurrent(now) && s.reports.complete() }
+func (s *pollService) isCurrent(now time.Duration) bool {
+	return s.contact.isCurrent(now) && s.reports.complete()
+}
 
 // update returns the state that a gateway lacks. The caller sets HasQuorum.
 func (s *pollService) update(poll *rpc.Poll, now time.Duration) *rpc.Update {
--- a/dataplane/endpoints.go
+++ b/dataplane/endpoints.go
@@ -144,6 +144,7 @@
 
 	byInstance       map[string]*endpoint // removed once retired
 	byID             map[balancer.ServerID]*endpoint
+	departed         registry.Departed              // reported as draining or deregistered
 	shards           map[string]balancer.ShardIndex // by shard name; entries are never removed
 	zones            map[string]balancer.ZoneIndex  // by name; entries are never removed
 	connectionLimits map[string]int                 // by configured service: connections one server accepts from all gateways; nil = none active
@@ -237,12 +238,17 @@
 	}
 }
 
-// applyReport merges the report of one server. Address, service, zone and version change only if the report names a
+// applyReport merges the report of one server. A server that was reported as draining or deregistered is not added again as ready, whoever
+// reports it: a controller may have started with an old disk. Address, service, zone and version change only if the report names a
 // service; an older report changes nothing but the lease and the state, each of which only advances.
 func (t *endpointTable) applyReport(report *rpc.ServerReport) {
-	e := t.byInstance[report.Instance]
+	e, instance, state := t.byInstance[report.Instance], registry.InstanceID(report.Instance), registry.State(report.State)
+	if state != registry.Ready {
+		t.departed.Add(instance)
+	}
 	if e == nil {
-		if report.Service == "" || report.State == uint32(registry.Deregistered) {
+		isOutdated := state == registry.Ready && t.departed.Contains(instance)
+		if report.Service == "" || state == registry.Deregistered || isOutdated {
 			return
 		}
 		e = &endpoint{id: balancer.ServerID(t.ids.next()), instance: report.Instance}
@@ -258,7 +264,7 @@
 	if reported.Compare(e.lease) > 0 {
 		e.lease = reported
 	}
-	e.state = max(e.state, registry.State(report.State)) // a server's state only advances
+	e.state = max(e.state, state) // a server's state only advances
 }
 
 // reports returns reports of all known servers, for another gateway.
--- a/dataplane/endpoints_test.go
+++ b/dataplane/endpoints_test.go
@@ -122,3 +122,42 @@
 		t.Error("not ready with a configuration and a server")
 	}
 }
+
+// A server that has drained or signed off must not be used again because a controller restarted with an old disk, or another gateway, still reports it
+// as ready, also if the gateway has removed it or has not known it before. A server that was merely missing from a list may return.
+func TestDepartedServerIsNotAddedAgain(t *testing.T) {
+	ready := &rpc.ServerReport{Instance: "i", Service: "s", Address: "10.0.1.1:80", Sequence: 7}
+	departed := &rpc.ServerReport{Instance: "i", Sequence: 2, State: uint32(registry.Deregistered)}
+	draining := &rpc.ServerReport{Instance: "i", Service: "s", Address: "10.0.1.1:80", Sequence: 8, State: uint32(registry.Draining)}
+	sources := []*rpc.Update{
+		{Full: true, HasQuorum: true, Warm: true},
+		{Full: true},
+		{HasQuorum: true},
+		{},
+	}
+	for _, test := range []struct {
+		name   string
+		before []*rpc.Update
+		known  bool
+	}{
+		{"signed off", []*rpc.Update{{HasQuorum: true, Reports: []*rpc.ServerReport{ready}}, {HasQuorum: true, Reports: []*rpc.ServerReport{departed}}}, false},
+		{"signed off before the gateway knew it", []*rpc.Update{{Full: true, HasQuorum: true, Reports: []*rpc.ServerReport{departed}}}, false},
+		{"drained and missing from a complete list", []*rpc.Update{{HasQuorum: true, Reports: []*rpc.ServerReport{draining}}, {Full: true, HasQuorum: true, Warm: true}}, false},
+		{"missing from a complete list", []*rpc.Update{{HasQuorum: true, Reports: []*rpc.ServerReport{ready}}, {Full: true, HasQuorum: true, Warm: true}}, true},
+		{"never known", nil, true},
+	} {
+		for _, source := range sources {
+			c := newComponents(t)
+			for _, update := range test.before {
+				c.endpoints.applyReports(update)
+			}
+			if c.endpoints.byInstance["i"] != nil {
+				t.Fatalf("%s: the server is known", test.name)
+			}
+			c.endpoints.applyReports(&rpc.Update{Full: source.Full, HasQuorum: source.HasQuorum, Warm: source.Warm, Reports: []*rpc.ServerReport{ready}})
+			if known := c.endpoints.byInstance["i"] != nil; known != test.known {
+				t.Errorf("%s, then reported as ready by an update {%v}: known %v, want %v", test.name, source, known, test.known)
+			}
+		}
+	}
+}
