Polls that wait for the reports of a majority are answered while the gateway still waits

Cause: a poll that a majority has confirmed waited for the reports for up to 1 s, longer than a gateway waits for its first answer (0.7 s), which would then drop the connection. Change: it is answered without a quorum 0.5 s after its arrival, as one that no majority confirms.

--- a/controlplane/poll_service.go
+++ b/controlplane/poll_service.go
@@ -91,7 +91,7 @@
 		switch {
 		case !s.waiters[w]:
 		case verified && !s.reports.complete():
-			w.replied = true // reportsReceived answers it
+			w.replied, w.deadline = true, now+verifyTimeout // reportsReceived answers it before, or expire without a quorum
 		default:
 			w.verifying = !verified
 			s.respond(w, s.clock.now())
