store: commits that were written during a compaction are compacted when it ends

Cause: a compaction was started by commits only. Those that were written while one was in progress found it running, and when it had ended no later commit came. Change: the end of a compaction starts the next one, if records were written meanwhile and the sizes call for it.

--- a/store/compaction.go
+++ b/store/compaction.go
@@ -15,9 +15,10 @@
 
 // compactionResult is the outcome of a compaction.
 type compactionResult struct {
-	covered uint64 // number of the last log file that the snapshot covers
-	size    int64  // size of the snapshot in bytes
-	err     error
+	covered    uint64 // number of the last log file that the snapshot covers
+	nextRecord uint64 // number of the first record that the snapshot doesn't cover
+	size       int64  // size of the snapshot in bytes
+	err        error
 }
 
 // maybeCompact starts a compaction if the files have reached Options.CompactionThreshold and compactionFactor times the
@@ -53,7 +54,7 @@
 	s.compaction = result
 	go func() {
 		size, err := s.writeSnapshot(covered, next, index)
-		result <- compactionResult{covered, size, err}
+		result <- compactionResult{covered, next, size, err}
 	}()
 }
 
@@ -72,6 +73,15 @@
 	return s.failureReason()
 }
 
+// endCompaction finishes a compaction, and starts the next one if commits that were written meanwhile require it: there may be no later
+// commit that would start it.
+func (s *Store) endCompaction(result compactionResult) {
+	s.finishCompaction(result)
+	if result.err == nil && s.nextRecord > result.nextRecord {
+		s.maybeCompact()
+	}
+}
+
 // finishCompaction removes the files that a compaction has made obsolete. If it has failed, all files remain.
 func (s *Store) finishCompaction(result compactionResult) {
 	s.compaction = nil
--- a/store/writer.go
+++ b/store/writer.go
@@ -31,7 +31,7 @@
 			}
 			s.writeQueued()
 		case c := <-s.compaction:
-			s.finishCompaction(c)
+			s.endCompaction(c)
 		case <-s.quit:
 			open = false
 		}
@@ -77,7 +77,7 @@
 		s.writeGroup(group)
 		select {
 		case c := <-s.compaction:
-			s.finishCompaction(c)
+			s.endCompaction(c)
 		default:
 		}
 	}
