--- a/gatherer/calls_test.go
+++ b/gatherer/calls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -99,12 +98,10 @@
 
 func TestClientDisconnectCancelsCalls(t *testing.T) {
 	a := startShard(t, "s-a", func(*standin.ShardConn, standin.ShardCall) {})
-	p := startProgram(t, startDiscovery(t, a), func(s *Config) { // the limit is so long that no deadline cancels the call
-		s.Settings = json.RawMessage(strings.ReplaceAll(testSettings, `"hardLimit":2000.0`, `"hardLimit":600000`))
-	})
+	p := startProgram(t, startDiscovery(t, a), withoutTimeLimits) // no deadline cancels the call
 	ctx, cancel := context.WithCancel(context.Background())
 	r, id := newRequest(ctx, p.addr, "lookup", 3)
-	r.Header.Set("Req-Deadline-Ms", "600000")
+	r.Header.Set("Req-Deadline-Ms", longDeadline)
 	go func() {
 		await(t, a.Received, func(s string) bool { return s == id+".3" })
 		cancel()
--- a/gatherer/persistence_test.go
+++ b/gatherer/persistence_test.go
@@ -61,9 +61,14 @@
 
 // sendKeyedPost sends a post with an idempotency key, which may be empty.
 func sendKeyedPost(ctx context.Context, addr, id, key, text string) (keyedResponse, error) {
+	return sendKeyedPostWithDeadline(ctx, addr, id, key, text, "1500")
+}
+
+// sendKeyedPostWithDeadline sends a post with an idempotency key, which may be empty, and a deadline in milliseconds.
+func sendKeyedPostWithDeadline(ctx context.Context, addr, id, key, text, deadline string) (keyedResponse, error) {
 	s := standin.Request{ID: id, QueryType: "post", Customer: "acme", Shards: []int{2}, Statement: text}
 	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/post", strings.NewReader(string(s.Body())))
-	for k, v := range map[string]string{"Req-Id": id, "Req-Kind": "post", "Req-Owner": "acme", "Req-Deadline-Ms": "1500", "Idempotency-Key": key} {
+	for k, v := range map[string]string{"Req-Id": id, "Req-Kind": "post", "Req-Owner": "acme", "Req-Deadline-Ms": deadline, "Idempotency-Key": key} {
 		if v != "" {
 			r.Header.Set(k, v)
 		}
@@ -77,6 +82,22 @@
 	return keyedResponse{res.StatusCode, string(b), res.Header.Get("Retry-After")}, err
 }
 
+// openPost sends a post that the shard server never answers, and waits until the server has it. The post is sent again while it is shed,
+// which may happen before the program has a connection to the server: it has not run then.
+func openPost(t *testing.T, p *program, server *standin.ShardServer, id, key, text string) {
+	t.Helper()
+	ctx := t.Context()
+	go func() {
+		for ctx.Err() == nil {
+			r, err := sendKeyedPostWithDeadline(ctx, p.addr, id, key, text, longDeadline)
+			if err != nil || r.status != http.StatusServiceUnavailable {
+				return
+			}
+		}
+	}()
+	await(t, server.Received, func(received string) bool { return strings.HasPrefix(received, id) })
+}
+
 // runCounter counts how often shard servers ran each statement.
 type runCounter struct {
 	mu     sync.Mutex
@@ -107,7 +128,7 @@
 	})
 	l := startDiscovery(t, a)
 	file, _ := writeStoreFile(t, "")
-	p := startProgram(t, l, nil, "--operator", file)
+	p := startProgram(t, l, withoutTimeLimits, "--operator", file) // the posts stay open until the program crashes
 	status, answered := postUntilAdmitted(t, p, "a1", "key-1", "c0ffee01")
 	if status != 200 {
 		t.Fatalf("a post: %d %s", status, answered)
@@ -120,8 +141,7 @@
 	}
 	// These posts are open when the program crashes, one with a key and one without.
 	for _, key := range []string{"key-2", ""} {
-		go sendKeyedPost(t.Context(), p.addr, "b"+fmt.Sprint(len(key)), key, "dead"+fmt.Sprint(len(key)))
-		await(t, a.Received, func(id string) bool { return strings.HasPrefix(id, "b"+fmt.Sprint(len(key))) })
+		openPost(t, p, a, "b"+fmt.Sprint(len(key)), key, "dead"+fmt.Sprint(len(key)))
 	}
 	if status, _, _ := postKeyed(t, p, "c1", "key-2", "dead5"); status != http.StatusConflict {
 		t.Errorf("a retry of an open request: %d", status)
--- a/gatherer/program_test.go
+++ b/gatherer/program_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,38 +20,73 @@
 	"oxbowspan/internal/testing/standin"
 )
 
-// On SIGTERM the program is no longer ready, but requests in flight and new ones are answered, with connections that close,
-// before it ends without an error. An unused client connection does not prevent the end.
-func TestGracefulShutdown(t *testing.T) {
-	hold := make(chan struct{})
-	a := startShard(t, "s-a", func(c *standin.ShardConn, p standin.ShardCall) {
-		go func() {
-			<-hold
-			c.Respond(p.ID, "served", "value of c41e77d0")
-		}()
-	})
-	p := startProgram(t, startDiscovery(t, a), nil)
-	var all sync.WaitGroup
-	sendOne := func() {
-		defer all.Done()
-		r, id := newRequest(context.Background(), p.addr, "lookup", 0)
+// heldCalls makes shard servers hold the calls that arrive until release, and answer later ones at once.
+type heldCalls struct {
+	arrived  chan struct{} // receives a value for each call that is held
+	released chan struct{} // closed by release
+	stopped  atomic.Bool   // later calls are answered at once
+}
+
+func newHeldCalls() *heldCalls {
+	return &heldCalls{arrived: make(chan struct{}, 64), released: make(chan struct{})}
+}
+
+func (h *heldCalls) respond(c *standin.ShardConn, p standin.ShardCall) {
+	answer := func() { c.Respond(p.ID, "served", "value of c41e77d0") }
+	if h.stopped.Load() {
+		answer()
+		return
+	}
+	h.arrived <- struct{}{}
+	go func() {
+		<-h.released
+		answer()
+	}()
+}
+
+func (h *heldCalls) release() { close(h.released) }
+
+// sendClosingPost sends a post and expects the complete answer and a closed connection. If it may be shed, it is sent again until it is not:
+// on a loaded machine it may arrive before the program has a connection to a server.
+func sendClosingPost(t *testing.T, p *program, mayBeShed bool) {
+	for {
+		r, id := newRequest(context.Background(), p.addr, "post", 0)
+		r.Header.Set("Req-Deadline-Ms", longDeadline)
 		res, err := http.DefaultClient.Do(r)
 		if err != nil {
 			t.Errorf("request %s: %v", id, err)
 			return
 		}
-		defer res.Body.Close()
-		if b, _ := io.ReadAll(res.Body); res.StatusCode != 200 || string(b) != completeAnswer(0) || !res.Close {
+		b, _ := io.ReadAll(res.Body)
+		res.Body.Close()
+		if mayBeShed && res.StatusCode == http.StatusServiceUnavailable {
+			continue
+		}
+		if res.StatusCode != 200 || string(b) != completeAnswer(0) || !res.Close {
 			t.Errorf("got %d %s, close %v", res.StatusCode, b, res.Close)
 		}
+		return
+	}
+}
+
+// On SIGTERM the program is no longer ready, but requests in flight and new ones are answered, with connections that close,
+// before it ends without an error. An unused client connection does not prevent the end.
+func TestGracefulShutdown(t *testing.T) {
+	const inFlight = 4
+	calls := newHeldCalls()
+	var servers []*standin.ShardServer
+	for i := range inFlight + 2 { // some hold no call: they are not taken for silent, however long the steps below take
+		servers = append(servers, startShard(t, fmt.Sprint("s-", i), calls.respond))
 	}
-	all.Add(8)
-	for range 4 {
-		go sendOne()
+	p := startProgram(t, startDiscovery(t, servers...), withoutTimeLimits)
+	var held, fresh sync.WaitGroup
+	for range inFlight {
+		held.Go(func() { sendClosingPost(t, p, true) })
 	}
-	for range 4 {
-		await(t, a.Received, func(string) bool { return true })
+	for range inFlight {
+		await(t, calls.arrived, func(struct{}) bool { return true })
 	}
+	calls.stopped.Store(true)
 	unused, err := net.Dial("tcp", p.addr)
 	if err != nil {
 		t.Fatal(err)
@@ -57,17 +94,15 @@
 	defer unused.Close()
 	p.terminate()
 	p.awaitLogLine("event=drain_begin")
-	if status, _, err := p.get("/-/ready"); err != nil || status != http.StatusServiceUnavailable {
-		t.Errorf("ready answers %d, %v", status, err)
-	}
 	for range 4 { // new connections must still be accepted
-		go sendOne()
+		fresh.Go(func() { sendClosingPost(t, p, false) })
 	}
-	for range 4 {
-		await(t, a.Received, func(string) bool { return true })
+	if status, _, err := p.get("/-/ready"); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("ready answers %d, %v", status, err)
 	}
-	close(hold)
-	all.Wait()
+	fresh.Wait()
+	calls.release()
+	held.Wait()
 	if err := p.waitExit(); err != nil {
 		t.Errorf("the program ended with %v", err)
 	}
--- a/gatherer/testenv_test.go
+++ b/gatherer/testenv_test.go
@@ -34,6 +34,15 @@
 	"feedback":{"how":"answers","names":["waiting","active"]},
 	"guarantees":{"askWithin":10000,"stopSendingWithin":500}}`
 
+// withoutTimeLimits changes a configuration so that no request and no dial reaches its time limit during a test, however slow the machine is.
+func withoutTimeLimits(c *Config) {
+	longer := strings.NewReplacer(`"hardLimit":2000.0`, `"hardLimit":600000`, `"dialTimeout":250.0`, `"dialTimeout":600000`)
+	c.Settings = json.RawMessage(longer.Replace(testSettings))
+}
+
+// longDeadline is the header of a request whose deadline doesn't come during a test.
+const longDeadline = "600000"
+
 // builtProgram is the path of the program's binary, which TestMain builds with the race detector.
 var builtProgram string
 
@@ -229,7 +238,7 @@
 }
 
 // await receives from a channel until a value satisfies want, and returns that value.
-func await(t *testing.T, c <-chan string, want func(string) bool) string {
+func await[T any](t *testing.T, c <-chan T, want func(T) bool) T {
 	t.Helper()
 	timeout := time.After(testTimeout)
 	for {
