--- a/internal/testing/experiment/hollow.go
+++ b/internal/testing/experiment/hollow.go
@@ -156,7 +156,7 @@
 // controllerAddresses returns the controllers' addresses for servers and operators, and those for gateways.
 func (c *localCluster) controllerAddresses() (control, internal []string, err error) {
 	for _, process := range c.controllers {
-		s, err := settings.Read(c.settingsPaths[process])
+		s, err := settings.Read(c.settingsPath(process))
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/testing/experiment/local_cluster.go
+++ b/internal/testing/experiment/local_cluster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 
@@ -34,7 +35,9 @@
 	controllers []*exec.Cmd
 	gateways    []*exec.Cmd
 
-	env           *Env
+	env *Env
+
+	mu            sync.Mutex           // guards settingsPaths
 	settingsPaths map[*exec.Cmd]string // by process
 }
 
@@ -114,10 +117,19 @@
 	if err := process.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.settingsPaths[process] = settingsPath
 	return process, nil
 }
 
+// settingsPath returns the path of the settings file of a process.
+func (c *localCluster) settingsPath(process *exec.Cmd) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settingsPaths[process]
+}
+
 // stop kills the cluster's processes and stops its servers.
 func (c *localCluster) stop() {
 	for _, process := range append(c.controllers, c.gateways...) {
@@ -137,7 +149,7 @@
 
 // restartGateway starts a gateway that was killed.
 func (c *localCluster) restartGateway(index int) error {
-	process, err := c.startProgram(gatewayProgram, c.settingsPaths[c.gateways[index]])
+	process, err := c.startProgram(gatewayProgram, c.settingsPath(c.gateways[index]))
 	if err != nil {
 		return err
 	}
--- a/internal/testing/experiment/soak.go
+++ b/internal/testing/experiment/soak.go
@@ -22,10 +22,11 @@
 		Short: "Clients on persistent connections during concurrent signals, restarts, configuration changes and rollouts",
 		Long: `soak starts three controllers, gateways and servers. Clients use their connections until these are closed,
 also while their gateway shuts down. Meanwhile gateways receive SIGTERM, SIGKILL, SIGHUP and SIGSTOP, controllers SIGTERM,
-SIGKILL and SIGSTOP, and both are restarted; servers crash and are restarted, configurations are replaced, and rollouts are
-begun and reverted. The faults are drawn from the seed; several are in progress at the same time, with at most one controller
-down. It ends with a finding if a healthy gateway drops a request that it has accepted, if a response is incomplete or belongs
-to another request, if a request that must not be repeated is executed twice, or if at the end a controller does not return
+SIGKILL and SIGSTOP, and both are restarted; all controllers are killed at once after servers have left; servers crash, leave
+by a drain or by a sign-off alone and serve on for some seconds, and are replaced; configurations are replaced, and rollouts are
+begun and reverted. The faults are drawn from the seed; several are in progress at the same time. It ends with a finding if a healthy gateway drops a request that it has accepted, if a response is incomplete or belongs
+to another request, if a request that must not be repeated is executed twice, if a request reaches a server later than three seconds after its departure
+was acknowledged, through a gateway that has been without a fault for four seconds, as the controllers have, or if at the end a controller does not return
 the configuration that was acknowledged last or a gateway does not serve.`,
 		Run: func(ctx context.Context, e *Env) error { return e.runSoak(ctx) },
 	})
@@ -40,6 +41,7 @@
 	soakConvergenceTimeout = 12 * time.Second        // maximum time from the last fault until the final checks succeed
 	soakMaxSuspension      = 1500 * time.Millisecond
 	soakFaultSeries        = 3 // concurrent series of faults
+	soakReleaseSeries      = 2 // concurrent series of releases, in which servers leave, beside them
 )
 
 // soak is the state of one run.
@@ -50,18 +52,25 @@
 	done    chan struct{} // closed when clients must stop
 	running sync.WaitGroup
 
-	mu           sync.Mutex
-	finding      error
-	outages      map[int][]time.Time // by gateway: alternating begin and end times of its outages by SIGKILL or suspension
-	faulty       map[*exec.Cmd]bool  // gateways with a fault in progress
-	version      uint64              // of the last acknowledged configuration
-	counts       map[string]int      // of faults and requests, by name of the metric
-	controllerMu sync.Mutex          // held during a fault of a controller or server: one at a time
-	changeMu     sync.Mutex          // held during a change of the configuration: one at a time
+	mu      sync.Mutex
+	finding error
+	outages map[int][]time.Time // by gateway: alternating begin and end times of its outages by SIGKILL or suspension
+	faulty  map[*exec.Cmd]bool  // gateways with a fault in progress
+	version uint64              // of the last acknowledged configuration
+	counts  map[string]int      // of faults and requests, by name of the metric
+
+	sent          map[string]sentRequest // by id
+	leaving       map[string]bool        // services of which a server leaves or is down
+	coreFaults    faultTimes
+	gatewayFaults []faultTimes // by gateway
+
+	controllerMu sync.Mutex // held during a fault of a controller or server: one at a time
+	changeMu     sync.Mutex // held during a change of the configuration: one at a time
 }
 
 func (e *Env) runSoak(ctx context.Context) error {
-	s := &soak{env: e, done: make(chan struct{}), outages: map[int][]time.Time{}, faulty: map[*exec.Cmd]bool{}, version: 1, counts: map[string]int{}}
+	s := &soak{env: e, done: make(chan struct{}), outages: map[int][]time.Time{}, faulty: map[*exec.Cmd]bool{}, version: 1, counts: map[string]int{},
+		sent: map[string]sentRequest{}, leaving: map[string]bool{}}
 	var err error
 	s.cluster, err = e.startCluster(localClusterOptions{
 		name:          "soak",
@@ -81,9 +90,10 @@
 		addresses = append(addresses, controller.ControlAddress())
 	}
 	s.client = controlclient.New(addresses)
+	s.gatewayFaults = make([]faultTimes, len(s.cluster.gateways))
 	time.Sleep(soakSettleTime)
 	s.startClients(e.Scale(16, 48))
-	s.injectFaults(ctx, time.Duration(e.Scale(14, 40))*time.Second)
+	s.injectFaults(ctx, time.Duration(e.Scale(20, 40))*time.Second)
 	close(s.done)
 	s.running.Wait()
 	for what, count := range s.counts {
@@ -132,16 +142,21 @@
 func (s *soak) injectFaults(ctx context.Context, duration time.Duration) {
 	end := time.Now().Add(duration)
 	var series sync.WaitGroup
-	for number := range soakFaultSeries {
+	start := func(number int, faults []func(*rand.Rand)) {
 		series.Go(func() {
 			random := rand.New(rand.NewPCG(s.env.Seed, uint64(number)))
-			faults := s.faults(ctx)
 			for time.Now().Before(end) {
 				faults[random.IntN(len(faults))](random)
 				time.Sleep(time.Duration(random.IntN(700)) * time.Millisecond)
 			}
 		})
 	}
+	for number := range soakFaultSeries {
+		start(number, s.faults(ctx))
+	}
+	for number := range soakReleaseSeries {
+		start(soakFaultSeries+number, []func(*rand.Rand){s.release})
+	}
 	series.Wait()
 }
 
@@ -184,6 +199,7 @@
 			return
 		}
 		defer release()
+		defer s.begin(&s.gatewayFaults[gateway])()
 		s.count("gateways ended by " + signal.String())
 		if signal == syscall.SIGKILL {
 			s.recordOutage(gateway)
@@ -209,7 +225,7 @@
 	case <-time.After(soakExitTimeout):
 		return errors.New("it does not end within the grace period")
 	}
-	next, err := s.cluster.startProgram(program, s.cluster.settingsPaths[process])
+	next, err := s.cluster.startProgram(program, s.cluster.settingsPath(process))
 	if err == nil {
 		s.mu.Lock()
 		processes[index] = next
@@ -224,6 +240,7 @@
 		return
 	}
 	defer release()
+	defer s.begin(&s.gatewayFaults[gateway])()
 	s.count("gateways suspended")
 	s.recordOutage(gateway)
 	defer s.recordOutage(gateway)
@@ -252,9 +269,11 @@
 		defer s.controllerMu.Unlock()
 		s.count("controllers ended by " + signal.String())
 		index := random.IntN(soakControllers)
+		end := s.begin(&s.coreFaults)
 		if err := s.restart(s.cluster.controllers, index, controllerProgram, signal); err != nil {
 			s.setFinding("controller %d: %w", index, err)
 		}
+		end()
 		time.Sleep(soakSettleTime) // the controller must catch up before another one may fail
 	}
 }
@@ -263,16 +282,19 @@
 	s.controllerMu.Lock()
 	defer s.controllerMu.Unlock()
 	s.count("controllers suspended")
+	end := s.begin(&s.coreFaults)
 	suspendFor(s.cluster.controllers[random.IntN(soakControllers)], time.Duration(random.Int64N(int64(soakMaxSuspension))))
+	end()
 	time.Sleep(soakSettleTime / 2)
 }
 
 // crashServer crashes a server, whose service has other servers, and starts it again.
 func (s *soak) crashServer(random *rand.Rand) {
-	s.controllerMu.Lock() // one fault at a time
-	defer s.controllerMu.Unlock()
-	servers := s.cluster.cluster.Servers
-	server := servers[random.IntN(len(servers))]
+	server, release := s.reserveServer(random)
+	if server == nil {
+		return
+	}
+	defer release()
 	s.count("servers crashed")
 	server.Crash(false)
 	time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
--- a/internal/testing/experiment/soak_client.go
+++ b/internal/testing/experiment/soak_client.go
@@ -90,6 +90,7 @@
 		method, path = http.MethodPost, "/once/x"
 	}
 	sentAt := time.Now()
+	c.soak.recordSent(id, c.gateway, sentAt)
 	c.conn.SetDeadline(sentAt.Add(soakTimeout + 500*time.Millisecond))
 	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: 0\r\n\r\n",
 		method, path, exampleHost, id, soakTimeout.Milliseconds())
--- a/internal/testing/simcluster/server.go
+++ b/internal/testing/simcluster/server.go
@@ -43,6 +43,7 @@
 	lastRequestAt       time.Time
 	rejectedConnections int
 	onRequest           func(time.Time)
+	onArrival           func(id string, at time.Time)
 	injectFault         func() responseFault
 }
 
@@ -117,6 +118,14 @@
 	s.onRequest = onRequest
 }
 
+// SetOnArrival sets a function that is called with the id and the arrival time of each request except health checks; nil removes it. The
+// function is called without a lock.
+func (s *Server) SetOnArrival(onArrival func(id string, at time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onArrival = onArrival
+}
+
 // SetHung makes the server accept requests without responding to any, or makes it respond again.
 func (s *Server) SetHung(hung bool) { s.hung.Store(hung) }
 
--- a/internal/testing/simcluster/server_handler.go
+++ b/internal/testing/simcluster/server_handler.go
@@ -46,7 +46,7 @@
 
 // serve handles one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	isHealthCheck := r.URL.Path == healthPath
+	isHealthCheck, arrivedAt := r.URL.Path == healthPath, time.Now()
 	instance, semaphore := s.admit(r, isHealthCheck)
 	if expected := r.Header.Get(expectedInstanceHeader); expected != "" && expected != instance {
 		w.Header().Set(instanceHeader, instance)
@@ -63,6 +63,7 @@
 		s.serveHealthCheck(w, instance)
 		return
 	}
+	s.notifyArrival(r.Header.Get(attemptIDHeader), arrivedAt)
 	s.serveRecords(w, r, instance)
 }
 
@@ -80,6 +81,16 @@
 	return s.Instance, s.semaphore
 }
 
+// notifyArrival calls the function of SetOnArrival.
+func (s *Server) notifyArrival(id string, at time.Time) {
+	s.mu.Lock()
+	onArrival := s.onArrival
+	s.mu.Unlock()
+	if onArrival != nil {
+		onArrival(id, at)
+	}
+}
+
 func (s *Server) serveHealthCheck(w http.ResponseWriter, instance string) {
 	s.mu.Lock()
 	draining := s.draining
--- a/internal/testing/simcluster/server_heartbeat.go
+++ b/internal/testing/simcluster/server_heartbeat.go
@@ -57,6 +57,24 @@
 	return time.Now()
 }
 
+// SignOff signs the server off, as its last call to a controller. The server continues to serve requests. SignOff returns the time at which
+// a controller acknowledged the sign-off, or the zero time if none did.
+func (s *Server) SignOff() time.Time {
+	s.stopHeartbeats()
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	client := s.cluster.httpClient(s.IP, controlCallTimeout)
+	defer client.CloseIdleConnections()
+	for range heartbeatAttempts {
+		address := s.cluster.randomController().ControlAddress()
+		if post(context.Background(), client, address, signOffPath(s.Instance), nil, nil) == http.StatusOK {
+			return time.Now()
+		}
+	}
+	return time.Time{}
+}
+
 // announce sends a heartbeat to random controllers until one acknowledges it or heartbeatAttempts attempts have failed. It
 // reports whether the heartbeat was acknowledged.
 func (s *Server) announce(ctx context.Context, client *http.Client, state string, sequence uint64) bool {
