review: case 4, a held lock is taken for damage, and an acknowledged version is lost

Cause: openOrReplace sets a state file aside after any error, also when the lock of a killed process that waits for a stalled disk is not free within 1 s. The script of the first start is added to the stand-ins without a case.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -19,6 +19,9 @@
 
 var scenarios = map[string]scenario{
 	"ends":   ownEnds,
+	"lock":   stalledDisk,
+	"first":  firstStart,
+	"memory": memoryLimit,
 	"empty":  emptySuccess,
 	"header": headerLimit,
 	"term":   terminations,
