--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -24,7 +24,6 @@
 	"memory": memoryLimit,
 	"empty":  emptySuccess,
 	"header": headerLimit,
-	"term":   terminations,
 }
 
 func main() {
