balancer: a retry budget of each shard may have a base of 0

Cause: the balancer kept no field for the kind of its retry budget and took a shared base of 0 for one budget for all shards, which a gateway does not have: index out of range. Change: the settings say whether each shard has a budget. Why it works: no condition depends on the size of the base any more; the base only adds to the allowance.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -44,7 +44,7 @@
 	slowStartMultiple              float64 // allowance at full capacity, as a multiple of the work of a warm server
 	overloadWindow, budgetWindow   Time
 	budgetBase, budgetRatio        float64
-	sharedBudgetBase               float64 // for each shard, over all instances; 0 = one budget for all shards
+	budgetPerShard                 bool // each shard has a budget; all instances share budgetBase
 	networkDelay                   Time
 	inferTimeout, preferLocal      bool
 	localZone                      ZoneIndex
@@ -83,8 +83,8 @@
 		listBackoff: firstBackoff, baseEjection: firstBackoff,
 	}
 	b.meanSize, b.retrySuccess, b.instances = 1, 1, float64(max(config.Instances, 1))
-	if config.RetryBudgetPerShard {
-		b.sharedBudgetBase, b.recentInstances = b.budgetBase, b.instances
+	if b.budgetPerShard {
+		b.recentInstances = b.instances
 	} else {
 		b.budgets = []*retryBudget{b.newRetryBudget()}
 	}
@@ -96,7 +96,7 @@
 		b.hedgeProbation = b.hedgeProbation || config.AllowHedging && config.AllowCancel &&
 			config.MaxAttempts > 1 && t.Idempotency == Idempotent
 	}
-	b.hedgeProbation = b.hedgeProbation || config.AllowHedging && config.RetryBudgetPerShard
+	b.hedgeProbation = b.hedgeProbation || config.AllowHedging && b.budgetPerShard
 	b.checkFirst = config.AllowHealthChecks && !b.hedgeProbation
 	b.addCustomers(config)
 	return b
@@ -121,6 +121,7 @@
 		budgetWindow:      config.RetryBudgetWindow,
 		budgetBase:        config.RetryBudgetBase,
 		budgetRatio:       config.RetryBudgetRatio,
+		budgetPerShard:    config.RetryBudgetPerShard,
 		inferTimeout:      config.InferClientTimeout,
 		preferLocal:       config.PreferLocalZone,
 		localZone:         config.LocalZone,
@@ -183,7 +184,7 @@
 	case ClusterResized:
 		b.resize(e)
 	case BudgetShared:
-		if b.sharedBudgetBase > 0 && max(e.Shard, e.Source) < ShardIndex(len(b.budgets)) {
+		if b.budgetPerShard && max(e.Shard, e.Source) < ShardIndex(len(b.budgets)) {
 			b.budgets[e.Shard] = b.budgets[e.Source]
 		}
 	case PeerUpdate:
--- a/balancer/gateway_test.go
+++ b/balancer/gateway_test.go
@@ -7,10 +7,16 @@
 // gatewayHarness returns a balancer configured like that of the data plane, with three servers for each shard, the first
 // of which is in the local zone.
 func gatewayHarness(shards int, queryType QueryTypeConfig) *harness {
+	return gatewayHarnessWith(shards, queryType, func(*Config) {})
+}
+
+// gatewayHarnessWith is gatewayHarness with a changed configuration.
+func gatewayHarnessWith(shards int, queryType QueryTypeConfig, change func(*Config)) *harness {
 	config := Config{Seed: 5, Instances: 1, ClockResolution: Millisecond, Cells: 1, ReplicationFactor: 1, MaxAttempts: 2,
 		AllowHedging: true, RetryBudgetSet: true, RetryBudgetPerShard: true, RetryBudgetBase: 54, RetryBudgetRatio: 0.2,
 		RetryBudgetWindow: 10000 * Millisecond, MaxRetryAfter: 400 * Millisecond, InferClientTimeout: true,
 		MeasuredAtClient: true, PreferLocalZone: true, OverQuotaValue: 1}
+	change(&config)
 	b := &harness{Balancer: New(config), clock: 1000000}
 	b.handle(ClusterResized{Shards: shards, Instances: 1})
 	b.handle(QueryTypeChanged{Type: 0, Config: queryType})
@@ -134,6 +140,29 @@
 	}
 }
 
+// A base retry budget of 0 is a budget of its own for each shard like any other: requests are served, and the ratio alone limits the retries
+// of each shard. The balancer indexed a missing budget when a base of 0 was taken for a single budget for all shards.
+func TestZeroBaseRetryBudgetPerShard(t *testing.T) {
+	for _, ratio := range []float64{0.2, 0} {
+		b := gatewayHarnessWith(2, gatewayQueryType, func(c *Config) { c.RetryBudgetBase, c.RetryBudgetRatio = 0, ratio })
+		b.handle(BudgetShared{Shard: 1, Source: 0})
+		const requests = 100
+		for range requests {
+			sends, _ := b.request(1)
+			failIf(t, len(sends) == 0, "ratio %v: a request was not sent", ratio)
+			for _, s := range sends {
+				b.handle(AttemptEnded{Call: s.Call, Server: s.Server, Elapsed: 20 * Millisecond, Outcome: Answered})
+			}
+		}
+		call := &shardCall{req: &request{policy: b.types[0]}, size: 1}
+		retries := 0.0
+		for ; b.withinBudget(call, 1); retries++ {
+			b.budgetFor(call.shard).retries.add(b.clock, 1)
+		}
+		failIf(t, retries != ratio*requests, "%v retries for %d requests and a ratio of %v", retries, requests, ratio)
+	}
+}
+
 func TestRestartedInstanceHasNoBaseRetryBudget(t *testing.T) {
 	b := New(Config{Instances: 1, Cells: 1, ReplicationFactor: 1, MaxAttempts: 2, RetryBudgetSet: true, RetryBudgetPerShard: true,
 		RetryBudgetBase: 54, RetryBudgetWindow: 100000, RetryBudgetDelayed: true, OverQuotaValue: 1})
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -38,7 +38,7 @@
 	if len(e.Candidates) > 0 && len(e.Calls) == 1 {
 		e.Calls[0].Shard = b.chooseShard(e.Candidates, policy.split.next(b.rand.intN))
 	}
-	if b.sharedBudgetBase == 0 {
+	if !b.budgetPerShard {
 		b.budgetFor(0).admitted.add(b.now, 1)
 	}
 	b.widestRequest = max(b.widestRequest, len(e.Calls))
--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -22,7 +22,7 @@
 	finishBy := req.deadline // a request that would finish later is not started
 	gradient := min(1, latencyTolerance*cmp.Or(b.baseLatency, 1)/cmp.Or(b.currentLatency, 1))
 	if float64(len(b.inFlight)) >= pressureShare*b.limit*math.Pow(gradient, overloadPower) {
-		if finishBy = req.targetAt; b.sharedBudgetBase > 0 {
+		if finishBy = req.targetAt; b.budgetPerShard {
 			// A longer queue would shed only requests with a shorter target, without completing more of the others.
 			finishBy = min(finishBy, b.now+shortestTarget-b.margin)
 		}
--- a/balancer/retry.go
+++ b/balancer/retry.go
@@ -83,9 +83,9 @@
 // withinBudget reports whether another retry of a call stays within a share of the retry budget.
 func (b *Balancer) withinBudget(call *shardCall, share float64) bool {
 	budget, base := b.budgetFor(call.shard), b.budgetBase
-	if b.sharedBudgetBase > 0 {
+	if b.budgetPerShard {
 		if base = 0; b.now >= b.budgetFrom {
-			base = b.sharedBudgetBase * sharedBudgetSafety / b.recentInstances
+			base = b.budgetBase * sharedBudgetSafety / b.recentInstances
 		}
 		if b.now >= b.shrinkAt {
 			b.recentInstances = b.instances
@@ -108,7 +108,7 @@
 	for b.replicationFactor == 1 && len(b.replicas) < e.Shards {
 		b.replicas = append(b.replicas, b.readyInCell(len(b.replicas)))
 		b.cells = max(b.cells, len(b.replicas))
-		if b.sharedBudgetBase > 0 {
+		if b.budgetPerShard {
 			b.budgets = append(b.budgets, b.newRetryBudget())
 		}
 	}
--- a/balancer/state.go
+++ b/balancer/state.go
@@ -165,12 +165,12 @@
 	return r.shortestTarget
 }
 
-// budgetFor returns the retry budget of a shard.
+// budgetFor returns the retry budget of a shard: its own, or the one of all shards.
 func (b *Balancer) budgetFor(shard ShardIndex) *retryBudget {
-	if b.sharedBudgetBase == 0 {
-		return b.budgets[0]
+	if b.budgetPerShard {
+		return b.budgets[shard]
 	}
-	return b.budgets[shard]
+	return b.budgets[0]
 }
 
 // readyInCell returns the ready servers of a cell that had no shard yet.
