dataplane: ended requests release their bodies, their timers are cancelled

Cause: the timeout of an attempt stayed in the event loop's heap until it was due and kept attempt, request and body, so that memory followed rate x body x deadline; an idle client connection kept the body of its last request as well. Change: timers of the loop can be cancelled; attempts and requests cancel theirs when they end. A request that has ended refers to no message. The connection hands the body over, and large requests are written without a copy of it. The simulated network no longer refers to data that was read. Why it works: nothing that outlives a request refers to its body, except a write that is in progress.

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -105,8 +105,17 @@
 	return !c.req.Header.ConnectionClose() && c.req.Header.IsHTTP11()
 }
 
+// takeBody returns the body that was read. The connection does not refer to it any more: it would otherwise keep the body in memory until
+// its next request.
+func (c *clientConn) takeBody() []byte {
+	if len(c.req.Body()) == 0 {
+		return nil
+	}
+	return c.req.SwapBody(nil)
+}
+
 // newRequest converts the request that was read for the dispatcher. It returns nil if no route matches.
-func (c *clientConn) newRequest(active *activeConfig) *request {
+func (c *clientConn) newRequest(active *activeConfig, body []byte) *request {
 	header := &c.req.Header
 	uri := string(header.RequestURI())
 	path, _, _ := strings.Cut(uri, "?")
@@ -119,7 +128,7 @@
 		method:    string(header.Method()),
 		uri:       uri,
 		header:    forwardedHeaders(&c.req),
-		body:      bytes.Clone(c.req.Body()),
+		body:      body,
 		attemptID: string(header.Peek("X-Attempt-Id")),
 		deadline:  requestDeadline(header),
 		deliver:   c.deliver,
@@ -200,6 +209,9 @@
 		return false
 	}
 	c.conn.SetReadDeadline(time.Now().Add(max(fromMillis(limits.HeaderTimeoutMS), minBodyTimeout)))
+	if length > 0 {
+		c.req.SwapBody(make([]byte, 0, length)) // of the exact size: the parser would round it up to a power of 2
+	}
 	if err := c.req.ReadBody(c.reader, length, limits.BodyBytes); err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			c.writeError(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong, 0, false)
--- a/dataplane/conn_pool.go
+++ b/dataplane/conn_pool.go
@@ -134,22 +134,28 @@
 	a.shardCall.addConn(conn)
 	a.conn = conn
 	remaining := duration(a.deadline - p.loop.now())
-	text := a.appendRequest(p.writeBuffer[:0], remaining)
+	header, body := a.appendHeader(p.writeBuffer[:0], remaining), a.shardCall.request.body
 	conn.begin(a)
-	if len(text) <= smallRequestBytes {
+	if len(header)+len(body) <= smallRequestBytes {
+		text := append(header, body...)
 		p.writeBuffer = text[:0]
 		return writeSmall(conn, text)
 	}
 	p.writeBuffer = nil // the writing goroutine uses this buffer from now on
 	conn.carriedLargeRequest = true
-	go writeLarge(conn, text, remaining)
+	go writeLarge(conn, header, body, remaining)
 	return true
 }
 
-// writeLarge writes a large request. It runs on a separate goroutine.
-func writeLarge(conn *serverConn, text []byte, timeout time.Duration) {
+// writeLarge writes a large request. The body is not copied, as all attempts of a request share it. It runs on a separate goroutine.
+func writeLarge(conn *serverConn, header, body []byte, timeout time.Duration) {
 	conn.conn.SetWriteDeadline(time.Now().Add(timeout))
-	n, err := conn.conn.Write(text)
+	n, err := conn.conn.Write(header)
+	if err == nil {
+		var bodyBytes int
+		bodyBytes, err = conn.conn.Write(body)
+		n += bodyBytes
+	}
 	conn.written(n)
 	if err != nil {
 		conn.conn.Close() // makes the reading goroutine report the failure
--- a/dataplane/dispatcher.go
+++ b/dataplane/dispatcher.go
@@ -21,8 +21,10 @@
 // timerLoop is the part of the event loop that the dispatcher uses.
 type timerLoop interface {
 	commandLoop
-	// schedule fires an event at the given time.
-	schedule(at balancer.Time, event timerEvent)
+	// schedule fires an event at the given time unless its timer is cancelled before.
+	schedule(at balancer.Time, event timerEvent) *timer
+	// cancel cancels a timer, if it is not nil and has not fired yet.
+	cancel(t *timer)
 }
 
 // attemptSender sends attempts to servers.
@@ -217,10 +219,10 @@
 	switch {
 	case event.undispatched != nil:
 		d.checkDispatch(event.undispatched, now)
-	case event.attempt == nil:
-		d.handleEvent(balancer.TimerFired{Timer: event.timer})
-	case !event.attempt.ended:
+	case event.attempt != nil:
 		d.attemptEnded(event.attempt, balancer.TimedOut, nil)
+	default:
+		d.handleEvent(balancer.TimerFired{Timer: event.timer})
 	}
 }
 
@@ -251,7 +253,7 @@
 	e.load.add(now, 1)
 	d.process.counters.countAttempt(a, action.Reason)
 	d.tenants.acquire(a, now)
-	d.loop.schedule(a.deadline, timerEvent{attempt: a})
+	a.timeout = d.loop.schedule(a.deadline, timerEvent{attempt: a})
 	d.sender.send(a)
 }
 
@@ -266,6 +268,7 @@
 func (d *dispatcher) attemptEnded(a *attempt, outcome balancer.Outcome, resp *fasthttp.Response) {
 	call, e := a.shardCall, a.endpoint
 	a.ended = true
+	d.loop.cancel(a.timeout)
 	d.rollouts.recordOutcome(a, outcome, d.loop.now()-a.sentAt)
 	call.attempts[a.number] = nil
 	call.inFlight--
@@ -332,6 +335,8 @@
 // finish passes a request's result to its client and releases what the request holds. Attempts in flight continue.
 func (d *dispatcher) finish(r *request, res result) {
 	r.finished = true
+	r.releaseMessage()
+	d.loop.cancel(r.dispatchCheck)
 	delete(d.requests, r.id)
 	for _, call := range r.shardCalls {
 		call.releaseResponse()
@@ -360,16 +365,13 @@
 		return
 	}
 	if limit, ok := admission.HoldLimit(fromMillis(r.route.TargetMS)); ok {
-		d.loop.schedule(now+ticks(limit), timerEvent{undispatched: r})
+		r.dispatchCheck = d.loop.schedule(now+ticks(limit), timerEvent{undispatched: r})
 	}
 }
 
 // checkDispatch handles a request that has reached its hold limit. The request is rejected if no server can take it and
 // the balancer merely waits for one to return.
 func (d *dispatcher) checkDispatch(r *request, now balancer.Time) {
-	if r.finished {
-		return
-	}
 	state := r.dispatchState()
 	state.WarmingUp = admission.WarmingUp(duration(now), d.process.settings.HeartbeatInterval())
 	switch state.Decide() {
--- a/dataplane/event_loop.go
+++ b/dataplane/event_loop.go
@@ -22,7 +22,7 @@
 	stopped   chan struct{} // closed by stop
 
 	// Owned by the loop's goroutine.
-	timers          deadlineheap.Heap[timerEvent] // removed as they fire
+	timers          deadlineheap.Indexed[*timer] // that have neither fired nor been cancelled
 	nextMaintenance balancer.Time
 }
 
@@ -58,6 +58,14 @@
 	undispatched *request
 }
 
+// timer is a scheduled event. Its owner must cancel it once the event is of no use: until then it keeps all that the event refers to in
+// memory, such as the body of a request.
+type timer struct {
+	deadlineheap.Position
+	event   timerEvent
+	pending bool // it has neither fired nor been cancelled
+}
+
 func newEventLoop() *eventLoop {
 	return &eventLoop{
 		startedAt: time.Now(),
@@ -77,8 +85,20 @@
 	}
 }
 
-// schedule schedules an event to fire at the given time.
-func (l *eventLoop) schedule(at balancer.Time, event timerEvent) { l.timers.Push(int64(at), event) }
+// schedule schedules an event to fire at the given time unless its timer is cancelled before.
+func (l *eventLoop) schedule(at balancer.Time, event timerEvent) *timer {
+	t := &timer{event: event, pending: true}
+	l.timers.Push(int64(at), t)
+	return t
+}
+
+// cancel cancels a timer. It does nothing if the timer is nil, has fired or has been cancelled.
+func (l *eventLoop) cancel(t *timer) {
+	if t != nil && t.pending {
+		t.pending = false
+		l.timers.Remove(t)
+	}
+}
 
 // expedite moves the next round of periodic work to the given time if that is earlier.
 func (l *eventLoop) expedite(at balancer.Time) { l.nextMaintenance = min(l.nextMaintenance, at) }
@@ -119,7 +139,9 @@
 		if !ok || balancer.Time(at) > now {
 			return
 		}
-		handler.timerFired(l.timers.Pop(), now)
+		t, _ := l.timers.First()
+		l.cancel(t)
+		handler.timerFired(t.event, now)
 	}
 }
 
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -150,13 +150,14 @@
 	if !conn.readBody(limits) {
 		return false
 	}
+	body := conn.takeBody()
 	keepAlive := conn.wantsKeepAlive()
 	active := s.configs.load()
 	if active == nil {
 		conn.writeError(fasthttp.StatusServiceUnavailable, textNoConfiguration, noConfigRetryAfter, keepAlive)
 		return keepAlive
 	}
-	r := conn.newRequest(active)
+	r := conn.newRequest(active, body)
 	if r == nil {
 		return conn.writeError(fasthttp.StatusNotFound, textNoRoute, 0, keepAlive && !s.process.draining.Load()) && keepAlive
 	}
--- a/dataplane/loop_test.go
+++ b/dataplane/loop_test.go
@@ -37,6 +37,13 @@
 			loop.schedule(ticks(10*time.Millisecond), timerEvent{timer: 1})
 			loop.schedule(ticks(20*time.Millisecond), timerEvent{timer: 2})
 			loop.schedule(ticks(time.Hour), timerEvent{timer: 4})
+			cancelled := loop.schedule(ticks(15*time.Millisecond), timerEvent{timer: 5})
+			fired := loop.schedule(0, timerEvent{timer: 6})
+			loop.schedule(ticks(25*time.Millisecond), timerEvent{timer: 7})
+			loop.cancel(cancelled)
+			loop.cancel(cancelled)
+			loop.cancel(nil)
+			time.AfterFunc(5*time.Millisecond, func() { loop.post(func() { loop.cancel(fired) }) })
 		})
 		time.Sleep(100 * time.Millisecond)
 		loop.post(func() { loop.expedite(ticks(150 * time.Millisecond)) })
@@ -44,7 +51,7 @@
 		synctest.Wait()
 		loop.stop()
 		<-ended
-		if want := []balancer.TimerID{1, 2, 3}; !slices.Equal(handler.timers, want) {
+		if want := []balancer.TimerID{6, 1, 2, 7, 3}; !slices.Equal(handler.timers, want) {
 			t.Errorf("timers fired in the order %v, want %v", handler.timers, want)
 		}
 		want := []balancer.Time{0, ticks(150 * time.Millisecond), ticks(400 * time.Millisecond), ticks(650 * time.Millisecond), ticks(900 * time.Millisecond)}
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -14,7 +14,7 @@
 
 // request is a client request from its arrival to its result.
 type request struct {
-	// Set by the client connection's goroutine; not modified once submitted.
+	// Set by the client connection's goroutine; not modified once submitted, except by releaseMessage.
 	route     *route
 	method    string
 	uri       string
@@ -30,8 +30,14 @@
 	finished    bool
 	mayHaveRun  bool               // a server may have run it, or may still do so
 	lastFailure *fasthttp.Response // the last server error, forwarded if no success follows
+
+	dispatchCheck *timer // of the hold limit; nil = none is needed
 }
 
+// releaseMessage releases the header and the body once no attempt can be sent any more. Attempts in flight have been written or hold what
+// they still write.
+func (r *request) releaseMessage() { r.header, r.body = nil, nil }
+
 // dispatchState returns the combined progress of the request's shard calls.
 func (r *request) dispatchState() (state admission.DispatchState) {
 	for _, call := range r.shardCalls {
@@ -97,6 +103,7 @@
 	sentAt          balancer.Time
 	deadline        balancer.Time
 	ended           bool // its outcome is known
+	timeout         *timer
 	countsForTenant bool // its connection is accounted to tenant
 	tenant          quota.TenantID
 }
@@ -105,9 +112,9 @@
 // connection has not been sent, and is not sent later if its request has finished by then.
 func (a *attempt) mayHaveRun() bool { return a != nil && a.conn != nil }
 
-// appendRequest appends the attempt's HTTP request to b. X-Deadline-Remaining is set to remaining, in milliseconds and at
-// least 1.
-func (a *attempt) appendRequest(b []byte, remaining time.Duration) []byte {
+// appendHeader appends the header of the attempt's HTTP request to b. X-Deadline-Remaining is set to remaining, in milliseconds
+// and at least 1.
+func (a *attempt) appendHeader(b []byte, remaining time.Duration) []byte {
 	r := a.shardCall.request
 	b = append(b, r.method...)
 	b = append(b, ' ')
@@ -122,6 +129,5 @@
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.body)), 10)
 	}
-	b = append(b, "\r\n\r\n"...)
-	return append(b, r.body...)
+	return append(b, "\r\n\r\n"...)
 }
--- a/internal/testing/simnet/stream.go
+++ b/internal/testing/simnet/stream.go
@@ -70,6 +70,7 @@
 	n := copy(b, first.data)
 	first.data = first.data[n:]
 	if len(first.data) == 0 {
+		*first = segment{} // so that the data can be garbage-collected
 		s.segments = s.segments[1:]
 	}
 	return n
