dataplane: the header limit in force applies to connections of any age

Cause: the read buffer, whose size is the limit of a header, was made once, in the size of header_bytes when the connection was accepted. Change: the limit is set for each request; the buffer starts with 4,096 bytes, grows with a header up to the limit, and is replaced where it exceeds the limit. Why it works: no size outlives the request for which it was loaded, and bytes that were read are read again from the new buffer.

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -28,7 +28,7 @@
 // clientConn is a client's connection. Its requests are served one at a time, by one goroutine.
 type clientConn struct {
 	conn    net.Conn
-	reader  *bufio.Reader
+	reader  requestReader
 	req     fasthttp.Request // the current request
 	buffer  []byte           // reused to encode responses
 	merger  topk.Selector
@@ -40,7 +40,7 @@
 }
 
 func newClientConn(conn net.Conn) *clientConn {
-	return &clientConn{conn: conn, results: make(chan result, 1)}
+	return &clientConn{conn: conn, reader: newRequestReader(conn), results: make(chan result, 1)}
 }
 
 // interruptRead makes a pending or later read fail with a timeout until the read deadline is set again.
@@ -81,6 +81,9 @@
 		switch {
 		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, bufio.ErrBufferFull):
+			if c.reader.grow() {
+				continue
+			}
 			return c.awaitResultBufferFull(stopped)
 		default:
 			return result{}, errClientDisconnected
@@ -151,17 +154,16 @@
 func (c *clientConn) readHeader(limits config.Limits) bool {
 	c.req.Reset()
 	c.req.Header.DisableNormalizing()
+	c.reader.setHeaderLimit(limits.HeaderBytes)
 	if !c.checkRequestLine() {
 		c.writeError(fasthttp.StatusBadRequest, textRequestLineEnd, 0, false)
 		return false
 	}
-	err := c.req.Header.Read(c.reader)
-	if err == nil {
-		return true
-	}
-	var small *fasthttp.ErrSmallBuffer
+	err := c.parseHeader()
 	switch {
-	case errors.As(err, &small):
+	case err == nil:
+		return true
+	case isSmallBuffer(err):
 		c.writeError(fasthttp.StatusRequestHeaderFieldsTooLarge, textHeaderTooLong, 0, false)
 	case errors.Is(err, os.ErrDeadlineExceeded) || isTimeout(err):
 		c.writeError(fasthttp.StatusRequestTimeout, textHeaderTimeout, 0, false)
@@ -171,6 +173,22 @@
 	return false
 }
 
+// parseHeader reads the header into c.req. The read buffer grows with the header.
+func (c *clientConn) parseHeader() error {
+	for {
+		err := c.req.Header.Read(c.reader.Reader)
+		if err == nil || !isSmallBuffer(err) || !c.reader.grow() {
+			return err
+		}
+	}
+}
+
+// isSmallBuffer reports whether the header does not fit into the read buffer.
+func isSmallBuffer(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	return errors.As(err, &small)
+}
+
 // checkRequestLine skips empty lines and reports whether the request line ends in CR LF. It also reports true if the
 // connection fails or the buffer is full before the end of the line; the header parser then detects the fault.
 func (c *clientConn) checkRequestLine() bool {
@@ -212,7 +230,7 @@
 	if length > 0 {
 		c.req.SwapBody(make([]byte, 0, length)) // of the exact size: the parser would round it up to a power of 2
 	}
-	if err := c.req.ReadBody(c.reader, length, limits.BodyBytes); err != nil {
+	if err := c.req.ReadBody(c.reader.Reader, length, limits.BodyBytes); err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 			c.writeError(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong, 0, false)
 		}
@@ -221,7 +239,7 @@
 	if length != lengthChunked {
 		return true
 	}
-	if err := skipTrailer(c.reader); err != nil {
+	if err := skipTrailer(&c.reader); err != nil {
 		c.writeError(fasthttp.StatusBadRequest, textMalformedTrailer, 0, false)
 		return false
 	}
--- a/dataplane/framing_test.go
+++ b/dataplane/framing_test.go
@@ -179,8 +179,8 @@
 	if readSize > 0 {
 		input.r = &shortReader{input.r, readSize}
 	}
-	c := &clientConn{conn: input, reader: bufio.NewReaderSize(input, 4096)}
-	limits := config.Limits{BodyBytes: 1 << 16, HeaderTimeoutMS: 1000}
+	c := newClientConn(input)
+	limits := config.Limits{HeaderBytes: 4096, BodyBytes: 1 << 16, HeaderTimeoutMS: 1000}
 	for c.readHeader(limits) && c.readBody(limits) {
 		header := slices.Concat([]byte("GET / HTTP/1.1\r\n"), forwardedHeaders(&c.req), []byte("\r\n"))
 		forwarded, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"sync"
@@ -24,7 +23,6 @@
 
 // Time limits and sizes of client connections.
 const (
-	minClientBufferBytes    = 4096                   // size of a connection's read buffer in bytes, at least
 	acceptRetryPause        = 20 * time.Millisecond  // after a failed accept, such as for lack of file descriptors
 	drainIdleTimeout        = 50 * time.Millisecond  // idle timeout of a connection while the gateway drains
 	noConfigRetryAfter      = 200 * time.Millisecond // Retry-After while no configuration is active
@@ -111,7 +109,6 @@
 // serveClient serves the requests of one connection, one at a time and in order, until the connection ends.
 func (s *frontServer) serveClient(conn *clientConn) {
 	limits := s.limits()
-	conn.reader = bufio.NewReaderSize(conn.conn, max(minClientBufferBytes, limits.HeaderBytes))
 	for first := true; ; first = false {
 		conn.busy.Store(false)
 		conn.conn.SetReadDeadline(time.Now().Add(s.idleTimeout(conn, limits, first)))
--- a/dataplane/recordingserver_test.go
+++ b/dataplane/recordingserver_test.go
@@ -26,6 +26,9 @@
 	answered  bool
 }
 
+// smallHeaderBytes is the least size of a recording server's read buffer, into which the header of a request must fit.
+const smallHeaderBytes = 4096
+
 // recordingServers record the requests that they receive, and answer each after serviceTime unless its connection ends
 // before.
 type recordingServers struct {
@@ -33,6 +36,7 @@
 	unansweredRequests int // this many of the first requests get no answer
 	malformedEvery     int // from malformedFrom on, every n-th attempt gets a malformed answer; 0 = none
 	malformedFrom      time.Time
+	maxHeaderBytes     int   // longest header of a request; 0 = some that suffices for small requests
 	failures           []int // statuses of the first answers, each with its own seal; all later answers are successes
 
 	mu       sync.Mutex
@@ -51,7 +55,7 @@
 
 func (s *recordingServers) serveConn(conn net.Conn, service string) {
 	defer conn.Close()
-	reader := bufio.NewReader(conn)
+	reader := bufio.NewReaderSize(conn, max(s.maxHeaderBytes, smallHeaderBytes))
 	for {
 		if !waitForHeader(reader) {
 			return
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -149,9 +149,14 @@
 	return false
 }
 
+// lineReader is the part of bufio.Reader that reads lines.
+type lineReader interface {
+	ReadSlice(delimiter byte) ([]byte, error)
+}
+
 // skipTrailer reads the trailer section that follows the last chunk of a body, including its terminating empty line. If
 // left unread, it would be parsed as the beginning of the next message.
-func skipTrailer(r *bufio.Reader) error {
+func skipTrailer(r lineReader) error {
 	for range maxTrailerLines {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
