dataplane: a raised idle timeout also applies to connections that are idle already

Cause: the read deadline of the idle connection was set by the limits of its last request and not looked at again. Change: when the wait ends, it is extended by the limits in force. A read that was interrupted closes the connection as before. A lowered limit does not shorten a wait, as Keep-Alive told the client the earlier time. Evidence: TestIdleTimeoutOfIdleConnections failed before where the limit was raised (no answer after 16 s, limit 20 s), and holds in all five cases now.

--- a/dataplane/client_limits_test.go
+++ b/dataplane/client_limits_test.go
@@ -170,3 +170,41 @@
 		})
 	}
 }
+
+// An idle connection stays open as long as the limit in force allows, also if that limit was raised since the connection became idle. It
+// stays open at least as long as its client was told.
+func TestIdleTimeoutOfIdleConnections(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		before, after time.Duration // idle_timeout_ms
+		rest          time.Duration // between the two requests
+		served        bool
+	}{
+		{"unchanged", 5 * time.Second, 5 * time.Second, 6 * time.Second, false},
+		{"raised", 5 * time.Second, 20 * time.Second, 16 * time.Second, true},
+		{"raised, rested longer", 5 * time.Second, 20 * time.Second, 21 * time.Second, false},
+		{"lowered", 20 * time.Second, 5 * time.Second, 16 * time.Second, true},
+		{"lowered, rested longer", 20 * time.Second, 5 * time.Second, 21 * time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runWithLimits(t, func(t *testing.T, b *testbed) {
+				limits := func(idle time.Duration) config.Limits {
+					return config.Limits{IdleTimeoutMS: float64(idle.Milliseconds())}
+				}
+				b.activateLimits(2, limits(test.before))
+				kept := b.dialKept(t)
+				defer kept.Close()
+				if got := kept.status(requestWithHeader(smallHeader)); got != http.StatusOK {
+					t.Errorf("first request: status %d", got)
+					return
+				}
+				time.Sleep(time.Second)
+				b.activateLimits(3, limits(test.after))
+				time.Sleep(test.rest - time.Second)
+				if got := kept.status(requestWithHeader(smallHeader)); (got == http.StatusOK) != test.served {
+					t.Errorf("second request after %v: status %d, want success %t", test.rest, got, test.served)
+				}
+			})
+		})
+	}
+}
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -111,8 +111,7 @@
 	limits := s.limits()
 	for first := true; ; first = false {
 		conn.busy.Store(false)
-		conn.conn.SetReadDeadline(time.Now().Add(s.idleTimeout(conn, limits, first)))
-		if _, err := conn.reader.Peek(1); err != nil {
+		if !s.awaitRequest(conn, limits, first) {
 			return
 		}
 		conn.busy.Store(true)
@@ -124,6 +123,26 @@
 	}
 }
 
+// awaitRequest waits for the first byte of a request. It reports false if the connection must be closed: it has ended, was idle for as
+// long as it may be, or its read was interrupted. limits are those of the last request, by which its client was told the idle timeout. The
+// wait is extended if that was raised since, and not shortened if it was lowered.
+func (s *frontServer) awaitRequest(conn *clientConn, limits config.Limits, first bool) bool {
+	idleSince, timeout := time.Now(), s.idleTimeout(conn, limits, first)
+	for {
+		conn.conn.SetReadDeadline(idleSince.Add(timeout))
+		_, err := conn.reader.Peek(1)
+		if err == nil {
+			return true
+		}
+		interrupted := time.Since(idleSince) < timeout
+		current := s.idleTimeout(conn, s.limits(), first)
+		if !isTimeout(err) || interrupted || current <= timeout {
+			return false
+		}
+		timeout = current
+	}
+}
+
 // idleTimeout returns how long a connection may wait for the first byte of a request. The first request of a connection
 // must begin within the header timeout.
 func (s *frontServer) idleTimeout(conn *clientConn, limits config.Limits, first bool) time.Duration {
