dataplane: the least coverage is that of whole shards, at least one

Cause: the floor of the share, 1e-9, lies below the balancer's tolerance of 5e-5, so that a coverage of 0 sufficed; for the same reason 0.66668 of three shards was met by two. Change: the share is rounded up to a whole number of shards, at least one. Why it works: one shard's coverage is far above the tolerance, which now only covers rounding.

--- a/dataplane/active_config.go
+++ b/dataplane/active_config.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"math"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,7 +18,7 @@
 const (
 	lateResponseValue = 0.3  // value of a response after the latency target, as a share of its value before it
 	defaultAttempts   = 1    // attempts for one shard call
-	minCoverageFloor  = 1e-9 // above 0, so that a merged response contains the response of at least one shard
+	shareTolerance    = 1e-9 // rounding error of a share of the shards
 )
 
 // activeConfig is one version of the configuration, resolved to the balancer's query types and shards. It is immutable once stored,
@@ -41,12 +42,15 @@
 	hasTenant bool // a tenant document is active
 }
 
-// minCoverage returns the smallest share of the shards whose responses suffice for a response to the client.
+// minCoverage returns the smallest share of the shards whose responses suffice for a response to the client. It is that of a whole number
+// of shards, at least one: the balancer tolerates errors in sums of coverage, so that less than a configured share could suffice.
 func (r *route) minCoverage() float64 {
-	if r.Gathered() {
-		return max(r.MinimumShare, minCoverageFloor)
+	if !r.Gathered() {
+		return 1
 	}
-	return 1
+	shards := float64(len(r.shards))
+	required := math.Ceil(r.MinimumShare*shards - shareTolerance)
+	return max(required, 1) / shards
 }
 
 func (r *route) idempotency() balancer.Idempotency {
