controlplane: a test of refused departures no longer depends on when a goroutine runs

Cause: TestRefusedDeparturesAreSavedLater filled the store's queue until it was full, but the store's goroutine may take the first update from it only after that, so that one more write fits and the departure is stored. Change: the goroutine is known to be inside the first update before the queue is filled. All checks stay as they are.

--- a/controlplane/departures_test.go
+++ b/controlplane/departures_test.go
@@ -27,8 +27,19 @@
 	c := newTestController(t)
 	listener := &storedCounter{}
 	d := newDepartureLog(c.store, c.table, c.loop, c.clock, listener, zerolog.Nop())
-	release := make(chan struct{})
-	for c.store.Update(func(s consensus.AcceptorState) consensus.AcceptorState { <-release; return s }, func(consensus.AcceptorState, error) {}) == nil {
+	blocked, release := make(chan struct{}, 1), make(chan struct{})
+	step := func(s consensus.AcceptorState) consensus.AcceptorState {
+		select {
+		case blocked <- struct{}{}:
+		default:
+		}
+		<-release
+		return s
+	}
+	ignore := func(consensus.AcceptorState, error) {}
+	c.store.Update(step, ignore)
+	<-blocked // the store's goroutine takes no other update from the queue until release is closed
+	for c.store.Update(step, ignore) == nil {
 	} // until the queue is full
 	first := deregister(d, "i-1")
 	second := deregister(d, "i-2")
