acceptorstore: a held lock of the state file is awaited, not taken for damage

Cause: the successor of a killed process waited 1 s for the lock of its state file; then it took the intact file for damaged, as it took every error of opening it but a refused write, renamed it and started with a new identity. Change: the controller waits for the lock, says so in the log, and ends in order at SIGTERM. Only contents that fail their check are set aside; errors of the operating system fail the start and leave the file. Why it works: the file is opened only once its holder has ended, and nothing but its contents decides on the identity.

--- a/controlplane/api_test.go
+++ b/controlplane/api_test.go
@@ -18,7 +18,7 @@
 	s := &settings.Settings{IPAddress: "10.0.1.1", InternalPorts: []int{7100, 7109}, SeedAddresses: []string{"10.0.1.1:8700"}, FirstStart: true,
 		DataDirectory: t.TempDir(), HeartbeatIntervalMS: 1000}
 	s.Listen.Control = "10.0.1.1:8700"
-	c, err := New(s, simnet.New(nil).Host("10.0.1.1"), zerolog.Nop())
+	c, err := New(t.Context(), s, simnet.New(nil).Host("10.0.1.1"), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/controlplane/change_bench_test.go
+++ b/controlplane/change_bench_test.go
@@ -97,7 +97,7 @@
 			DataDirectory: filepath.Join(dir, fmt.Sprint(i)), HeartbeatIntervalMS: 1000}
 		s.ToleratedLosses.Machines = 1
 		s.Listen.Control = control
-		controller, err := New(s, c.network, zerolog.Nop())
+		controller, err := New(b.Context(), s, c.network, zerolog.Nop())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -70,13 +70,15 @@
 }
 
 // New opens the state in the data directory and returns a controller that is inactive until Run is called. The settings must be
-// valid. It returns an error if the data directory or the state file can be neither opened nor created.
-func New(s *settings.Settings, transport network.Network, log zerolog.Logger) (*Controller, error) {
+// valid. It returns an error if the data directory or the state file can be neither opened nor created. While another process holds the
+// lock of the state file, New waits for it until the context is done; it then returns [acceptorstore.ErrLocked].
+func New(ctx context.Context, s *settings.Settings, transport network.Network, log zerolog.Logger) (*Controller, error) {
 	members, genesisID := genesisMembers(s)
 	if !s.FirstStart {
 		genesisID = 0
 	}
-	store, setAside, err := acceptorstore.Open(s.DataDirectory, genesisID)
+	wait := &lockWait{ctx: ctx, log: log}
+	store, setAside, err := acceptorstore.OpenWhile(s.DataDirectory, genesisID, wait.proceed)
 	if err != nil {
 		return nil, err
 	}
--- a/controlplane/loop_test.go
+++ b/controlplane/loop_test.go
@@ -40,7 +40,7 @@
 		s := &settings.Settings{IPAddress: ip, InternalPorts: []int{7100, 7109}, SeedAddresses: seeds, FirstStart: true, DataDirectory: dir, HeartbeatIntervalMS: 1000}
 		s.Listen.Control = seeds[i]
 		s.ToleratedLosses.Machines = (count - 1) / 2
-		c, err := New(s, network.Host(ip), zerolog.Nop())
+		c, err := New(t.Context(), s, network.Host(ip), zerolog.Nop())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -21,9 +21,8 @@
 )
 
 const (
-	queueLength     = 64          // updates that may be queued for the disk
-	lockTimeout     = time.Second // how long to wait for the file lock of another process
-	initialMmapSize = 4 << 20     // bytes of address space; avoids most remappings as the file grows
+	queueLength     = 64      // updates that may be queued for the disk
+	initialMmapSize = 4 << 20 // bytes of address space; avoids most remappings as the file grows
 )
 
 var (
@@ -60,6 +59,8 @@
 	departures []Departure               // as read by Open
 	openErr    error                     // why Open could not create the file; nil if the file was opened
 
+	keepWaiting func() bool // reports whether to wait longer for the lock of another process
+
 	// The following fields belong to the store's goroutine.
 	db                *bbolt.DB               // nil while the file could not be created or its directory not be synced
 	lastCreateAttempt time.Time               // when opening or creating the file was last attempted
@@ -71,17 +72,27 @@
 }
 
 // Open opens or creates the state file in a directory, which it creates if necessary. A file without an identity gets the
-// genesis identity, or a random one if genesis is 0. An unreadable file is renamed to setAsidePath, and a new one is created
-// with a random identity: the promises made under the old identity are lost, so that identity must not vote again.
+// genesis identity, or a random one if genesis is 0. A file with invalid contents is renamed to setAsidePath, and a new one is created
+// with a random identity: the promises made under the old identity are lost, so that identity must not vote again. A file that can't be
+// opened for another reason is left as it is.
+//
+// While another process holds the file's lock, Open waits: the file is in use, not damaged.
 //
 // If a new file can't be created because the disk is full or read-only, or its directory entry can't be made durable for that
 // reason, the store is opened without a file (see OpenError): every update fails until the file can be created. An existing
 // non-empty file is never replaced because the disk rejects writes.
 func Open(dir string, genesis consensus.AcceptorID) (s *Store, setAsidePath string, err error) {
+	return OpenWhile(dir, genesis, func() bool { return true })
+}
+
+// OpenWhile is Open with a limited wait for the file's lock. While another process holds the lock, keepWaiting is called about once a
+// second. Once it returns false, OpenWhile returns ErrLocked and leaves the file as it is.
+func OpenWhile(dir string, genesis consensus.AcceptorID, keepWaiting func() bool) (s *Store, setAsidePath string, err error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil && !isWriteRefused(err) {
 		return nil, "", eris.Wrap(err, "creating the data directory")
 	}
 	s = newStore(dir)
+	s.keepWaiting = keepWaiting
 	setAsidePath, err = s.openOrReplace(filepath.Join(dir, fileName), genesis)
 	if err == nil {
 		err = syncDirectoryOrClose(s, dir)
@@ -94,6 +105,7 @@
 		return nil, setAsidePath, err
 	}
 	s.openErr = err
+	s.keepWaiting = func() bool { return false } // the store's goroutine must not block
 	s.lastCreateAttempt = time.Now()
 	go s.run()
 	return s, setAsidePath, nil
@@ -107,13 +119,13 @@
 // retry the creation.
 func (s *Store) OpenError() error { return s.openErr }
 
-// openOrReplace opens the file, or creates it if it does not exist. An unreadable file is set aside and replaced.
+// openOrReplace opens the file, or creates it if it does not exist. A file with invalid contents is set aside and replaced.
 func (s *Store) openOrReplace(path string, genesis consensus.AcceptorID) (setAsidePath string, err error) {
 	if _, err := os.Stat(path); err == nil {
 		// The file is from an earlier run. If it has no identity, that run ended before it accepted a value or made a promise,
 		// so that the genesis identity may be used.
 		err = s.openFile(path, genesis)
-		if err == nil || isWriteRefused(err) {
+		if err == nil || !isDamage(err) {
 			return "", err
 		}
 		setAsidePath = path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
@@ -145,7 +157,7 @@
 			err = fmt.Errorf("%w: %v", ErrCorrupt, r)
 		}
 	}()
-	db, err := bbolt.Open(path, 0o644, &bbolt.Options{Timeout: lockTimeout, InitialMmapSize: initialMmapSize})
+	db, err := s.openUnlocked(path)
 	if err != nil {
 		return err
 	}
--- a/internal/controlcli/program.go
+++ b/internal/controlcli/program.go
@@ -19,6 +19,7 @@
 
 	"oxbowspan/controlplane"
 	"oxbowspan/dataplane"
+	"oxbowspan/internal/acceptorstore"
 	"oxbowspan/internal/network"
 	"oxbowspan/internal/settings"
 )
@@ -60,7 +61,10 @@
 		out:         out,
 		errs:        errs,
 		run: func(ctx context.Context, set *settings.Settings, log zerolog.Logger) error {
-			controller, err := controlplane.New(set, network.TCP{}, log)
+			controller, err := controlplane.New(ctx, set, network.TCP{}, log)
+			if ctx.Err() != nil && errors.Is(err, acceptorstore.ErrLocked) {
+				return nil // stopped by a signal while it waited
+			}
 			if err != nil {
 				return err
 			}
--- a/internal/testing/simcluster/node.go
+++ b/internal/testing/simcluster/node.go
@@ -61,7 +61,7 @@
 // Start powers the machine on and starts the controller's process.
 func (m *ControllerNode) Start() error {
 	m.cluster.Network.PowerOn(m.IP)
-	controller, err := controlplane.New(m.settings(), m.cluster.Network.Host(m.IP), m.cluster.nodeLog(m.IP))
+	controller, err := controlplane.New(context.Background(), m.settings(), m.cluster.Network.Host(m.IP), m.cluster.nodeLog(m.IP))
 	if err != nil {
 		return err
 	}
