dataplane: header fields of requests are found in any case

Cause: the parser keeps the names as sent, and Peek then compares exactly. The request went out without id and deadline, so that no response matched it. Connection and Expect in other cases were missed too: fields of the client's connection were forwarded, and a client that waits for 100 waited. Change: id and deadline are read in the pass that collects the forwarded lines; all names are compared without regard to case. What is forwarded keeps its form. Responses are parsed with canonical names; controllers and the gatherer use net/http, which does so too.

--- a/dataplane/bench_test.go
+++ b/dataplane/bench_test.go
@@ -17,8 +17,19 @@
 	"oxbowspan/rpc"
 )
 
-// BenchmarkRequest sends requests sequentially from a client through a gateway to a server over loopback.
+// BenchmarkRequest sends requests sequentially from a client through a gateway to a server over loopback, with the names of header fields in
+// canonical and in lower case.
 func BenchmarkRequest(b *testing.B) {
+	for _, form := range []struct{ name, header string }{
+		{"canonical", "Host: h\r\nX-Deadline-Remaining: 900\r\nX-Attempt-Id: "},
+		{"lower case", "host: h\r\nx-deadline-remaining: 900\r\nx-attempt-id: "},
+	} {
+		b.Run(form.name, func(b *testing.B) { benchmarkRequest(b, form.header) })
+	}
+}
+
+// benchmarkRequest sends requests whose header ends with the attempt id.
+func benchmarkRequest(b *testing.B, header string) {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
@@ -54,7 +65,7 @@
 	b.ReportAllocs()
 	b.ResetTimer()
 	for i := range b.N {
-		c.Write([]byte("GET /x HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: 900\r\nX-Attempt-Id: " + strconv.Itoa(1000000+i) + "\r\n\r\n"))
+		c.Write([]byte("GET /x HTTP/1.1\r\n" + header + strconv.Itoa(1000000+i) + "\r\n\r\n"))
 		if err := skipResponse(r); err != nil {
 			b.Fatal(err)
 		}
@@ -78,8 +89,9 @@
 		if err != nil {
 			return
 		}
-		if rest, ok := bytes.CutPrefix(line, []byte("X-Attempt-Id: ")); ok {
-			id = string(bytes.TrimSpace(rest))
+		const name = "X-Attempt-Id: "
+		if len(line) > len(name) && bytes.EqualFold(line[:len(name)], []byte(name)) {
+			id = string(bytes.TrimSpace(line[len(name):]))
 		}
 		if len(line) == 2 {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+id+"\r\nX-Server-Seal: s\r\nContent-Length: 2\r\n\r\nab")
--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -126,23 +126,24 @@
 	if configured == nil {
 		return nil
 	}
+	fields := readFields(header)
 	return &request{
 		route:     active.routes[configured],
 		method:    string(header.Method()),
 		uri:       uri,
-		header:    forwardedHeaders(&c.req),
+		header:    fields.forwarded,
 		body:      body,
-		attemptID: string(header.Peek("X-Attempt-Id")),
-		deadline:  requestDeadline(header),
+		attemptID: fields.attemptID,
+		deadline:  requestDeadline(fields.deadline),
 		deliver:   c.deliver,
 	}
 }
 
-// requestDeadline returns the time allowed for the response: X-Deadline-Remaining in milliseconds, but at most
+// requestDeadline returns the time allowed for the response: the value of X-Deadline-Remaining in milliseconds, but at most
 // defaultDeadline, which also applies if the field is missing or invalid.
-func requestDeadline(header *fasthttp.RequestHeader) balancer.Time {
+func requestDeadline(value []byte) balancer.Time {
 	deadline := ticks(defaultDeadline)
-	ms, err := strconv.ParseFloat(string(header.Peek("X-Deadline-Remaining")), 64)
+	ms, err := strconv.ParseFloat(string(value), 64)
 	if err == nil && ms >= 0 {
 		deadline = min(deadline, ticksFromMillis(ms))
 	}
@@ -249,7 +250,7 @@
 // continueRequest sends the interim response 100 to a client that expects it before sending the body. It reports false if
 // the write failed.
 func (c *clientConn) continueRequest() bool {
-	if !bytes.EqualFold(c.req.Header.Peek("Expect"), []byte("100-continue")) {
+	if !expectsContinue(&c.req.Header) {
 		return true
 	}
 	_, err := c.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
--- a/dataplane/framing.go
+++ b/dataplane/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 )
@@ -70,7 +71,7 @@
 		if !isNumber(bytes.TrimSpace(value)) {
 			return errContentLength
 		}
-	case bytes.EqualFold(name, []byte("X-Attempt-Id")):
+	case hasName(name, attemptIDField):
 		f.ids++
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		f.chunked++
@@ -86,28 +87,60 @@
 	return len(text) > 0 && !bytes.ContainsFunc(text, func(r rune) bool { return r < '0' || r > '9' })
 }
 
-// forwardedHeaders returns the header lines of a request that are forwarded to servers, each ending in CR LF, Host first.
-func forwardedHeaders(req *fasthttp.Request) []byte {
-	connection := connectionFields(req)
+// Names of header fields that the gateway reads in requests. Field names are case-insensitive, and the header parser keeps them as the
+// client sent them, so that they are found by hasName only.
+const (
+	attemptIDField  = "X-Attempt-Id"
+	deadlineField   = "X-Deadline-Remaining"
+	connectionField = "Connection"
+	expectField     = "Expect"
+)
+
+// hasName reports whether the name of a header field is the given one, ignoring case.
+func hasName(field []byte, name string) bool {
+	return len(field) == len(name) && strings.EqualFold(string(field), name)
+}
+
+// requestFields are the header fields of a request that the gateway forwards or uses.
+type requestFields struct {
+	forwarded []byte // lines that are forwarded to servers, each ending in CR LF, Host first
+	attemptID string // "" = the client sent none
+	deadline  []byte // value of X-Deadline-Remaining; nil = the client sent none
+}
+
+// readFields returns the fields of a request's header.
+func readFields(header *fasthttp.RequestHeader) requestFields {
+	connection := connectionFields(header)
 	b := make([]byte, 0, 256)
 	b = append(b, "Host: "...)
-	b = append(b, req.Header.Host()...)
+	b = append(b, header.Host()...)
 	b = append(b, "\r\n"...)
-	for name, value := range req.Header.All() {
+	var fields requestFields
+	for name, value := range header.All() {
+		switch {
+		case hasName(name, attemptIDField):
+			fields.attemptID = string(value)
+		case hasName(name, deadlineField):
+			fields.deadline = value
+		}
 		if isHopByHop(name) || isSetByGateway(name) || containsFold(connection, name) {
 			continue
 		}
 		b = appendField(b, name, value)
 	}
-	return b
+	fields.forwarded = b
+	return fields
 }
 
 // connectionFields returns the field names listed in a request's Connection fields, without X-Attempt-Id: that field is
 // always forwarded, as responses are matched by it.
-func connectionFields(req *fasthttp.Request) (names [][]byte) {
-	for _, value := range req.Header.PeekAll("Connection") {
+func connectionFields(header *fasthttp.RequestHeader) (names [][]byte) {
+	for field, value := range header.All() {
+		if !hasName(field, connectionField) {
+			continue
+		}
 		for name := range bytes.SplitSeq(value, []byte(",")) {
-			if name = bytes.TrimSpace(name); !bytes.EqualFold(name, []byte("X-Attempt-Id")) {
+			if name = bytes.TrimSpace(name); !hasName(name, attemptIDField) {
 				names = append(names, name)
 			}
 		}
@@ -115,10 +148,19 @@
 	return names
 }
 
+// expectsContinue reports whether a client waits for the interim response 100 before it sends the body.
+func expectsContinue(header *fasthttp.RequestHeader) bool {
+	for name, value := range header.All() {
+		if hasName(name, expectField) {
+			return bytes.EqualFold(value, []byte("100-continue"))
+		}
+	}
+	return false
+}
+
 // isSetByGateway reports whether the gateway replaces a field in the requests that it forwards by its own.
 func isSetByGateway(name []byte) bool {
-	return bytes.EqualFold(name, []byte("Host")) || bytes.EqualFold(name, []byte("X-Deadline-Remaining")) ||
-		bytes.EqualFold(name, []byte("X-Expected-Instance"))
+	return hasName(name, "Host") || hasName(name, deadlineField) || hasName(name, "X-Expected-Instance")
 }
 
 // containsFold reports whether names contains name, ignoring case.
--- a/dataplane/framing_test.go
+++ b/dataplane/framing_test.go
@@ -182,7 +182,7 @@
 	c := newClientConn(input)
 	limits := config.Limits{HeaderBytes: 4096, BodyBytes: 1 << 16, HeaderTimeoutMS: 1000}
 	for c.readHeader(limits) && c.readBody(limits) {
-		header := slices.Concat([]byte("GET / HTTP/1.1\r\n"), forwardedHeaders(&c.req), []byte("\r\n"))
+		header := slices.Concat([]byte("GET / HTTP/1.1\r\n"), readFields(&c.req.Header).forwarded, []byte("\r\n"))
 		forwarded, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
 		if err != nil {
 			return append(all, parsedRequest{method: fmt.Sprint("the forwarded header can't be parsed: ", err)})
@@ -352,7 +352,7 @@
 	if err := req.Header.Read(bufio.NewReader(strings.NewReader(text))); err != nil {
 		t.Fatal(err)
 	}
-	got := string(forwardedHeaders(&req))
+	got := string(readFields(&req.Header).forwarded)
 	for _, field := range []string{"Host: h.example:80\r\n", "X-Attempt-Id: q\r\n", "x-odd-Name: v\r\n", "Accept: */*\r\n"} {
 		if !strings.Contains(got, field) {
 			t.Errorf("%q is missing in %q", field, got)
--- a/dataplane/fuzz_test.go
+++ b/dataplane/fuzz_test.go
@@ -55,7 +55,7 @@
 		if req.Header.Read(bufio.NewReaderSize(bytes.NewReader(text), 16<<10)) != nil || checkFraming(req) != nil {
 			return
 		}
-		header := forwardedHeaders(req)
+		header := readFields(&req.Header).forwarded
 		hosts := 0
 		for line := range bytes.SplitSeq(header, []byte("\r\n")) {
 			name, _, ok := bytes.Cut(line, []byte(":"))
