dataplane: responses with long headers are read, servers no longer count as failing for them

Cause: the read buffer of a connection to a server has a fixed size, into which the header must fit; the gateway's own limit was taken for a broken connection. Change: both directions read by the same growing buffer; the limit of a response's header is 64 KiB. Logic that stood in clientConn serves both. Evidence: three cases of TestReadResponse; "long header" failed before with "small read buffer". Left: a header above 64 KiB still counts against its server.

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -28,7 +28,7 @@
 // clientConn is a client's connection. Its requests are served one at a time, by one goroutine.
 type clientConn struct {
 	conn    net.Conn
-	reader  requestReader
+	reader  *messageReader
 	req     fasthttp.Request // the current request
 	buffer  []byte           // reused to encode responses
 	merger  topk.Selector
@@ -40,7 +40,7 @@
 }
 
 func newClientConn(conn net.Conn) *clientConn {
-	return &clientConn{conn: conn, reader: newRequestReader(conn), results: make(chan result, 1)}
+	return &clientConn{conn: conn, reader: newMessageReader(conn, initialReadBufferBytes), results: make(chan result, 1)}
 }
 
 // interruptRead makes a pending or later read fail with a timeout until the read deadline is set again.
@@ -160,7 +160,7 @@
 		c.writeError(fasthttp.StatusBadRequest, textRequestLineEnd, 0, false)
 		return false
 	}
-	err := c.parseHeader()
+	err := c.reader.readHeader(c.req.Header.Read)
 	switch {
 	case err == nil:
 		return true
@@ -174,22 +174,6 @@
 	return false
 }
 
-// parseHeader reads the header into c.req. The read buffer grows with the header.
-func (c *clientConn) parseHeader() error {
-	for {
-		err := c.req.Header.Read(c.reader.Reader)
-		if err == nil || !isSmallBuffer(err) || !c.reader.grow() {
-			return err
-		}
-	}
-}
-
-// isSmallBuffer reports whether the header does not fit into the read buffer.
-func isSmallBuffer(err error) bool {
-	var small *fasthttp.ErrSmallBuffer
-	return errors.As(err, &small)
-}
-
 // checkRequestLine skips empty lines and reports whether the request line ends in CR LF. It also reports true if the
 // connection fails or the buffer is full before the end of the line; the header parser then detects the fault.
 func (c *clientConn) checkRequestLine() bool {
@@ -240,7 +224,7 @@
 	if length != lengthChunked {
 		return true
 	}
-	if err := skipTrailer(&c.reader); err != nil {
+	if err := skipTrailer(c.reader); err != nil {
 		c.writeError(fasthttp.StatusBadRequest, textMalformedTrailer, 0, false)
 		return false
 	}
--- a/dataplane/conn_pool.go
+++ b/dataplane/conn_pool.go
@@ -13,12 +13,12 @@
 
 // Time limits and sizes of connections to servers.
 const (
-	connectTimeout      = 400 * time.Millisecond
-	maxResponseBytes    = 16 << 20 // limit of a response body
-	responseBufferBytes = 4096
-	maxIdleTime         = 14 * time.Second      // default and upper limit of a connection's idle time
-	smallRequestBytes   = 8 << 10               // requests up to this size fit into an empty socket buffer; the event loop writes them itself
-	loopWriteTimeout    = 10 * time.Millisecond // limit of such a write while the socket buffer may still hold a large request
+	connectTimeout         = 400 * time.Millisecond
+	maxResponseBytes       = 16 << 20              // limit of a response body
+	maxResponseHeaderBytes = 64 << 10              // limit of a response header
+	maxIdleTime            = 14 * time.Second      // default and upper limit of a connection's idle time
+	smallRequestBytes      = 8 << 10               // requests up to this size fit into an empty socket buffer; the event loop writes them itself
+	loopWriteTimeout       = 10 * time.Millisecond // limit of such a write while the socket buffer may still hold a large request
 )
 
 // attemptSink is notified when attempts end. All methods are called on the event loop's goroutine.
--- a/dataplane/fuzz_test.go
+++ b/dataplane/fuzz_test.go
@@ -26,7 +26,7 @@
 		req := &request{route: to, method: "GET", attemptID: "q"}
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
-		outcome, idleTimeout, err := readResponse(bufio.NewReaderSize(bytes.NewReader(text), 4096), req, false, resp)
+		outcome, idleTimeout, err := readResponse(newMessageReader(bytes.NewReader(text), maxResponseHeaderBytes), req, false, resp)
 		if idleTimeout < 0 || idleTimeout > maxIdleTime {
 			t.Fatalf("the connection may stay idle for %v", idleTimeout)
 		}
--- a/dataplane/mutation_test.go
+++ b/dataplane/mutation_test.go
@@ -125,8 +125,8 @@
 	},
 	{
 		name: "a trailer is left unread", test: framingTest, file: "client_conn.go",
-		old: `if err := skipTrailer(&c.reader); err != nil {`,
-		new: `if err := skipTrailer(&c.reader); err != nil && !MUTATED {`,
+		old: `if err := skipTrailer(c.reader); err != nil {`,
+		new: `if err := skipTrailer(c.reader); err != nil && !MUTATED {`,
 	},
 }
 
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"strconv"
@@ -45,7 +44,7 @@
 // readResponse reads one complete response to a request. First is true for the first response of the connection. An error
 // means that no complete response to this request was read: the connection must be closed, and the request may have run.
 // IdleTimeout is how long the connection may stay idle afterwards; 0 = it must be closed.
-func readResponse(r *bufio.Reader, req *request, first bool, resp *fasthttp.Response) (outcome balancer.Outcome, idleTimeout time.Duration, err error) {
+func readResponse(r *messageReader, req *request, first bool, resp *fasthttp.Response) (outcome balancer.Outcome, idleTimeout time.Duration, err error) {
 	if err := readFinalHeader(r, resp); err != nil {
 		return balancer.Reset, 0, err
 	}
@@ -78,8 +77,8 @@
 
 // readResponseBody reads a complete body. A body without a length is complete if the connection is closed cleanly. It
 // returns an error if the connection is reset or closed before the stated length.
-func readResponseBody(r *bufio.Reader, resp *fasthttp.Response) error {
-	if err := resp.ReadBody(r, maxResponseBytes); err != nil {
+func readResponseBody(r *messageReader, resp *fasthttp.Response) error {
+	if err := resp.ReadBody(r.Reader, maxResponseBytes); err != nil {
 		return err
 	}
 	if resp.Header.ContentLength() == lengthChunked {
@@ -101,12 +100,12 @@
 
 // readFinalHeader skips interim responses and reads the header of the final one. Interim responses have no body
 // regardless of their headers.
-func readFinalHeader(r *bufio.Reader, resp *fasthttp.Response) error {
+func readFinalHeader(r *messageReader, resp *fasthttp.Response) error {
 	for range maxInterimResponses {
 		if err := checkStatusLine(r); err != nil {
 			return err
 		}
-		if err := resp.Header.Read(r); err != nil {
+		if err := r.readHeader(resp.Header.Read); err != nil {
 			return err
 		}
 		switch status := resp.StatusCode(); {
@@ -121,7 +120,7 @@
 
 // checkStatusLine checks that a response with a status from 100 to 599 follows. The header parser alone would skip empty
 // lines and treat the status 000 as 200.
-func checkStatusLine(r *bufio.Reader) error {
+func checkStatusLine(r *messageReader) error {
 	b, err := r.Peek(statusLinePrefixBytes)
 	if err != nil {
 		return err
@@ -149,14 +148,9 @@
 	return false
 }
 
-// lineReader is the part of bufio.Reader that reads lines.
-type lineReader interface {
-	ReadSlice(delimiter byte) ([]byte, error)
-}
-
 // skipTrailer reads the trailer section that follows the last chunk of a body, including its terminating empty line. If
 // left unread, it would be parsed as the beginning of the next message.
-func skipTrailer(r lineReader) error {
+func skipTrailer(r *messageReader) error {
 	for range maxTrailerLines {
 		line, err := r.ReadSlice('\n')
 		if err != nil {
--- a/dataplane/response_test.go
+++ b/dataplane/response_test.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"bufio"
 	"strings"
 	"syscall"
 	"testing"
@@ -74,12 +73,16 @@
 		{"no such status", "HTTP/1.1 000 OK\r\n" + testID + testSeal + testBody, singleRoute, balancer.Reset, true, false},
 		{"behind an empty line", "\r\n" + testSuccess + testBody, singleRoute, balancer.Reset, true, false},
 		{"connection closed", "HTTP/1.1 200 OK\r\nConnection: close\r\n" + testID + testSeal + testBody, singleRoute, balancer.Answered, false, false},
+		{"long header", "HTTP/1.1 200 OK\r\nX-Fill: " + strings.Repeat("f", 5000) + "\r\n" + testID + testSeal + testBody, singleRoute, balancer.Answered, false, true},
+		{"long header after a long interim one", "HTTP/1.1 103 Hints\r\nLink: " + strings.Repeat("f", 9000) + "\r\n\r\nHTTP/1.1 200 OK\r\nX-Fill: " +
+			strings.Repeat("f", 60_000) + "\r\n" + testID + testSeal + testBody, gatheredRoute, balancer.Answered, false, true},
+		{"too long header", "HTTP/1.1 200 OK\r\nX-Fill: " + strings.Repeat("f", 70_000) + "\r\n" + testID + testSeal + testBody, singleRoute, balancer.Reset, true, false},
 		{"keep-alive timeout 0", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n" + testID + testSeal + testBody, singleRoute, balancer.Answered, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			resp := fasthttp.AcquireResponse()
 			defer fasthttp.ReleaseResponse(resp)
-			reader := bufio.NewReader(strings.NewReader(test.text))
+			reader := newMessageReader(strings.NewReader(test.text), maxResponseHeaderBytes)
 			outcome, idleTimeout, err := readResponse(reader, testRequest(test.to), false, resp)
 			if (err != nil) != test.fails || outcome != test.outcome || (idleTimeout > 0) != test.reused {
 				t.Errorf("outcome %d, idle timeout %v, error %v", outcome, idleTimeout, err)
@@ -106,7 +109,7 @@
 	const text = testSuccess + "\r\nabcdef"
 	for cut := range len(text) + 1 {
 		resp := fasthttp.AcquireResponse()
-		outcome, idleTimeout, err := readResponse(bufio.NewReader(resetReader{strings.NewReader(text[:cut])}), testRequest(singleRoute), true, resp)
+		outcome, idleTimeout, err := readResponse(newMessageReader(resetReader{strings.NewReader(text[:cut])}, maxResponseHeaderBytes), testRequest(singleRoute), true, resp)
 		if err == nil || outcome != balancer.Reset || idleTimeout != 0 {
 			t.Errorf("reset after %d of %d bytes: outcome %d, error %v", cut, len(text), outcome, err)
 		}
@@ -132,7 +135,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			resp := fasthttp.AcquireResponse()
 			defer fasthttp.ReleaseResponse(resp)
-			outcome, idleTimeout, err := readResponse(bufio.NewReader(strings.NewReader(text)), testRequest(test.to), test.first, resp)
+			outcome, idleTimeout, err := readResponse(newMessageReader(strings.NewReader(text), maxResponseHeaderBytes), testRequest(test.to), test.first, resp)
 			if (err == nil) != test.accepted || (outcome == balancer.Answered) != test.accepted || idleTimeout != 0 {
 				t.Errorf("outcome %d, idle timeout %v, error %v", outcome, idleTimeout, err)
 			}
@@ -165,7 +168,7 @@
 	f.Fuzz(func(t *testing.T, text string) {
 		resp := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(resp)
-		outcome, _, err := readResponse(bufio.NewReader(strings.NewReader(text)), testRequest(singleRoute), false, resp)
+		outcome, _, err := readResponse(newMessageReader(strings.NewReader(text), maxResponseHeaderBytes), testRequest(singleRoute), false, resp)
 		if err == nil && outcome == balancer.Answered && string(resp.Header.Peek("X-Attempt-Id")) != "q" {
 			t.Fatalf("%q was accepted as the response to q", text)
 		}
--- a/dataplane/server_conn.go
+++ b/dataplane/server_conn.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"bufio"
 	"net"
 	"sync"
 	"time"
@@ -13,7 +12,7 @@
 type serverConn struct {
 	conn     net.Conn
 	endpoint *endpoint
-	reader   *bufio.Reader // used by the reading goroutine only
+	reader   *messageReader // used by the reading goroutine only
 
 	mu       sync.Mutex
 	exchange exchange // guarded by mu
@@ -29,7 +28,7 @@
 	return &serverConn{
 		conn:        conn,
 		endpoint:    e,
-		reader:      bufio.NewReaderSize(conn, responseBufferBytes),
+		reader:      newMessageReader(conn, maxResponseHeaderBytes),
 		maxIdleTime: maxIdleTime,
 		idleSince:   time.Now(),
 	}
