acceptorstore: the identity of the first start is on the disk before the state file

Cause: a state file was created and synced some milliseconds before it held an identity. Started again without first_start, such a process drew a new identity; with fewer than two of three genesis identities written no majority exists. Change: the genesis identity is written to a file of its own and synced before the state file is created, and removed once the state file holds it, and before a damaged file is set aside. Why it works: the file exists only on a disk of the first start on which no promise was made; a lost disk takes it along. Left: kills before a majority has written the file, in the first milliseconds of their processes.

--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -72,7 +72,8 @@
 }
 
 // Open opens or creates the state file in a directory, which it creates if necessary. A file without an identity gets the
-// genesis identity, or a random one if genesis is 0. A file with invalid contents is renamed to setAsidePath, and a new one is created
+// genesis identity, or a random one if genesis is 0 and no first start on this disk was interrupted before its identity was in the
+// file. A file with invalid contents is renamed to setAsidePath, and a new one is created
 // with a random identity: the promises made under the old identity are lost, so that identity must not vote again. A file that can't be
 // opened for another reason is left as it is.
 //
@@ -93,6 +94,10 @@
 	}
 	s = newStore(dir)
 	s.keepWaiting = keepWaiting
+	genesis, err = claimGenesis(dir, genesis)
+	if err != nil && !isWriteRefused(err) {
+		return nil, "", err
+	}
 	setAsidePath, err = s.openOrReplace(filepath.Join(dir, fileName), genesis)
 	if err == nil {
 		err = syncDirectoryOrClose(s, dir)
@@ -128,6 +133,9 @@
 		if err == nil || !isDamage(err) {
 			return "", err
 		}
+		if removeErr := removeGenesis(s.dir); removeErr != nil {
+			return "", eris.Wrapf(err, "the state file can't be read, and the identity of the first start was not removed (%v)", removeErr)
+		}
 		setAsidePath = path + ".damaged-" + time.Now().UTC().Format("20060102T150405")
 		if renameErr := os.Rename(path, setAsidePath); renameErr != nil {
 			return "", eris.Wrapf(err, "the state file can't be read, and renaming it failed (%v)", renameErr)
