dataplane: the bodies of requests at work use a bounded share of the memory

Callers saw: nothing yet. Cause: each connection reads its body into memory of its own, for half of the descriptors as connections. A body's memory is reserved before it is read and released when the request is answered and no attempt writes it. What does not fit gets 503 with Retry-After at once; the rest of its body is discarded for up to a second, so that the close does not reset the connection. Two metrics and a log line tell. Why it works: a reservation is as large as the body may become, and is held by whatever refers to the body.

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -23,6 +24,9 @@
 const (
 	defaultDeadline = 30 * time.Second // for requests without X-Deadline-Remaining; also the upper limit
 	minBodyTimeout  = 10 * time.Second // lower limit of the timeout for reading a body
+
+	noMemoryRetryAfter  = 300 * time.Millisecond // Retry-After while the bodies of other requests use all memory
+	rejectedBodyTimeout = time.Second            // time for which the body of a rejected request is discarded
 )
 
 // clientConn is a client's connection. Its requests are served one at a time, by one goroutine.
@@ -118,7 +122,7 @@
 }
 
 // newRequest converts the request that was read for the dispatcher. It returns nil if no route matches.
-func (c *clientConn) newRequest(active *activeConfig, body []byte) *request {
+func (c *clientConn) newRequest(active *activeConfig, body *requestBody) *request {
 	header := &c.req.Header
 	uri := string(header.RequestURI())
 	path, _, _ := strings.Cut(uri, "?")
@@ -193,6 +197,32 @@
 	}
 }
 
+// maxBodyBytes returns the greatest size of the body of the request whose header was read; 0 if it has none or will be rejected for
+// its size.
+func (c *clientConn) maxBodyBytes(limits config.Limits) int {
+	switch length := c.req.Header.ContentLength(); {
+	case length == lengthChunked:
+		return limits.BodyBytes
+	case length < 0 || length > limits.BodyBytes:
+		return 0
+	default:
+		return length
+	}
+}
+
+// rejectBody rejects a request before its body is read. What the client has sent meanwhile is discarded, as closing a connection with unread
+// bytes would reset it, and the client might lose the response.
+func (c *clientConn) rejectBody() {
+	if !c.writeError(fasthttp.StatusServiceUnavailable, textNoMemory, noMemoryRetryAfter, false) {
+		return
+	}
+	if conn, ok := c.conn.(interface{ CloseWrite() error }); ok {
+		conn.CloseWrite()
+	}
+	c.conn.SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
+	io.Copy(io.Discard, c.reader)
+}
+
 // readBody checks that the framing of the request is unambiguous and reads its body. The header must have been read. If
 // it reports false, the connection must be closed; an error response has been written where that was possible.
 func (c *clientConn) readBody(limits config.Limits) bool {
--- a/dataplane/conn_pool.go
+++ b/dataplane/conn_pool.go
@@ -136,24 +136,26 @@
 	remaining := duration(a.deadline - p.loop.now())
 	header, body := a.appendHeader(p.writeBuffer[:0], remaining), a.shardCall.request.body
 	conn.begin(a)
-	if len(header)+len(body) <= smallRequestBytes {
-		text := append(header, body...)
+	if len(header)+len(body.bytes()) <= smallRequestBytes {
+		text := append(header, body.bytes()...)
 		p.writeBuffer = text[:0]
 		return writeSmall(conn, text)
 	}
 	p.writeBuffer = nil // the writing goroutine uses this buffer from now on
 	conn.carriedLargeRequest = true
+	body.retain()
 	go writeLarge(conn, header, body, remaining)
 	return true
 }
 
 // writeLarge writes a large request. The body is not copied, as all attempts of a request share it. It runs on a separate goroutine.
-func writeLarge(conn *serverConn, header, body []byte, timeout time.Duration) {
+func writeLarge(conn *serverConn, header []byte, body *requestBody, timeout time.Duration) {
+	defer body.release()
 	conn.conn.SetWriteDeadline(time.Now().Add(timeout))
 	n, err := conn.conn.Write(header)
 	if err == nil {
 		var bodyBytes int
-		bodyBytes, err = conn.conn.Write(body)
+		bodyBytes, err = conn.conn.Write(body.bytes())
 		n += bodyBytes
 	}
 	conn.written(n)
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -50,11 +50,19 @@
 	stopped  <-chan struct{} // closed when the event loop stops; no results are delivered from then on
 	conns    clientConns
 
+	bodies       *bodyMemory
 	openRequests atomic.Int64 // requests whose header was read and that are not answered yet
 }
 
 func newFrontServer(p *process, configs activeRoutes, requests requestSink, stopped <-chan struct{}) *frontServer {
-	return &frontServer{process: p, configs: configs, requests: requests, stopped: stopped, conns: newClientConns()}
+	return &frontServer{
+		process:  p,
+		configs:  configs,
+		requests: requests,
+		stopped:  stopped,
+		conns:    newClientConns(),
+		bodies:   newBodyMemory(p.settings, p.log),
+	}
 }
 
 // serve accepts connections until the listener is closed.
@@ -163,10 +171,16 @@
 	}
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
+	body, ok := s.bodies.reserve(conn.maxBodyBytes(limits))
+	if !ok {
+		conn.rejectBody()
+		return false
+	}
+	defer body.release()
 	if !conn.readBody(limits) {
 		return false
 	}
-	body := conn.takeBody()
+	body.set(conn.takeBody())
 	keepAlive := conn.wantsKeepAlive()
 	active := s.configs.load()
 	if active == nil {
--- a/dataplane/metrics.go
+++ b/dataplane/metrics.go
@@ -55,6 +55,14 @@
 			Name: "oxbowspan_gateway_open_requests", Type: metrics.Gauge, Samples: metrics.Single(float64(g.front.openRequests.Load())),
 			Help: "Requests read and not answered.",
 		},
+		{
+			Name: "oxbowspan_gateway_body_bytes", Type: metrics.Gauge, Samples: metrics.Single(float64(g.front.bodies.budget.Snapshot().Total)),
+			Help: "Memory in use by the bodies of requests.",
+		},
+		{
+			Name: "oxbowspan_gateway_bodies_rejected_total", Type: metrics.Counter, Samples: metrics.Single(float64(g.front.bodies.rejections.Load())),
+			Help: "Requests rejected because the bodies of others used all memory for bodies.",
+		},
 		{
 			Name: "oxbowspan_gateway_active_version", Type: metrics.Gauge, Samples: metrics.Single(float64(g.ActiveVersion())),
 			Help: "Version of the configuration that requests are served by, 0 = none.",
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -18,8 +18,8 @@
 	route     *route
 	method    string
 	uri       string
-	header    []byte // forwarded header lines, each ending in CR LF
-	body      []byte
+	header    []byte        // forwarded header lines, each ending in CR LF
+	body      *requestBody  // nil = none
 	attemptID string        // X-Attempt-Id; "" = the client sent none
 	deadline  balancer.Time // time allowed for the result, from the arrival
 	deliver   func(result)  // called once with the result; must not block
@@ -34,8 +34,8 @@
 	dispatchCheck *timer // of the hold limit; nil = none is needed
 }
 
-// releaseMessage releases the header and the body once no attempt can be sent any more. Attempts in flight have been written or hold what
-// they still write.
+// releaseMessage removes the references to the header and the body once no attempt can be sent any more. Attempts in flight have been
+// written or hold what they still write.
 func (r *request) releaseMessage() { r.header, r.body = nil, nil }
 
 // dispatchState returns the combined progress of the request's shard calls.
@@ -125,9 +125,9 @@
 	b = strconv.AppendInt(b, max(remaining.Milliseconds(), 1), 10)
 	b = append(b, "\r\nX-Expected-Instance: "...)
 	b = append(b, a.endpoint.instance...)
-	if len(r.body) > 0 || r.method != "GET" && r.method != "HEAD" {
+	if len(r.body.bytes()) > 0 || r.method != "GET" && r.method != "HEAD" {
 		b = append(b, "\r\nContent-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.body)), 10)
+		b = strconv.AppendInt(b, int64(len(r.body.bytes())), 10)
 	}
 	return append(b, "\r\n\r\n"...)
 }
--- a/dataplane/result.go
+++ b/dataplane/result.go
@@ -27,6 +27,7 @@
 	textMalformedRequest = "the request can't be read"
 	textBodyTooLong      = "the body is too long"
 	textMalformedTrailer = "what stands behind the last chunk can't be read"
+	textNoMemory         = "there is no room for the body: come back"
 	textRejected         = "it has not run: come back"
 	textFailed           = "no server answered in time; it may have run"
 )
--- a/dataplane/scenario_test.go
+++ b/dataplane/scenario_test.go
@@ -51,6 +51,7 @@
 	Writes      []writeStep
 	Dials       []time.Duration // duration of each dial
 	Clients     [][]clientStep
+	MemoryMB    float64       // the gateway's memory limit; 0 = none
 	KillAfter   time.Duration // time after which the gateway is killed and restarted; 0 = never
 }
 
--- a/dataplane/testbed_test.go
+++ b/dataplane/testbed_test.go
@@ -182,6 +182,7 @@
 	options := &settings.Settings{IPAddress: gatewayHost, Zone: "z", InternalPorts: []int{7000, 7010}, FirstStart: true}
 	options.Listen.Front = frontAddress
 	options.Bounds = b.bounds
+	options.Limits.MemoryMB = b.scenario.MemoryMB
 	g := New(options, &faultyNetwork{b.network.Host(gatewayHost), b}, zerolog.Nop())
 	b.gateway = g
 	c := testConfiguration(1)
