simcluster: processes reserve the loopback addresses of their clusters

Change: a process reserves a group by a listener that it keeps, and tries the next group if that one is taken. Evidence: TestZoneGroupsAreReserved.

--- a/internal/testing/simcluster/cluster.go
+++ b/internal/testing/simcluster/cluster.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -25,8 +24,8 @@
 	sameZoneLatency   = 100 * time.Microsecond
 	crossZoneLatency  = time.Millisecond
 
-	// A local cluster chooses its second address bytes in 127/8 by the process id, so that several processes can run local
-	// clusters at the same time.
+	// A local cluster's second address bytes in 127/8 belong to a group that its process has reserved, so that several processes can run
+	// local clusters at the same time.
 	localZoneGroups = 80
 )
 
@@ -104,7 +103,7 @@
 func NewLocal(dir string, controllers, gateways int) *Cluster {
 	cluster := newCluster(dir, rand.Uint64(), controllers)
 	cluster.firstOctet = loopbackNetwork
-	cluster.firstZone = 1 + zoneCount*(os.Getpid()%localZoneGroups)
+	cluster.firstZone, _ = localZones()
 	cluster.addNodes(controllers, gateways)
 	return cluster
 }
