--- a/internal/testing/experiment/local_cluster.go
+++ b/internal/testing/experiment/local_cluster.go
@@ -46,6 +46,7 @@
 	name                  string // of its directory
 	controllers, gateways int
 	localOutlierDetection bool                        // gateways do not exchange observations
+	zeroBudget            bool                        // gateways have no retries beyond a share of the requests
 	configuration         []byte                      // the first one
 	addServers            func(c *simcluster.Cluster) // nil = no servers
 }
@@ -62,6 +63,7 @@
 		settingsPaths: map[*exec.Cmd]string{},
 	}
 	c.cluster.LocalDetectionOnly = options.localOutlierDetection
+	c.cluster.ZeroRetryAllowance = options.zeroBudget
 	if err := c.start(options); err != nil {
 		c.stop()
 		return nil, err
--- a/internal/testing/experiment/soak.go
+++ b/internal/testing/experiment/soak.go
@@ -24,7 +24,8 @@
 also while their gateway shuts down. Meanwhile gateways receive SIGTERM, SIGKILL, SIGHUP and SIGSTOP, controllers SIGTERM,
 SIGKILL and SIGSTOP, and both are restarted; all controllers are killed at once after servers have left; servers crash, leave
 by a drain or by a sign-off alone and serve on for some seconds, and are replaced; configurations are replaced, and rollouts are
-begun and reverted. The faults are drawn from the seed; several are in progress at the same time. It ends with a finding if a healthy gateway drops a request that it has accepted, if a response is incomplete or belongs
+begun and reverted. Each configuration raises the limit of headers, and clients use the limit in force; with one seed in four gateways have no
+allowance of retries. The faults are drawn from the seed; several are in progress at the same time. It ends with a finding if a healthy gateway drops a request that it has accepted, if a response is incomplete or belongs
 to another request, if a request that must not be repeated is executed twice, if a request reaches a server later than three seconds after its departure
 was acknowledged, through a gateway that has been without a fault for four seconds, as the controllers have, or if at the end a controller does not return
 the configuration that was acknowledged last or a gateway does not serve.`,
@@ -57,6 +58,7 @@
 	outages map[int][]time.Time // by gateway: alternating begin and end times of its outages by SIGKILL or suspension
 	faulty  map[*exec.Cmd]bool  // gateways with a fault in progress
 	version uint64              // of the last acknowledged configuration
+	limits  []committedLimit    // of acknowledged configurations, in their order
 	counts  map[string]int      // of faults and requests, by name of the metric
 
 	sent          map[string]sentRequest // by id
@@ -70,13 +72,14 @@
 
 func (e *Env) runSoak(ctx context.Context) error {
 	s := &soak{env: e, done: make(chan struct{}), outages: map[int][]time.Time{}, faulty: map[*exec.Cmd]bool{}, version: 1, counts: map[string]int{},
-		sent: map[string]sentRequest{}, leaving: map[string]bool{}}
+		sent: map[string]sentRequest{}, leaving: map[string]bool{}, limits: []committedLimit{{soakFirstHeaderBytes, time.Now()}}}
 	var err error
 	s.cluster, err = e.startCluster(localClusterOptions{
 		name:          "soak",
 		controllers:   soakControllers,
 		gateways:      e.Scale(4, 8),
-		configuration: simcluster.ExampleConfiguration(1, simcluster.ExampleSharding),
+		configuration: soakConfiguration(1, simcluster.ExampleSharding, soakFirstHeaderBytes),
+		zeroBudget:    e.Seed%soakZeroBudgetSeeds == 0,
 		addServers: addServers(simcluster.ExampleServices, soakServers, func(c *simcluster.Cluster, service string) {
 			c.AddServer(service, soakServiceTime)
 		}),
@@ -315,7 +318,9 @@
 	current := s.version
 	s.mu.Unlock()
 	next := current + 1 + random.Uint64N(3)
-	committed, err := s.client.ReplaceConfiguration(ctx, current, simcluster.ExampleConfiguration(next, sharding))
+	headerBytes := s.nextHeaderBytes()
+	body := soakConfiguration(next, sharding, headerBytes)
+	committed, err := s.client.ReplaceConfiguration(ctx, current, body)
 	for attempt := 0; err != nil && attempt < 10; attempt++ { // an ambiguous result: the same request is sent again
 		var statusErr *controlclient.StatusError
 		if errors.As(err, &statusErr) && statusErr.Status/100 == 4 {
@@ -323,13 +328,14 @@
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
-		committed, err = s.client.ReplaceConfiguration(ctx, current, simcluster.ExampleConfiguration(next, sharding))
+		committed, err = s.client.ReplaceConfiguration(ctx, current, body)
 	}
 	if err != nil {
 		s.setFinding("version %d on %d is not acknowledged: %w", next, current, err)
 		return
 	}
 	s.count("versions committed")
+	s.limitCommitted(headerBytes)
 	s.mu.Lock()
 	s.version = committed
 	s.mu.Unlock()
--- a/internal/testing/experiment/soak_client.go
+++ b/internal/testing/experiment/soak_client.go
@@ -82,18 +82,19 @@
 func (c *soakClient) request() {
 	c.sent++
 	id := fmt.Sprintf("c%d-%d", c.number, c.sent)
-	method, path := http.MethodGet, rolloutGatherPath
+	method, path, sentBody := http.MethodGet, rolloutGatherPath, ""
 	switch c.sent % 3 {
 	case 1:
 		path = rolloutSinglePath
 	case 2:
-		method, path = http.MethodPost, "/once/x"
+		method, path, sentBody = http.MethodPost, "/once/x", requestBody(c.random)
 	}
+	header := longHeader(c.random, c.soak.headerBytesInForce())
 	sentAt := time.Now()
 	c.soak.recordSent(id, c.gateway, sentAt)
 	c.conn.SetDeadline(sentAt.Add(soakTimeout + 500*time.Millisecond))
-	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\nContent-Length: 0\r\n\r\n",
-		method, path, exampleHost, id, soakTimeout.Milliseconds())
+	fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, path, exampleHost, id, soakTimeout.Milliseconds(), header, len(sentBody), sentBody)
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	var body []byte
 	if err == nil {
--- a/internal/testing/simcluster/cluster.go
+++ b/internal/testing/simcluster/cluster.go
@@ -65,6 +65,7 @@
 	Log                zerolog.Logger
 	HeartbeatInterval  time.Duration
 	LocalDetectionOnly bool // setting of the gateways: they ignore the outlier observations of other gateways
+	ZeroRetryAllowance bool // setting of the gateways: no retries beyond a share of the requests
 	Controllers        []*ControllerNode
 	Gateways           []*GatewayNode
 	Servers            []*Server
--- a/internal/testing/simcluster/settings.go
+++ b/internal/testing/simcluster/settings.go
@@ -82,7 +82,9 @@
 	s.Bounds.HasRetryBudget = true
 	s.Bounds.RetryBudgetRatio = retryBudgetRatio
 	s.Bounds.BudgetWindowS = retryBudgetWindow.Seconds()
-	s.Bounds.BudgetExtraTries = retryBudgetAllowance
+	if !c.ZeroRetryAllowance {
+		s.Bounds.BudgetExtraTries = retryBudgetAllowance
+	}
 	return s
 }
 
