dataplane: without a configuration, exceeded default limits get 503

Callers saw: 431 or 413, after which clients do not retry, from a gateway that had just started, for what the configuration in force may allow. Cause: before the first configuration the default limits apply, and exceeding them was answered as if they were in force. Change: such requests get 503 with Retry-After, as all others do while no configuration is known. Why it works: a request is refused for good only by limits that were loaded after a configuration was active. Evidence: TestLimitsWithoutConfiguration failed before for headers (431) and bodies (413).

--- a/dataplane/client_conn.go
+++ b/dataplane/client_conn.go
@@ -31,12 +31,15 @@
 
 // clientConn is a client's connection. Its requests are served one at a time, by one goroutine.
 type clientConn struct {
-	conn    net.Conn
-	reader  *messageReader
-	req     fasthttp.Request // the current request
-	buffer  []byte           // reused to encode responses
-	merger  topk.Selector
-	busy    atomic.Bool // a request is being read or processed
+	conn   net.Conn
+	reader *messageReader
+	req    fasthttp.Request // the current request
+	buffer []byte           // reused to encode responses
+	merger topk.Selector
+	busy   atomic.Bool // a request is being read or processed
+
+	configured bool // a configuration was active when the current request began; otherwise the limits are defaults
+
 	evicted bool        // closed to stay within the connection limit; guarded by clientConns.mu
 	results chan result // the result of the current request; capacity 1
 
@@ -169,7 +172,7 @@
 	case err == nil:
 		return true
 	case isSmallBuffer(err):
-		c.writeError(fasthttp.StatusRequestHeaderFieldsTooLarge, textHeaderTooLong, 0, false)
+		c.rejectLimitExceeded(fasthttp.StatusRequestHeaderFieldsTooLarge, textHeaderTooLong)
 	case errors.Is(err, os.ErrDeadlineExceeded) || isTimeout(err):
 		c.writeError(fasthttp.StatusRequestTimeout, textHeaderTimeout, 0, false)
 	case c.reader.Buffered() > 0 || !isConnectionEnd(err):
@@ -178,6 +181,16 @@
 	return false
 }
 
+// rejectLimitExceeded rejects a request that exceeds a limit. While no configuration is active, the request may be within the limits of
+// the configuration that this gateway does not know yet: the response then states that it can be retried.
+func (c *clientConn) rejectLimitExceeded(status int, text string) {
+	if c.configured {
+		c.writeError(status, text, 0, false)
+		return
+	}
+	c.writeError(fasthttp.StatusServiceUnavailable, textNoConfiguration, noConfigRetryAfter, false)
+}
+
 // checkRequestLine skips empty lines and reports whether the request line ends in CR LF. It also reports true if the
 // connection fails or the buffer is full before the end of the line; the header parser then detects the fault.
 func (c *clientConn) checkRequestLine() bool {
@@ -232,7 +245,7 @@
 	}
 	length := c.req.Header.ContentLength()
 	if length > limits.BodyBytes {
-		c.writeError(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong, 0, false)
+		c.rejectLimitExceeded(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong)
 		return false
 	}
 	if length <= 0 && length != lengthChunked {
@@ -247,7 +260,7 @@
 	}
 	if err := c.req.ReadBody(c.reader.Reader, length, limits.BodyBytes); err != nil {
 		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-			c.writeError(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong, 0, false)
+			c.rejectLimitExceeded(fasthttp.StatusRequestEntityTooLarge, textBodyTooLong)
 		}
 		return false
 	}
--- a/dataplane/client_limits_test.go
+++ b/dataplane/client_limits_test.go
@@ -126,6 +126,27 @@
 	}
 }
 
+// A gateway that knows no configuration yet does not refuse what exceeds its default limits for good, as the configuration in force may allow
+// it: it was answered 431 or 413, after which clients do not retry.
+func TestLimitsWithoutConfiguration(t *testing.T) {
+	for _, test := range []struct{ name, text string }{
+		{"header", requestWithHeader(20_000)},
+		{"body", postText("/one/x", newRequestID(), time.Second, strings.Repeat("b", 300_000))},
+		{"small", requestWithHeader(smallHeader)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runWithLimits(t, func(t *testing.T, b *testbed) {
+				b.gateway.configs.active.Store(nil)
+				conn := b.dialKept(t)
+				defer conn.Close()
+				if got := conn.status(test.text); got != http.StatusServiceUnavailable {
+					t.Errorf("status %d, want %d", got, http.StatusServiceUnavailable)
+				}
+			})
+		})
+	}
+}
+
 // Requests that were written together are served in order by the limit in force, even if the buffer of the connection changes between
 // them.
 func TestPipelinedRequestsAfterLimitChange(t *testing.T) {
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -123,6 +123,7 @@
 			return
 		}
 		conn.busy.Store(true)
+		conn.configured = s.configs.load() != nil // before the limits are loaded, so that defaults are never taken for limits in force
 		limits = s.limits()
 		conn.conn.SetReadDeadline(time.Now().Add(fromMillis(limits.HeaderTimeoutMS)))
 		if !s.serveRequest(conn, limits) {
