balancer: an attempt on probation is cancelled only where cancels are allowed

Callers see nothing: gateways ignore Cancel, and the gatherer hedges probation only where cancels are allowed. Cause: of the three places that cancel, the one for an attempt on probation beside an overdue one did not look at Config.AllowCancel. Change: it does. Both attempts then go on.

--- a/balancer/completion.go
+++ b/balancer/completion.go
@@ -59,7 +59,9 @@
 	case p.inFlight == 0 && (len(call.attempts) == 0 || b.withinBudget(call, 1)):
 		b.dispatch(call, s, call.nextReason(RetryAttempt))
 	case p.inFlight == 1 && p.probation >= 0: // at most two attempts may be in flight
-		b.emit(Cancel{call.id, AttemptNumber(p.probation)})
+		if b.allowCancel {
+			b.emit(Cancel{call.id, AttemptNumber(p.probation)})
+		}
 	case p.inFlight == 0 || !healthy || b.now+b.predict(s, call) >= call.req.targetAt ||
 		!b.withinBudget(call, max(minHedgeShare, b.retrySuccess)):
 	case p.inFlight == 1 && b.allowHedging:
--- a/balancer/retry_test.go
+++ b/balancer/retry_test.go
@@ -109,3 +109,29 @@
 		failIf(t, sent && retry.Server == s.Server, "retried at the same server")
 	}
 }
+
+// A probation attempt that is in flight beside an overdue one was cancelled also where the configuration does not allow cancels.
+func TestProbationAttemptIsCancelledOnlyWhereAllowed(t *testing.T) {
+	queryType := gatewayQueryType
+	queryType.MaxAttempts = 3
+	for _, allowed := range []bool{false, true} {
+		b := gatewayHarnessWith(1, queryType, func(c *Config) { c.AllowCancel = allowed })
+		var sends []Send
+		for range 100 {
+			s := b.servers[1]
+			s.probation, s.ejectedUntil = true, b.clock-1
+			if sends, _ = b.request(1); len(sends) == 2 {
+				break
+			}
+			b.finish(sends[0], 20*Millisecond, Answered)
+		}
+		if len(sends) != 2 {
+			t.Fatal("no probation attempt was made")
+		}
+		first := b.inFlight[sends[0].Call].attempts[0]
+		b.clock = first.sentAt + first.overdueAfter
+		actions := b.handle(TimerFired{TimerID(b.lastID)})
+		cancelled := slices.Contains(actions, Action(Cancel{sends[0].Call, 1}))
+		failIf(t, cancelled != allowed, "cancels allowed %v, cancelled %v: %v", allowed, cancelled, actions)
+	}
+}
