balancer: no tolerance replaces a call: shares of coverage are relative, at least one call answers

A second phase was complete without a call of a small weight. Cause: the balancer subtracted a tolerance of 5e-5 from any minimum, so that minimums and weights below it did not count, and compared sums of weights with shares of 1 while the gatherer accepts sums from 0.999 to 1.001. Change: a request's weights are related to their sum. Every minimum requires a call, a minimum of 1 all calls; other shares are compared within a millionth of the minimum, which covers weights of single precision. Why it works: no minimum above 0 and no call disappears in a relative tolerance, whatever its weight. Evidence: TestRequestWithoutAnsweredCallGetsNoAnswer, TestToleranceOfCoverageReplacesNoCall, TestSecondPhaseIsCompleteWithAllCallsOnly, TestRequestWithoutAnsweredCallIsNoSuccess and TestFractionsNeedNotAddUpExactly failed before. The reference model of the drawn tests now compares within 1e-9 (1e-4 before) and draws minimums of 0 and small weights.

--- a/balancer/completion.go
+++ b/balancer/completion.go
@@ -5,33 +5,29 @@
 // evaluate completes or abandons a request, or else evaluates its calls and schedules the next evaluation.
 func (b *Balancer) evaluate(req *request) {
 	policy := req.policy
-	minimum, complete := policy.MinCoverage-weightTolerance, policy.CompleteCoverage-weightTolerance
-	if req.inSecondPhase && minimum >= complete {
-		minimum, complete = 1-weightTolerance, 1-weightTolerance
-	} else if req.inSecondPhase {
-		complete = 1 - weightTolerance
-	}
+	minimum, complete := req.requiredCoverage()
 	skippable := func(call *shardCall) bool { return call.skipped || b.cannotFinish(call, Never) }
-	covered := b.coveredWithout(req, skippable)
-	current, reachable := 0.0, 0.0 // current and highest possible coverage
+	covered, all := b.coveredWithout(req, skippable), req.allCalls()
+	var current, reachable coverage // current and highest possible coverage
 	if req.inSecondPhase && len(req.calls) == 0 {
-		reachable = 1 // its calls have not arrived yet
+		reachable = unknownCalls
 	}
 	for _, call := range req.calls {
 		if call.answered {
-			current += call.weight
+			current.add(call)
 		}
 		if call.answered || (call.inFlight > 0 || b.canAttempt(call)) && !(covered && skippable(call)) {
-			reachable += call.weight
+			reachable.add(call)
 		}
 	}
-	partial := policy.partialCounts && b.now >= req.targetAt && current >= policy.partialCoverage-weightTolerance
-	final := b.now >= req.deadline || reachable <= current || partial
+	partial := policy.partialCounts && b.now >= req.targetAt && current.reaches(policy.partialCoverage, all)
+	final := b.now >= req.deadline || reachable.calls == current.calls || partial
+	full := current.reaches(complete, all)
 	switch {
-	case current >= complete || current >= minimum && final:
-		b.answer(req, current >= complete && (!req.inSecondPhase || req.firstComplete))
+	case full || current.reaches(minimum, all) && final:
+		b.answer(req, full && (!req.inSecondPhase || req.firstComplete))
 		return
-	case b.now >= req.deadline || reachable < minimum:
+	case b.now >= req.deadline || !reachable.reaches(minimum, all):
 		b.abandon(req)
 		return
 	}
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -89,7 +89,8 @@
 	Limiter            CapacityLimiter // nil = no limit except Server.MaxInFlight
 }
 
-// QueryTypeConfig is the configuration of a query type. Coverage is the share of a request's calls, by weight.
+// QueryTypeConfig is the configuration of a query type. Coverage is the share of a request's calls, by weight. Whatever the coverages
+// below, an answer contains at least one call.
 type QueryTypeConfig struct {
 	Idempotency      Idempotency
 	LatencyTarget    Time
--- a/balancer/events.go
+++ b/balancer/events.go
@@ -57,7 +57,7 @@
 type ShardCall struct {
 	ID     ShardCallID
 	Shard  ShardIndex
-	Weight float64 // share of the answer's coverage; the weights of a request add up to 1
+	Weight float64 // share of the answer's coverage, relative to the sum of the weights of the request
 	Size   float64 // expected work in milliseconds; 0 = unknown
 }
 
--- a/balancer/harness_test.go
+++ b/balancer/harness_test.go
@@ -9,6 +9,7 @@
 	*Balancer
 	clock       Time
 	lastID      uint64
+	lastCall    uint64 // id of the last call with a weight of its own
 	lastActions []Action
 }
 
--- a/balancer/invariants_test.go
+++ b/balancer/invariants_test.go
@@ -54,7 +54,7 @@
 	for _, idempotency := range []Idempotency{Idempotent, Deduplicated, NonIdempotent} {
 		queryType := QueryTypeConfig{Idempotency: idempotency, LatencyTarget: 10000, ClientTimeout: 25000, DedupWindow: 8000,
 			LateValue: rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "late value"), PartialValue: 0.9,
-			MinCoverage: rapid.SampledFrom([]float64{0.5, 0.8, 1}).Draw(t, "min coverage"), CompleteCoverage: 1,
+			MinCoverage: rapid.SampledFrom([]float64{0, 0.5, 0.8, 1}).Draw(t, "min coverage"), CompleteCoverage: 1,
 			MaxAttempts: rapid.IntRange(0, 4).Draw(t, "max attempts of the type")}
 		queryType.CompleteCoverage = max(queryType.MinCoverage, rapid.SampledFrom([]float64{0.75, 1}).Draw(t, "complete coverage"))
 		queryType.SecondPhaseCalls = rapid.SampledFrom([]int{0, 2}).Draw(t, "second phase calls")
@@ -119,7 +119,7 @@
 	var calls []ShardCall
 	for range n {
 		call := ShardCall{ID: ShardCallID(w.id()), Shard: ShardIndex(rapid.IntRange(0, w.config.Shards-1).Draw(w.t, "shard")),
-			Weight: 1 / float64(n), Size: rapid.SampledFrom([]float64{0, 40, 90}).Draw(w.t, "size")}
+			Weight: rapid.SampledFrom([]float64{1, 1, 1e-5}).Draw(w.t, "weight") / float64(n), Size: rapid.SampledFrom([]float64{0, 40, 90}).Draw(w.t, "size")}
 		calls = append(calls, call)
 		req.calls = append(req.calls, &modelCall{ShardCall: call, phase: req.phase})
 		w.admitted = append(w.admitted, w.now)
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -138,12 +138,24 @@
 
 func (m *referenceModel) checkAnswer(a Answer) {
 	req := m.request(a.Request)
-	got := 0.0
+	got, total, answered, calls := 0.0, 0.0, 0, 0
 	for _, call := range req.calls {
-		if call.phase == req.phase && call.answered {
+		if call.phase != req.phase {
+			continue
+		}
+		calls++
+		total += call.Weight
+		if call.answered {
+			answered++
 			got += call.Weight
 		}
 	}
+	suffices := func(required float64) bool {
+		if required >= 1 {
+			return answered == calls
+		}
+		return answered > 0 && got/total >= required-1e-9
+	}
 	minimum, complete := req.queryType.MinCoverage, req.queryType.CompleteCoverage
 	if req.phase == 2 {
 		complete = 1
@@ -151,9 +163,10 @@
 			minimum = 1
 		}
 	}
-	m.failIf(got < minimum-1e-4, "coverage: request %d answered with coverage %v, minimum %v", req.id, got, minimum)
-	m.failIf(a.Complete && (got < complete-1e-4 || req.phase == 2 && !req.firstComplete),
-		"coverage: request %d answered as complete with coverage %v, required %v", req.id, got, complete)
+	m.failIf(!suffices(minimum), "coverage: request %d answered with %d of %d calls and coverage %v, minimum %v",
+		req.id, answered, calls, got/total, minimum)
+	m.failIf(a.Complete && (!suffices(complete) || req.phase == 2 && !req.firstComplete),
+		"coverage: request %d answered as complete with %d of %d calls and coverage %v, required %v", req.id, answered, calls, got/total, complete)
 	m.finish(req)
 	if req.queryType.SecondPhaseCalls > 0 && req.phase == 1 {
 		req.phase, req.firstComplete, req.ended = 2, a.Complete, false
--- a/balancer/parameters.go
+++ b/balancer/parameters.go
@@ -14,7 +14,6 @@
 	silenceWeight   = 4.0                 // slowdown added per overdue interval without a response
 	maxFailRate     = 0.99                // upper bound of the failure rate in predictions
 	localPreference = 0.7                 // share of the target within which a local server is preferred
-	weightTolerance = 5e-5                // rounding error tolerated in sums of weights
 
 	// Outlier ejection, and backoff of server list requests.
 	ejectionThreshold = 0.3               // smoothed failure rate above which a server is ejected
--- a/balancer/plan.go
+++ b/balancer/plan.go
@@ -32,12 +32,13 @@
 		b.moveToLocalZone(req, plan, slowest)
 	}
 	if clear(b.plannedWork); req.policy.QuadraticPartialValue {
-		covered := 0.0
+		covered, all := coverage{}, req.allCalls()
 		slowest, idle = 0, idle && slowest < Never
 		slices.SortStableFunc(plan, compareFinish)
 		for _, placed := range plan { // up to the coverage that makes a partial answer worthwhile
-			if covered < req.policy.partialCoverage-weightTolerance {
-				covered, slowest = covered+placed.call.weight, placed.finish
+			if !covered.reaches(req.policy.partialCoverage, all) {
+				covered.add(placed.call)
+				slowest = placed.finish
 			}
 		}
 	}
@@ -254,12 +255,12 @@
 
 // coveredWithout reports whether a partial answer without the skippable calls is still worthwhile.
 func (b *Balancer) coveredWithout(req *request, skippable func(*shardCall) bool) bool {
-	covered := 0.0
+	covered, all := coverage{}, req.allCalls()
 	for _, call := range req.calls {
 		if call.answered || !skippable(call) {
-			covered += call.weight
+			covered.add(call)
 		}
 	}
-	return req.policy.QuadraticPartialValue && covered < 1-weightTolerance &&
-		covered >= req.policy.partialCoverage-weightTolerance
+	return req.policy.QuadraticPartialValue && covered.calls < all.calls &&
+		covered.reaches(req.policy.partialCoverage, all)
 }
--- a/gatherer/parse.go
+++ b/gatherer/parse.go
@@ -35,7 +35,7 @@
 // maxIDLength is the greatest number of hex digits of a Req-Id.
 const maxIDLength = 32
 
-// weightTolerance is the rounding error allowed in the sum of weights. It is ten times the tolerance of the balancer.
+// weightTolerance is the rounding error allowed in the sum of weights. The balancer relates weights to their sum.
 const weightTolerance = 1e-3
 
 // microsPerMillisecond converts the expected work of a call, which clients specify in microseconds, to milliseconds.
