maintenance: a release's step changes at least one target, however small its share

What operators saw: a first step with a share of 1e-10 of nine gatherers changed none, passed its gate at once, and the next step changed all without one observed before. Cause: 1e-9 is subtracted from the product of share and targets, so that a smaller product is rounded up to 0. Change: at least one target. Evidence: TestSmallestStepChangesOneTarget failed before for three of six shares.

--- a/maintenance/plan.go
+++ b/maintenance/plan.go
@@ -68,11 +68,12 @@
 	return steps, nil
 }
 
-// targetsForShare returns the number of targets that a share amounts to, rounded up. The epsilon prevents a rounding
-// error of the product from adding a target.
+// targetsForShare returns the number of targets that a share above 0 amounts to, rounded up: at least one. The epsilon prevents
+// a rounding error of the product from adding a target.
 func targetsForShare(share float64, targets int) int {
 	const epsilon = 1e-9
-	return min(targets, int(math.Ceil(share*float64(targets)-epsilon)))
+	rounded := int(math.Ceil(share*float64(targets) - epsilon))
+	return min(targets, max(rounded, 1))
 }
 
 // planTargets returns the members to change, in order: zone by zone if Plan.ByZone is set, otherwise alternating
--- a/maintenance/rollout_test.go
+++ b/maintenance/rollout_test.go
@@ -187,3 +187,15 @@
 		t.Errorf("%d orders with two ready replicas of the segment, want 1", n)
 	}
 }
+
+// A first step of a share below the rounding error changed no target, so that the next step met all targets without one observed before.
+func TestSmallestStepChangesOneTarget(t *testing.T) {
+	h := newHarness(t, Limits{MaxGatherers: 2})
+	h.startGatherers(9, "a", "b", "c")
+	for _, share := range []float64{1e-300, 1e-12, 1e-10, 1e-9, 0.01, 1.0 / 9} {
+		steps, err := h.PlanSteps(testPlan(share, 1))
+		if err != nil || len(steps) != 2 || len(steps[0]) != 1 || len(steps[1]) != 8 {
+			t.Errorf("first step of a share of %v: planned steps %v, %v; want one target, then eight", share, steps, err)
+		}
+	}
+}
