controlplane: a controller whose disk stalls stops within its grace period

What operators saw: a controller ended 20 s after SIGTERM while its disk stalled for that long, beyond its grace period of 6 s, at whose end the platform kills it. Nothing acknowledged was lost. Cause: Run closed the state file after the drain, and Close executes all queued writes without a limit. The API's last second could exceed a short grace period by itself. Change: what follows the drain gets what is left of the grace period less 0.25 s (Store.CloseWithin). Why it works: what waits for the disk has not been acknowledged, and the lock keeps a new process off the file until the old one is gone.

--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -194,18 +196,18 @@
 		proposer:   c.proposer,
 	})
 	c.drainer = &drainer{
-		self:       c.self,
-		timeout:    drainTimeout(c.settings.Bounds.GracePeriodS),
-		loop:       c.loop,
-		clock:      c.clock,
-		learner:    c.learner,
-		acceptor:   c.acceptor,
-		peers:      c.peers,
-		membership: c.membership,
-		completion: c.completion,
-		proposer:   c.proposer,
-		killed:     c.killed,
-		log:        c.log,
+		self:        c.self,
+		gracePeriod: gracePeriod(c.settings.Bounds.GracePeriodS),
+		loop:        c.loop,
+		clock:       c.clock,
+		learner:     c.learner,
+		acceptor:    c.acceptor,
+		peers:       c.peers,
+		membership:  c.membership,
+		completion:  c.completion,
+		proposer:    c.proposer,
+		killed:      c.killed,
+		log:         c.log,
 	}
 }
 
@@ -250,14 +252,12 @@
 	c.routines.Go(func() { api.Serve(control) })
 	c.routines.Go(c.runLoop)
 	c.loop.post(c.begin)
+	closeStore := c.store.Close
 	select {
 	case <-ctx.Done():
-		c.log.Info().Msg("controller: draining")
-		c.drainer.drain()
-		end, cancel := context.WithTimeout(context.Background(), apiCloseTimeout)
-		defer cancel()
-		control.Close()
-		api.Shutdown(end)
+		stopBy := time.Now().Add(c.drainer.gracePeriod - exitReserve)
+		closeStore = func() error { return c.closeStoreBy(stopBy) }
+		c.drainBy(stopBy, control, api)
 	case <-c.killed:
 	}
 	api.Close()
@@ -265,7 +265,27 @@
 	c.loop.stop()
 	c.routines.Wait()
 	c.gossip.loops.Wait()
-	return c.store.Close()
+	return closeStore()
+}
+
+// drainBy drains the controller and then completes the requests that its API has received, both until a time at the latest.
+func (c *Controller) drainBy(stopBy time.Time, control net.Listener, api *http.Server) {
+	c.log.Info().Msg("controller: draining")
+	c.drainer.drain()
+	ctx, cancel := context.WithTimeout(context.Background(), min(apiCloseTimeout, time.Until(stopBy)))
+	defer cancel()
+	control.Close()
+	api.Shutdown(ctx)
+}
+
+// closeStoreBy closes the state file unless its disk stalls until the given time. All that was acknowledged is on the disk already.
+func (c *Controller) closeStoreBy(stopBy time.Time) error {
+	err := c.store.CloseWithin(max(time.Until(stopBy), minStoreClose))
+	if errors.Is(err, acceptorstore.ErrCloseTimeout) {
+		c.log.Warn().Err(err).Msg("controller: stopped while its disk stalls")
+		return nil
+	}
+	return err
 }
 
 // Kill makes Run return immediately without draining, as if the process were killed. It must be called at most once.
--- a/controlplane/shutdown.go
+++ b/controlplane/shutdown.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	shutdownMargin         = 1500 * time.Millisecond // part of the grace period that is reserved for stopping after the drain
-	defaultShutdownTimeout = 2 * time.Second         // if there is no grace period
-	shutdownPollInterval   = 20 * time.Millisecond   // between two checks whether the controller may stop
+	defaultGracePeriod   = 3500 * time.Millisecond // if the settings have none
+	shutdownMargin       = 1500 * time.Millisecond // part of the grace period that is reserved for stopping after the drain
+	exitReserve          = 250 * time.Millisecond  // part of the grace period that remains after the state file was closed or given up
+	minStoreClose        = 100 * time.Millisecond  // minimum time for closing the state file
+	shutdownPollInterval = 20 * time.Millisecond   // between two checks whether the controller may stop
 )
 
 // leaveStatus describes whether a member may stop, and what prevents it.
@@ -25,26 +27,26 @@
 
 // drainer delays the shutdown of a controller until no replica and no accepted value is lost by it.
 type drainer struct {
-	self       identity
-	timeout    time.Duration
-	loop       *eventLoop
-	clock      *monotonicClock
-	learner    *learner
-	acceptor   *acceptorEndpoint
-	peers      *peerSet
-	membership *membershipManager
-	completion *replicaCompletion
-	proposer   *proposer
-	killed     <-chan struct{}
-	log        zerolog.Logger
+	self        identity
+	gracePeriod time.Duration
+	loop        *eventLoop
+	clock       *monotonicClock
+	learner     *learner
+	acceptor    *acceptorEndpoint
+	peers       *peerSet
+	membership  *membershipManager
+	completion  *replicaCompletion
+	proposer    *proposer
+	killed      <-chan struct{}
+	log         zerolog.Logger
 }
 
-// drainTimeout returns the time limit for draining, given the grace period in seconds; 0 or less means that there is none.
-func drainTimeout(gracePeriodS float64) time.Duration {
-	if gracePeriodS <= 0 {
-		return defaultShutdownTimeout
+// gracePeriod returns the time from the signal to stop until the process is killed, given the setting; 0 or less means that there is none.
+func gracePeriod(seconds float64) time.Duration {
+	if seconds <= 0 {
+		return defaultGracePeriod
 	}
-	return max(settings.Seconds(gracePeriodS)-shutdownMargin, 0)
+	return settings.Seconds(seconds)
 }
 
 // drain returns when the controller may stop permanently, even if its disk is lost: its membership was handed over to a controller
@@ -52,7 +54,7 @@
 // returns immediately if the replicas are complete and there is no controller to which the membership can be handed over, and after
 // the timeout at the latest. It must not be called on the event loop.
 func (d *drainer) drain() {
-	ctx, cancel := context.WithTimeout(context.Background(), d.timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), max(d.gracePeriod-shutdownMargin, 0))
 	defer cancel()
 	needed, ok := query(d.loop, d.begin)
 	if !ok || !needed {
--- a/internal/acceptorstore/store.go
+++ b/internal/acceptorstore/store.go
@@ -360,13 +360,3 @@
 
 // State returns the state as read by Open. It must not be called after the first Update.
 func (s *Store) State() consensus.AcceptorState { return s.state }
-
-// Close executes the queued functions and closes the file. It must be called exactly once.
-func (s *Store) Close() error {
-	close(s.closing)
-	<-s.done
-	if s.db == nil {
-		return nil
-	}
-	return s.db.Close()
-}
--- a/internal/testing/experiment/soak.go
+++ b/internal/testing/experiment/soak.go
@@ -40,6 +40,7 @@
 	soakSettleTime         = 4 * time.Second
 	soakExitTimeout        = 6500 * time.Millisecond // maximum time from a signal to the exit of the process
 	soakConvergenceTimeout = 12 * time.Second        // maximum time from the last fault until the final checks succeed
+	soakDumpTimeout        = 5 * time.Second         // maximum time until a process has written its goroutines and ended
 	soakMaxSuspension      = 1500 * time.Millisecond
 	soakFaultSeries        = 3 // concurrent series of faults
 	soakReleaseSeries      = 2 // concurrent series of releases, in which servers leave, beside them
@@ -226,7 +227,8 @@
 			return fmt.Errorf("it ends by %w after SIGTERM", err)
 		}
 	case <-time.After(soakExitTimeout):
-		return errors.New("it does not end within the grace period")
+		dumpGoroutines(process, ended)
+		return errors.New("it does not end within the grace period (its output lists its goroutines)")
 	}
 	next, err := s.cluster.startProgram(program, s.cluster.settingsPath(process))
 	if err == nil {
@@ -237,6 +239,15 @@
 	return err
 }
 
+// dumpGoroutines makes a process write the stacks of its goroutines to its output and waits until it has ended.
+func dumpGoroutines(process *exec.Cmd, ended <-chan error) {
+	process.Process.Signal(syscall.SIGQUIT)
+	select {
+	case <-ended:
+	case <-time.After(soakDumpTimeout):
+	}
+}
+
 func (s *soak) suspendGateway(random *rand.Rand) {
 	gateway, release := s.reserveGateway(random)
 	if gateway < 0 {
