controlplane: a reply to a message describes the slot that it names

Callers saw nothing so far; what is wrong is what CheckLeave, repairs and the mark of a decision on the disk rest on: a replica of a value that had lost counted as one of the decided value. Cause: a controller described itself with the ballots of the slot that it knew, then learned the next slot's value from the message, and named that slot in its reply. The sender took the earlier slot's ballots for the later one's. Change: the description is made after the message was processed; all of it is on the event loop, so that it is of one moment.

--- a/controlplane/gossip.go
+++ b/controlplane/gossip.go
@@ -192,17 +192,22 @@
 	p.sentGateways = g.gateways.sequence
 }
 
-// receive processes a message of a peer and returns the reply.
+// receive processes a message of a peer and returns the reply. This controller is described as it is after the message: the ballots in the
+// description are those of the slot that the reply names.
 func (g *gossiper) receive(m *rpc.Gossip) *rpc.GossipReply {
-	now := g.clock.now()
-	reply := &rpc.GossipReply{From: g.describeSelf(), Incarnation: g.self.incarnation, VotedSlot: g.acceptor.acceptedSlot.Load()}
-	if m.From == nil {
-		return reply
-	}
-	p := g.peers.add(m.From.Address)
-	if p == nil {
-		return reply
+	reply := &rpc.GossipReply{Incarnation: g.self.incarnation, VotedSlot: g.acceptor.acceptedSlot.Load()}
+	if m.From != nil {
+		if p := g.peers.add(m.From.Address); p != nil {
+			g.receiveFrom(p, m, reply)
+		}
 	}
+	reply.From = g.describeSelf()
+	return reply
+}
+
+// receiveFrom processes a message of a peer and adds what the peer needs to the reply.
+func (g *gossiper) receiveFrom(p *peer, m *rpc.Gossip, reply *rpc.GossipReply) {
+	now := g.clock.now()
 	if p.incarnation != m.Incarnation || now-p.lastSeen > peerLivenessTimeout {
 		p.gossipNow() // it has restarted or reconnected: contact requires its reply, and the next regular message would delay that
 	}
@@ -227,7 +232,6 @@
 			reply.Value = g.valueFor(p)
 		}
 	}
-	return reply
 }
 
 // isComplete reports whether a message contains all reports of its sender. Earlier releases don't tell.
