dataplane: a gateway that stops answers requests of which a part has arrived

Callers saw: a connection that ended without a response, for requests that were being read, or had just been read, when a gateway stopped. Cause: the drain looked at the number of open requests, which counts from the end of a header on, and then closed all connections. Change: the listener is closed first, then each connection only while nothing is read or open on it, after one more look at what has arrived. Why it works: nothing is closed after a look that something may have changed since; who reads the request decides.

--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -25,6 +25,7 @@
 const (
 	acceptRetryPause        = 20 * time.Millisecond  // after a failed accept, such as for lack of file descriptors
 	drainIdleTimeout        = 50 * time.Millisecond  // idle timeout of a connection while the gateway drains
+	lastReadTimeout         = time.Millisecond       // for reading what has arrived before an idle connection is closed by a drain
 	noConfigRetryAfter      = 200 * time.Millisecond // Retry-After while no configuration is active
 	clientDescriptorDivisor = 2                      // clients may use one in this many file descriptors; servers and peers need the rest
 )
@@ -146,12 +147,19 @@
 		interrupted := time.Since(idleSince) < timeout
 		current := s.idleTimeout(conn, s.limits(), first)
 		if !isTimeout(err) || interrupted || current <= timeout {
-			return false
+			return isTimeout(err) && s.process.draining.Load() && s.hasRequest(conn)
 		}
 		timeout = current
 	}
 }
 
+// hasRequest reports whether a part of a request has arrived on a connection that would otherwise be closed.
+func (s *frontServer) hasRequest(conn *clientConn) bool {
+	conn.conn.SetReadDeadline(time.Now().Add(lastReadTimeout))
+	_, err := conn.reader.Peek(1)
+	return err == nil
+}
+
 // idleTimeout returns how long a connection may wait for the first byte of a request. The first request of a connection
 // must begin within the header timeout.
 func (s *frontServer) idleTimeout(conn *clientConn, limits config.Limits, first bool) time.Duration {
@@ -256,6 +264,13 @@
 	}
 }
 
+// count returns the number of open connections.
+func (s *clientConns) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
 // closeAll closes all connections.
 func (s *clientConns) closeAll() {
 	s.mu.Lock()
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -33,18 +33,6 @@
 	"oxbowspan/rpc"
 )
 
-// Timing of the graceful shutdown. The platform stops sending new connections only after two failed readiness checks, so the gateway
-// still accepts them for minDrain.
-const (
-	idleCloseDelay     = 2200 * time.Millisecond // from SIGTERM until idle connections are closed
-	minDrain           = 2500 * time.Millisecond // minimum time from SIGTERM until the listener is closed
-	shutdownReserve    = 700 * time.Millisecond  // part of the grace period reserved for the steps after draining
-	drainCheckInterval = 50 * time.Millisecond
-
-	finalResponseTimeout       = 300 * time.Millisecond // part of the reserve, for writing responses to requests that are still open
-	finalResponseCheckInterval = 5 * time.Millisecond
-)
-
 // Timeouts of the readiness endpoint.
 const (
 	readinessHeaderTimeout = 3 * time.Second
@@ -168,7 +156,7 @@
 	g.process.log.Info().Str("node", g.process.settings.NodeName).Msg("gateway: started")
 	select {
 	case <-ctx.Done():
-		g.drain()
+		g.drain(l.front)
 	case <-g.killed:
 	}
 	l.front.Close()
@@ -211,40 +199,6 @@
 	return 0
 }
 
-// drain keeps serving until the open requests are answered and the platform has had time to send clients to other gateways, but not beyond
-// the grace period. Requests that are still open then are answered without a result.
-func (g *Gateway) drain() {
-	g.process.log.Info().Msg("gateway: draining")
-	g.process.draining.Store(true)
-	gracePeriod := max(settings.Seconds(g.process.settings.Bounds.GracePeriodS)-shutdownReserve, minDrain)
-	startedAt := time.Now()
-	ticker := time.NewTicker(drainCheckInterval)
-	defer ticker.Stop()
-	for range ticker.C {
-		elapsed := time.Since(startedAt)
-		if elapsed > idleCloseDelay {
-			g.front.conns.closeIdle()
-		}
-		if elapsed > minDrain && g.front.openRequests.Load() == 0 || elapsed > gracePeriod {
-			break
-		}
-	}
-	g.front.conns.closeIdle()
-	if g.front.openRequests.Load() > 0 {
-		g.answerOpenRequests()
-	}
-}
-
-// answerOpenRequests answers the requests that are still open at the end of the grace period instead of just closing their connections.
-// The response states whether the request was not executed or may have been. It waits up to finalResponseTimeout until the responses are
-// written.
-func (g *Gateway) answerOpenRequests() {
-	g.loop.post(g.dispatcher.failOpenRequests)
-	for end := time.Now().Add(finalResponseTimeout); time.Now().Before(end) && g.front.openRequests.Load() > 0; {
-		time.Sleep(finalResponseCheckInterval)
-	}
-}
-
 // handleReadiness handles readiness checks: it responds 200 if this gateway accepts new connections, else 503.
 func (g *Gateway) handleReadiness(w http.ResponseWriter, _ *http.Request) {
 	if g.process.draining.Load() || !g.process.ready.Load() {
