rpc: a frame can contain a configuration and all documents at their limits

Callers saw: no answer to a configuration of 8,388,607 bytes beside documents at their limit, which is below the limit that 413 names; and a committed one near it never reached a controller without a disk or a gateway that started. Cause: a frame had the same limit of 8 MiB as the configuration alone; a frame with a value contains the documents and earlier versions too. Change: 16 MiB. That all bodies fit is checked when the program is compiled.

--- a/controlplane/resources.go
+++ b/controlplane/resources.go
@@ -8,14 +8,22 @@
 	"oxbowspan/config"
 	"oxbowspan/consensus"
 	"oxbowspan/rollout"
+	"oxbowspan/rpc"
 )
 
 // Maximum lengths of bodies.
 const (
 	maxConfigurationBytes = 8 << 20
 	maxDocumentBytes      = 256 << 10 // limited because every Accept may contain the document
+
+	maxDocuments       = 8       // documents beside the configuration
+	valueOverheadBytes = 1 << 20 // everything else in a frame with a value
 )
 
+// A frame can contain a value with all of its bodies: otherwise a controller without a disk, or a gateway that starts, never gets it. The
+// conversion of a negative constant does not compile.
+const _ = uint(rpc.MaxFrameBytes - maxConfigurationBytes - maxDocuments*maxDocumentBytes - valueOverheadBytes)
+
 // configurationChange is a new version of the configuration.
 type configurationChange struct{ request consensus.ChangeRequest }
 
--- a/rpc/frame.go
+++ b/rpc/frame.go
@@ -13,7 +13,7 @@
 	// Preface is sent by the dialing side at the start of a connection. It names the protocol and its version.
 	Preface = "hive/1\r\n"
 	// MaxFrameBytes is the maximum length of an encoded frame that a reader accepts.
-	MaxFrameBytes = 8 << 20
+	MaxFrameBytes = 16 << 20
 
 	frameHeaderBytes = 4
 	// maxRetainedBuffer is the maximum capacity, in bytes, of a buffer that a connection retains for the next frame.
