--- a/rpc/conn_test.go
+++ b/rpc/conn_test.go
@@ -3,8 +3,8 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/binary"
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"testing"
