--- a/internal/testing/experiment/soak.go
+++ b/internal/testing/experiment/soak.go
@@ -23,7 +23,7 @@
 		Long: `soak starts three controllers, gateways and servers. Clients use their connections until these are closed,
 also while their gateway shuts down. Meanwhile gateways receive SIGTERM, SIGKILL, SIGHUP and SIGSTOP, controllers SIGTERM,
 SIGKILL and SIGSTOP, and both are restarted; all controllers are killed at once after servers have left; servers crash, leave
-by a drain or by a sign-off alone and serve on for some seconds, and are replaced; configurations are replaced, and rollouts are
+by a drain or by a sign-off alone and serve on for some seconds, and are replaced; all servers of a service or of all services fail a share of their requests; configurations are replaced, and rollouts are
 begun and reverted. Each configuration raises the limit of headers, and clients use the limit in force; with one seed in four gateways have no
 allowance of retries. The faults are drawn from the seed; several are in progress at the same time. It ends with a finding if a healthy gateway drops a request that it has accepted, if a response is incomplete or belongs
 to another request, if a request that must not be repeated is executed twice, if a request reaches a server later than three seconds after its departure
@@ -79,7 +79,7 @@
 		name:          "soak",
 		controllers:   soakControllers,
 		gateways:      e.Scale(4, 8),
-		configuration: soakConfiguration(1, simcluster.ExampleSharding, soakFirstHeaderBytes),
+		configuration: soakConfiguration(e.Seed, 1, simcluster.ExampleSharding, soakFirstHeaderBytes),
 		zeroBudget:    e.Seed%soakZeroBudgetSeeds == 0,
 		addServers: addServers(simcluster.ExampleServices, soakServers, func(c *simcluster.Cluster, service string) {
 			c.AddServer(service, soakServiceTime)
@@ -161,6 +161,7 @@
 	for number := range soakReleaseSeries {
 		start(soakFaultSeries+number, []func(*rand.Rand){s.release})
 	}
+	start(soakFaultSeries+soakReleaseSeries, []func(*rand.Rand){s.failServices})
 	series.Wait()
 }
 
@@ -330,7 +331,7 @@
 	s.mu.Unlock()
 	next := current + 1 + random.Uint64N(3)
 	headerBytes := s.nextHeaderBytes()
-	body := soakConfiguration(next, sharding, headerBytes)
+	body := soakConfiguration(s.env.Seed, next, sharding, headerBytes)
 	committed, err := s.client.ReplaceConfiguration(ctx, current, body)
 	for attempt := 0; err != nil && attempt < 10; attempt++ { // an ambiguous result: the same request is sent again
 		var statusErr *controlclient.StatusError
--- a/internal/testing/experiment/soak_client.go
+++ b/internal/testing/experiment/soak_client.go
@@ -145,6 +145,9 @@
 		}
 		c.soak.count("requests served")
 	case response.StatusCode == http.StatusOK:
+		if path == rolloutGatherPath {
+			c.checkGathered(id, response, body)
+		}
 		c.soak.count("requests served")
 	case response.StatusCode == http.StatusServiceUnavailable && path == "/once/x" && executions > 0:
 		c.soak.setFinding("%s is answered that it has not run, and ran", id)
--- a/internal/testing/experiment/soak_limits.go
+++ b/internal/testing/experiment/soak_limits.go
@@ -31,11 +31,17 @@
 	at          time.Time
 }
 
-// soakConfiguration returns the example configuration with a limit of headers.
-func soakConfiguration(version uint64, sharding []string, headerBytes int) []byte {
+// soakConfiguration returns the example configuration with a limit of headers. With one seed in soakZeroShareSeeds a gathered response may lack
+// any number of parts but one.
+func soakConfiguration(seed, version uint64, sharding []string, headerBytes int) []byte {
 	var c config.Configuration
 	json.Unmarshal(simcluster.ExampleConfiguration(version, sharding), &c)
 	c.Limits.HeaderBytes = headerBytes
+	for i := range c.Routes {
+		if seed%soakZeroShareSeeds == 0 {
+			c.Routes[i].MinimumShare = 0
+		}
+	}
 	text, _ := json.Marshal(c) // a struct of plain values always marshals
 	return text
 }
--- a/internal/testing/simcluster/example.go
+++ b/internal/testing/simcluster/example.go
@@ -85,7 +85,7 @@
 	if response.Status != http.StatusOK {
 		return false, checkNotDenied(requestID, response.Status)
 	}
-	return true, exampleGathering(ExampleSharding, ExampleResharding).Check(response, requestID)
+	return true, ExampleGathering(ExampleSharding, ExampleResharding).Check(response, requestID)
 }
 
 func (c *Cluster) sendSingleExample(gateway *GatewayNode, requestID string) (served bool, violation Violation) {
@@ -134,8 +134,8 @@
 	return ""
 }
 
-// exampleGathering returns the expectation of gathered responses of the example while one of the shardings is applied.
-func exampleGathering(shardings ...[]string) GatheredExpectation {
+// ExampleGathering returns the expectation of gathered responses of the example while one of the shardings is applied.
+func ExampleGathering(shardings ...[]string) GatheredExpectation {
 	return GatheredExpectation{
 		ServiceSets:  shardings,
 		RecordCount:  ExampleRecordCount,
--- a/internal/testing/simcluster/helpers_test.go
+++ b/internal/testing/simcluster/helpers_test.go
@@ -259,7 +259,7 @@
 // checkGathered checks that a response has status 200 and is gathered from the given sharding.
 func checkGathered(t *testing.T, response Response, requestID string, sharding []string) {
 	t.Helper()
-	violation := exampleGathering(sharding).Check(response, requestID)
+	violation := ExampleGathering(sharding).Check(response, requestID)
 	if response.Status != http.StatusOK || violation != "" {
 		t.Fatalf("gathered request %s: status %d, %s", requestID, response.Status, violation)
 	}
