--- a/controlplane/controller.go
+++ b/controlplane/controller.go
@@ -288,6 +288,12 @@
 	return err
 }
 
+// SetSeeds replaces the internal addresses of the controllers that this one contacts whether they have been seen or not. It is safe for
+// concurrent use.
+func (c *Controller) SetSeeds(addresses []string) {
+	c.loop.post(func() { c.peers.setSeeds(addresses) })
+}
+
 // Kill makes Run return immediately without draining, as if the process were killed. It must be called at most once.
 func (c *Controller) Kill() { close(c.killed) }
 
--- a/controlplane/gossip_test.go
+++ b/controlplane/gossip_test.go
@@ -121,3 +121,18 @@
 		t.Error("not current for gateways after a message of an earlier release")
 	}
 }
+
+// A controller contacts seeds that replace others at once, and does not expire them.
+func TestReplacedSeedsAreContacted(t *testing.T) {
+	c := newTestController(t)
+	c.SetSeeds([]string{"10.0.7.1:7100", c.self.address})
+	(<-c.loop.commands)()
+	p := c.peers.byAddress["10.0.7.1:7100"]
+	if p == nil {
+		t.Fatal("a replaced seed is not contacted")
+	}
+	c.peers.removeExpired(c.clock.now()+time.Hour, func(string) bool { return false })
+	if c.peers.byAddress["10.0.7.1:7100"] != p || len(c.peers.byAddress) != 1 {
+		t.Errorf("%d peers after an hour without contact, want the seed only", len(c.peers.byAddress))
+	}
+}
--- a/controlplane/peers.go
+++ b/controlplane/peers.go
@@ -133,6 +133,14 @@
 	return p
 }
 
+// setSeeds replaces the seeds and adds those that are not in the set.
+func (s *peerSet) setSeeds(addresses []string) {
+	s.seeds = addresses
+	for _, address := range addresses {
+		s.add(address)
+	}
+}
+
 // gossipNow makes the gossip loops send the next message to all peers immediately.
 func (s *peerSet) gossipNow() {
 	for _, p := range s.byAddress {
--- a/dataplane/config_follower.go
+++ b/dataplane/config_follower.go
@@ -92,6 +92,7 @@
 // pollController polls the current controller once. It switches to the next one if the controller does not respond in time, has no
 // quorum or may be outdated.
 func (f *configFollower) pollController(ctx context.Context) {
+	f.controllers.adoptSeeds()
 	client := f.client(f.controllers.current().address)
 	poll := f.newPoll()
 	sentAt, polledAt := time.Now(), duration(f.loop.now())
--- a/dataplane/controllers.go
+++ b/dataplane/controllers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
 
 	"oxbowspan/internal/settings"
 	"oxbowspan/rendezvous"
@@ -20,27 +21,51 @@
 type controllerList struct {
 	self     rendezvous.Name
 	settings *settings.Settings
+	seeds    []string                     // internal addresses
+	newSeeds atomic.Pointer[[]string]     // set by setSeeds until they are adopted
 	known    map[string]controllerAddress // by address
 	order    []controllerAddress
 	position int // index of the current controller in order, modulo its length; grows without bound
 }
 
 func newControllerList(p *process) *controllerList {
-	l := &controllerList{self: p.name, settings: p.settings}
-	l.known = l.seeds()
+	l := &controllerList{self: p.name, settings: p.settings, seeds: p.settings.SeedControllers()}
+	l.known = l.seedControllers()
 	l.sort()
 	return l
 }
 
-// seeds returns the controllers listed in the settings.
-func (l *controllerList) seeds() map[string]controllerAddress {
+// seedControllers returns the seeds by address.
+func (l *controllerList) seedControllers() map[string]controllerAddress {
 	seeds := map[string]controllerAddress{}
-	for _, address := range l.settings.SeedControllers() {
+	for _, address := range l.seeds {
 		seeds[address] = controllerAddress{address: address}
 	}
 	return seeds
 }
 
+// setSeeds replaces the seeds, unless there are none in addresses. It is safe for concurrent use.
+func (l *controllerList) setSeeds(addresses []string) {
+	if len(addresses) > 0 {
+		l.newSeeds.Store(&addresses)
+	}
+}
+
+// adoptSeeds adds the seeds that were set since the last call to the known controllers.
+func (l *controllerList) adoptSeeds() {
+	replaced := l.newSeeds.Swap(nil)
+	if replaced == nil {
+		return
+	}
+	l.seeds = *replaced
+	for address, seed := range l.seedControllers() {
+		if _, known := l.known[address]; !known {
+			l.known[address] = seed
+		}
+	}
+	l.sort()
+}
+
 // current returns the controller to poll.
 func (l *controllerList) current() controllerAddress { return l.order[l.position%len(l.order)] }
 
@@ -50,7 +75,7 @@
 // update replaces the known controllers by the announced ones and the seeds. It reports whether the list has changed, and whether the
 // current controller is still the current one: it is, unless it is no longer listed or a nearer one is known.
 func (l *controllerList) update(announced []*rpc.Controller) (changed, currentKept bool) {
-	known := l.seeds()
+	known := l.seedControllers()
 	for _, controller := range announced {
 		known[controller.Address] = controllerAddress{address: controller.Address, zone: controller.Zone}
 	}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -191,6 +191,10 @@
 // Kill makes Run return immediately without a graceful shutdown, as if the process was killed. It must not be called twice.
 func (g *Gateway) Kill() { close(g.killed) }
 
+// SetSeeds replaces the internal addresses of the controllers that are polled in addition to those that controllers announce. It is safe for
+// concurrent use.
+func (g *Gateway) SetSeeds(addresses []string) { g.follower.controllers.setSeeds(addresses) }
+
 // ActiveVersion returns the version of the active configuration, 0 = none yet.
 func (g *Gateway) ActiveVersion() uint64 {
 	if active := g.configs.load(); active != nil {
--- a/internal/controlcli/program.go
+++ b/internal/controlcli/program.go
@@ -45,7 +45,7 @@
 	name        string
 	gateway     bool // checks the settings of a gateway
 	controller  bool // checks the settings of a controller, and has the operators' commands
-	run         func(ctx context.Context, set *settings.Settings, log zerolog.Logger) error
+	run         func(ctx context.Context, set *settings.Settings, watch func(seedReceiver), log zerolog.Logger) error
 	memoryShare float64   // fraction of the settings' memory limit that is the soft memory limit of the Go runtime
 	gcPercent   int       // growth of the heap that starts the next garbage collection, in percent
 	out, errs   io.Writer // standard output, and standard error with the log
@@ -60,7 +60,7 @@
 		gcPercent:   200,
 		out:         out,
 		errs:        errs,
-		run: func(ctx context.Context, set *settings.Settings, log zerolog.Logger) error {
+		run: func(ctx context.Context, set *settings.Settings, watch func(seedReceiver), log zerolog.Logger) error {
 			controller, err := controlplane.New(ctx, set, network.TCP{}, log)
 			if ctx.Err() != nil && errors.Is(err, acceptorstore.ErrLocked) {
 				return nil // stopped by a signal while it waited
@@ -68,6 +68,7 @@
 			if err != nil {
 				return err
 			}
+			watch(controller)
 			return controller.Run(ctx)
 		},
 	}.main(args)
@@ -82,8 +83,10 @@
 		gcPercent:   400,
 		out:         out,
 		errs:        errs,
-		run: func(ctx context.Context, set *settings.Settings, log zerolog.Logger) error {
-			return dataplane.New(set, network.TCP{}, log).Run(ctx)
+		run: func(ctx context.Context, set *settings.Settings, watch func(seedReceiver), log zerolog.Logger) error {
+			gateway := dataplane.New(set, network.TCP{}, log)
+			watch(gateway)
+			return gateway.Run(ctx)
 		},
 	}.main(args)
 }
@@ -162,8 +165,7 @@
 
 // serve runs the program until SIGTERM or SIGINT.
 func (p program) serve(path, level string) error {
-	// The settings file is read only once, at the start. SIGHUP, the usual signal to reread settings, must not end the process, not even
-	// while the file is being read.
+	// SIGHUP, the signal to read the settings again, must not end the process while the file is being read for the first time.
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	set, problems, err := p.readSettings(path)
 	if err != nil {
@@ -185,5 +187,9 @@
 	debug.SetGCPercent(p.gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return p.run(ctx, set, log)
+	watch := func(receiver seedReceiver) {
+		w := &settingsWatcher{path: path, read: p.readSettings, current: set, receiver: receiver, log: log}
+		go w.run(ctx)
+	}
+	return p.run(ctx, set, watch, log)
 }
