--- a/gatherer/coverage_test.go
+++ b/gatherer/coverage_test.go
@@ -10,15 +10,20 @@
 	"oxbowspan/internal/testing/standin"
 )
 
-// A request of which no call is answered is no success, also where the settings demand no share of the answer: the client got 200 with an
-// empty list.
+// A request of which no call is answered is no success, whatever share of the answer the settings demand: with 0, or one below the tolerance
+// of the comparison, the client got 200 with an empty list. Without the setting the whole answer is demanded.
 func TestRequestWithoutAnsweredCallIsNoSuccess(t *testing.T) {
 	broken := startShard(t, "s-broken", func(c *standin.ShardConn, p standin.ShardCall) { c.Respond(p.ID, "broke", "") })
-	for queryType, want := range map[string]int{"lookup": http.StatusServiceUnavailable, "post": http.StatusGatewayTimeout} {
-		p := startProgram(t, startDiscovery(t, broken), withoutMinimumShare)
-		if status, body, _ := p.sendRequest(queryType, 0, 1); status != want {
-			t.Errorf("%s: status %d with %s, want %d", queryType, status, body, want)
-		}
+	for _, setting := range []string{`"leastShare":[0,0],`, `"leastShare":[-1,-1],`, `"leastShare":[1e-9,1e-9],`, `"leastShare":[4e-5,4e-5],`, ``} {
+		t.Run(setting, func(t *testing.T) {
+			t.Parallel()
+			p := startProgram(t, startDiscovery(t, broken), withLeastShare(setting))
+			for queryType, want := range map[string]int{"lookup": http.StatusServiceUnavailable, "post": http.StatusGatewayTimeout} {
+				if status, body, _ := p.sendRequest(queryType, 0, 1); status != want {
+					t.Errorf("%s: status %d with %s, want %d", queryType, status, body, want)
+				}
+			}
+		})
 	}
 }
 
@@ -60,7 +65,9 @@
 	}
 }
 
-// withoutMinimumShare changes a configuration so that an answer may have any share of its calls.
-func withoutMinimumShare(c *Config) {
-	c.Settings = []byte(strings.Replace(testSettings, `"leastShare":[1.0,1.0]`, `"leastShare":[0,0]`, 1))
+// withLeastShare replaces the setting of the least share of a configuration.
+func withLeastShare(setting string) func(*Config) {
+	return func(c *Config) {
+		c.Settings = []byte(strings.Replace(testSettings, `"leastShare":[1.0,1.0],`, setting, 1))
+	}
 }
--- a/gatherer/mergeenv_test.go
+++ b/gatherer/mergeenv_test.go
@@ -61,6 +61,13 @@
 // sent; otherwise respond answers the call itself or leaves it unanswered. The text of the operator's file is changed by
 // edit unless that is nil.
 func startMergeEnv(t *testing.T, shape standin.DatasetShape,
+	respond func(c *standin.ShardConn, p standin.ShardCall, rows string) bool, edit func(string) string) *mergeEnv {
+	t.Helper()
+	return startMergeEnvWith(t, mergeSettings, shape, respond, edit)
+}
+
+// startMergeEnvWith is startMergeEnv with other settings.
+func startMergeEnvWith(t *testing.T, settings string, shape standin.DatasetShape,
 	respond func(c *standin.ShardConn, p standin.ShardCall, rows string) bool, edit func(string) string) *mergeEnv {
 	t.Helper()
 	s := &mergeEnv{t: t, dataset: standin.NewDataset(11, shape)}
@@ -86,7 +93,7 @@
 	s.file = filepath.Join(dir, "operator.ini")
 	s.writeFile("operator.ini", writeMergeFile(edit))
 	s.writeFile("cursor.keys", testKey)
-	s.program = startProgram(t, s.list, func(c *Config) { c.Settings = json.RawMessage(mergeSettings) }, "--operator", s.file)
+	s.program = startProgram(t, s.list, func(c *Config) { c.Settings = json.RawMessage(settings) }, "--operator", s.file)
 	return s
 }
 
